--- /dev/null
+++ b/cmd/root.go
@@ -0,0 +1,58 @@
+// Package cmd holds the command line, one file a command.
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of the command line. docs/operate/command-line.md lists them.
+const (
+	exitOK     = 0
+	exitFailed = 1
+)
+
+// exitError carries an exit code other than exitFailed.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (err *exitError) Error() string {
+	return err.err.Error()
+}
+
+func (err *exitError) Unwrap() error {
+	return err.err
+}
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, out, errOut io.Writer) int {
+	root := newRootCommand()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.Execute()
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(errOut, "sycamorewall: "+err.Error())
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return exitFailed
+}
+
+func newRootCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "sycamorewall",
+		Short:         "A query tier over many shards, run by declarations in version control",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	return root
+}
--- /dev/null
+++ b/internal/swsetting/setting.go
@@ -0,0 +1,120 @@
+// Package swsetting reads the settings file, fills in defaults and checks every field.
+package swsetting
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings is the whole settings file of one VM. Durations are written as in 250ms, 2s or 1m.
+type Settings struct {
+	// Name is the VM's name, unique among the VMs of the system.
+	Name string `yaml:"Name" validate:"required"`
+	// Region is the VM's region.
+	Region string `yaml:"Region" validate:"required"`
+	// DataCentre is the VM's data centre.
+	DataCentre string    `yaml:"DataCentre" validate:"required"`
+	Caller     Caller    `yaml:"Caller"`
+	Peer       Peer      `yaml:"Peer"`
+	Platform   Platform  `yaml:"Platform"`
+	Query      Query     `yaml:"Query"`
+	Admission  Admission `yaml:"Admission"`
+	Member     Member    `yaml:"Member"`
+	Stop       Stop      `yaml:"Stop"`
+	Log        Log       `yaml:"Log"`
+}
+
+// Caller is the HTTP listener for callers.
+type Caller struct {
+	// Listen is the TCP address for callers.
+	Listen netip.AddrPort `yaml:"Listen"`
+	TLS    TLS            `yaml:"TLS"`
+	// TrustCallerField takes the caller's name from the request where no client certificate gives it.
+	TrustCallerField bool `yaml:"TrustCallerField"`
+	// MaxBody is the largest request body in bytes.
+	MaxBody int64 `yaml:"MaxBody"`
+	// MaxRequests is the number of requests held at once; more are refused.
+	MaxRequests int `yaml:"MaxRequests"`
+}
+
+// Peer is the QUIC listener for other VMs.
+type Peer struct {
+	// Listen is the UDP address for other VMs.
+	Listen netip.AddrPort `yaml:"Listen"`
+	// Advertise is the UDP address that other VMs use; Listen when empty.
+	Advertise netip.AddrPort `yaml:"Advertise"`
+	TLS       TLS            `yaml:"TLS"`
+	// Seeds are peer addresses to ask when the platform's VM list is out of reach at the start.
+	Seeds []netip.AddrPort `yaml:"Seeds"`
+}
+
+// TLS names PEM files. All empty means no TLS, which only the caller listener may have.
+type TLS struct {
+	Certificate string `yaml:"Certificate"`
+	Key         string `yaml:"Key"`
+	CA          string `yaml:"CA"`
+}
+
+// Platform is the platform's object API.
+type Platform struct {
+	// URL is the base URL of the object API.
+	URL string `yaml:"URL" validate:"required,url"`
+	// Timeout bounds a call other than a watch.
+	Timeout time.Duration `yaml:"Timeout"`
+	// WatchWait is how long a watch waits for a change.
+	WatchWait time.Duration `yaml:"WatchWait"`
+	// ListEvery is the time between two reads of the VM list by a watcher.
+	ListEvery time.Duration `yaml:"ListEvery"`
+}
+
+// Query sets how queries are scattered and gathered.
+type Query struct {
+	// Placement is Owner or Direct.
+	Placement string `yaml:"Placement" validate:"oneof=Owner Direct"`
+	// DefaultTimeout applies to requests without Timeout.
+	DefaultTimeout time.Duration `yaml:"DefaultTimeout"`
+	// MaxTimeout caps the Timeout of requests.
+	MaxTimeout time.Duration `yaml:"MaxTimeout"`
+	// HedgePercent bounds hedges and retries, in percent of sub-requests; zero turns hedging off.
+	HedgePercent float64 `yaml:"HedgePercent"`
+	// HedgePercentile is the percentile of a shard's latency after which it is hedged.
+	HedgePercentile float64 `yaml:"HedgePercentile"`
+	// AckTimeout is how long an owner may take to acknowledge a batch.
+	AckTimeout time.Duration `yaml:"AckTimeout"`
+}
+
+// Admission sets how an owner shares a backend server's slots.
+type Admission struct {
+	// Shares is the least share of slots that Urgent, Standard and Deferrable work keep, in percent.
+	Shares []int `yaml:"Shares"`
+	// QueueLimit is the number of sub-requests that may wait for one backend server.
+	QueueLimit int `yaml:"QueueLimit"`
+	// QueueTarget is the queue wait above which whole queries are shed.
+	QueueTarget time.Duration `yaml:"QueueTarget"`
+	// ShedByCohort turns shedding of whole queries at the root on.
+	ShedByCohort bool `yaml:"ShedByCohort"`
+}
+
+// Member sets probing and gossip.
+type Member struct {
+	// ProbeEvery is the time between two probes.
+	ProbeEvery time.Duration `yaml:"ProbeEvery"`
+	// ProbeTimeout is how long a probe may take before others are asked to probe.
+	ProbeTimeout time.Duration `yaml:"ProbeTimeout"`
+	// SuspectFor is how long a suspect may refute before it counts as dead.
+	SuspectFor time.Duration `yaml:"SuspectFor"`
+}
+
+// Stop sets the graceful stop.
+type Stop struct {
+	// BalancerWait is how long to keep serving after the VM turned not ready.
+	BalancerWait time.Duration `yaml:"BalancerWait"`
+	// DrainTimeout bounds the wait for requests in flight.
+	DrainTimeout time.Duration `yaml:"DrainTimeout"`
+}
+
+// Log sets the JSON lines on standard error.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `yaml:"Level" validate:"oneof=debug info warn error"`
+}
