Define the caller API's messages

The HTTP handlers and the callers' library share one set of types. Key replies carry the issuer's clock so that a caller can bound the start of a run on it, which holds also when a request waits in the buffers of a paused issuer.

--- /dev/null
+++ b/pkg/swclient/message.go
@@ -0,0 +1,167 @@
+// Package swclient is the callers' library: it searches, takes keys ahead, and sends non-idempotent work again under the
+// same key until its outcome is known or its deadline passes.
+package swclient
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+// Paths of the caller API.
+const (
+	PathSearch = "/v1/search"
+	PathKeys   = "/v1/keys"
+	PathRuns   = "/v1/runs"
+)
+
+// HeaderIdempotencyKey carries a key of the caller's own where the body has no Key.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// Duration is a time span that JSON carries as text such as "180ms".
+type Duration time.Duration
+
+// MarshalText formats the duration as time.Duration does.
+func (duration Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(duration).String()), nil
+}
+
+// UnmarshalText parses a duration such as "180ms" or "2s".
+func (duration *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Wrap(err, "parse duration")
+	}
+	*duration = Duration(parsed)
+	return nil
+}
+
+// SearchRequest is the body of POST /v1/search.
+type SearchRequest struct {
+	// Caller names the caller where no client certificate does.
+	Caller string `json:",omitempty"`
+	Kind   string
+	Index  string
+	Query  string
+	// Limit is the greatest number of hits.
+	Limit int `json:",omitempty"`
+	// MinCoverage is the least share of documents that an answer must cover, above 0 and up to 1; nil means 1.
+	MinCoverage *float64 `json:",omitempty"`
+	// Timeout is the time that the caller waits; zero means the server's default.
+	Timeout Duration `json:",omitempty"`
+	// RequestID is echoed in the reply and stands in logs.
+	RequestID string `json:",omitempty"`
+}
+
+// RunRequest is the body of POST /v1/runs.
+type RunRequest struct {
+	SearchRequest
+	// Key is a key from POST /v1/keys, or a key of the caller's own.
+	Key string
+	// Route is the routing value whose shard alone runs the work; all shards run it when empty.
+	Route string `json:",omitempty"`
+	// StartBefore is the issuer's clock time, as in KeysReply.Clock, after which the issuer must not begin the run;
+	// zero leaves only Timeout, counted from when a VM reads the request.
+	StartBefore Duration `json:",omitempty"`
+}
+
+// Coverage states what an answer covers.
+type Coverage struct {
+	// Documents is the number of documents in the shards that answered, Of the number in the snapshot.
+	Documents int64
+	Of        int64
+	// Shards is the number of shards that answered, OfShards the number in the snapshot.
+	Shards   int
+	OfShards int
+}
+
+// Fraction returns the share of documents covered, between 0 and 1.
+func (coverage Coverage) Fraction() float64 {
+	if coverage.Of == 0 {
+		return 0
+	}
+	return float64(coverage.Documents) / float64(coverage.Of)
+}
+
+// Hit is one matching document.
+type Hit struct {
+	ID    string
+	Score float64
+	Shard int
+	Text  string `json:",omitempty"`
+}
+
+// Refusal holds the fields of a reply that is not an answer.
+type Refusal struct {
+	// Field is the path of the request field at fault.
+	Field string `json:",omitempty"`
+	// Message says what is wrong.
+	Message string `json:",omitempty"`
+	// Fix says what to change.
+	Fix string `json:",omitempty"`
+	// Rule is the line of the rule that decided.
+	Rule int `json:",omitempty"`
+	// RetryAfter is how long to wait before sending again.
+	RetryAfter Duration `json:",omitempty"`
+}
+
+// SearchReply is the body of every reply to POST /v1/search and POST /v1/runs, answers and refusals alike.
+type SearchReply struct {
+	Code      swcode.Code
+	Ran       swcode.Ran
+	RequestID string
+	Refusal
+	Snapshot    string           `json:",omitempty"`
+	Coverage    Coverage         `json:",omitzero"`
+	RuleVersion uint64           `json:",omitempty"`
+	Hits        []Hit            `json:",omitempty"`
+	Counts      map[string]int64 `json:",omitempty"`
+	Took        Duration
+}
+
+// KeysRequest is the body of POST /v1/keys.
+type KeysRequest struct {
+	// Caller names the caller where no client certificate does.
+	Caller string `json:",omitempty"`
+	// Count is the number of keys wanted.
+	Count int
+}
+
+// KeysReply is the body of the reply to POST /v1/keys.
+type KeysReply struct {
+	Code swcode.Code
+	Ran  swcode.Ran
+	Refusal
+	Keys []string `json:",omitempty"`
+	// Expires is how much longer a run may begin under the keys.
+	Expires Duration `json:",omitempty"`
+	// Clock is the issuer's clock when it made the keys; RunRequest.StartBefore counts on the same clock.
+	Clock Duration `json:",omitempty"`
+}
+
+// Err returns the refusal as an error, or nil when the reply is an answer.
+func (reply *SearchReply) Err() error {
+	return refusalError(reply.Code, reply.Ran, reply.Refusal)
+}
+
+// Err returns the refusal as an error, or nil when keys were issued.
+func (reply *KeysReply) Err() error {
+	return refusalError(reply.Code, reply.Ran, reply.Refusal)
+}
+
+func refusalError(code swcode.Code, ran swcode.Ran, refusal Refusal) error {
+	if code == swcode.OK {
+		return nil
+	}
+	return &swcode.Error{
+		Code:       code,
+		Ran:        ran,
+		Field:      refusal.Field,
+		Message:    refusal.Message,
+		Fix:        refusal.Fix,
+		Rule:       refusal.Rule,
+		RetryAfter: time.Duration(refusal.RetryAfter),
+	}
+}
