--- /dev/null
+++ b/internal/swlog/log.go
@@ -0,0 +1,47 @@
+// Package swlog builds the logger: JSON lines with Pascal-case names.
+package swlog
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+// fieldNames guards the field names of zerolog, which are package variables.
+var fieldNames sync.Once
+
+// Config holds what a logger is built from.
+type Config struct {
+	Out io.Writer
+	// Level is debug, info, warn or error.
+	Level string
+	// VM and DataCentre stand in every line.
+	VM         string
+	DataCentre string
+}
+
+// New returns a logger. It returns an error for a level that does not exist.
+func New(config Config) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(config.Level)
+	if err != nil {
+		return zerolog.Logger{}, errors.Wrap(err, "parse log level")
+	}
+	setFieldNames()
+	logger := zerolog.New(config.Out).Level(level).With().Timestamp().
+		Str("VM", config.VM).Str("DataCentre", config.DataCentre).Logger()
+	return logger, nil
+}
+
+func setFieldNames() {
+	fieldNames.Do(func() {
+		zerolog.TimestampFieldName = "Time"
+		zerolog.LevelFieldName = "Level"
+		zerolog.MessageFieldName = "Message"
+		zerolog.ErrorFieldName = "Error"
+		zerolog.TimeFieldFormat = time.RFC3339Nano
+		zerolog.DurationFieldUnit = time.Millisecond
+	})
+}
