--- /dev/null
+++ b/internal/swplatform/backoff.go
@@ -0,0 +1,70 @@
+package swplatform
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// BackoffConfig sets a Backoff.
+type BackoffConfig struct {
+	// First is the upper bound of the first delay; it doubles with each one that follows. The default is 100 ms.
+	First time.Duration
+	// Max is the upper bound of all delays. The default is 10 s.
+	Max time.Duration
+	// Random returns numbers in [0, 1). The default is math/rand/v2's.
+	Random func() float64
+}
+
+// Defaults of BackoffConfig.
+const (
+	defaultBackoffFirst = 100 * time.Millisecond
+	defaultBackoffMax   = 10 * time.Second
+)
+
+// Backoff spaces out retries exponentially with full jitter: each delay is drawn evenly between zero and a bound that
+// doubles up to Max. It is not safe for concurrent use.
+type Backoff struct {
+	config BackoffConfig
+	bound  time.Duration
+}
+
+// NewBackoff returns a backoff at its first delay.
+func NewBackoff(config BackoffConfig) *Backoff {
+	if config.First <= 0 {
+		config.First = defaultBackoffFirst
+	}
+	if config.Max <= 0 {
+		config.Max = defaultBackoffMax
+	}
+	if config.Random == nil {
+		config.Random = rand.Float64
+	}
+	backoff := &Backoff{config: config}
+	backoff.Reset()
+	return backoff
+}
+
+// Next returns the next delay.
+func (backoff *Backoff) Next() time.Duration {
+	delay := time.Duration(backoff.config.Random() * float64(backoff.bound))
+	backoff.bound = min(2*backoff.bound, backoff.config.Max)
+	return delay
+}
+
+// Reset goes back to the first delay. Call it after a success.
+func (backoff *Backoff) Reset() {
+	backoff.bound = min(backoff.config.First, backoff.config.Max)
+}
+
+// Wait sleeps for the next delay. It returns the context's error when that ends first.
+func (backoff *Backoff) Wait(ctx context.Context) error {
+	timer := time.NewTimer(backoff.Next())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/swplatform/object.go
@@ -0,0 +1,83 @@
+package swplatform
+
+import (
+	"encoding/json"
+	"net/netip"
+)
+
+// MaxValue is the largest value of an object in bytes.
+const MaxValue = 1 << 20
+
+// Object is one object of the platform.
+type Object struct {
+	Kind string
+	Name string
+	// Version counts the writes of this object.
+	Version uint64
+	// Revision counts the writes of the whole store.
+	Revision uint64
+	// Value is a JSON document. It is empty in the result of a write.
+	Value json.RawMessage
+}
+
+// ObjectVersion names an object and its version, as a listing gives them.
+type ObjectVersion struct {
+	Name    string
+	Version uint64
+}
+
+// WatchResult holds what changed. Objects is empty when nothing did.
+type WatchResult struct {
+	// Revision is where the next watch continues.
+	Revision uint64
+	Objects  []Object
+}
+
+// The roles and states of VMs.
+const (
+	RoleEntry    = "Entry"
+	RoleBackend  = "Backend"
+	StateLive    = "Live"
+	StateLeaving = "Leaving"
+)
+
+// VM is one VM as the platform lists it. The list lags.
+type VM struct {
+	Name       string
+	Role       string
+	DataCentre string
+	Region     string
+	// Peer is the UDP address for other entry VMs; it is the zero value when the list gives none or a malformed one.
+	Peer netip.AddrPort
+	// Caller is the TCP address for callers; it is the zero value when the list gives none or a malformed one.
+	Caller netip.AddrPort
+	State  string
+}
+
+// UnmarshalJSON decodes a VM. A malformed address becomes the zero value, so that one bad entry does not hide the others.
+func (vm *VM) UnmarshalJSON(data []byte) error {
+	var raw struct {
+		Name, Role, DataCentre, Region, Peer, Caller, State string
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return err
+	}
+	*vm = VM{
+		Name:       raw.Name,
+		Role:       raw.Role,
+		DataCentre: raw.DataCentre,
+		Region:     raw.Region,
+		Peer:       parseAddress(raw.Peer),
+		Caller:     parseAddress(raw.Caller),
+		State:      raw.State,
+	}
+	return nil
+}
+
+func parseAddress(text string) netip.AddrPort {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return address
+}
