--- /dev/null
+++ b/pkg/swrule/key.go
@@ -0,0 +1,182 @@
+package swrule
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+)
+
+// The keys in the order in which they are printed.
+const (
+	keyCaller = iota
+	keyKind
+	keyIndex
+	keyFingerprint
+	keyPriority
+	keyRate
+	keyInFlight
+	keyFor
+	keyDeadline
+	keyRelease
+	keyCount
+)
+
+// Bounds of the values of keys.
+const (
+	// MinRate and MaxRate bound Rate, per second.
+	MinRate = 0.001
+	MaxRate = 1_000_000
+	// MaxInFlight bounds InFlight.
+	MaxInFlight = 1_000_000
+	// MaxFor bounds For.
+	MaxFor = time.Minute
+	// MaxDeadline bounds Deadline.
+	MaxDeadline = time.Hour
+	// fingerprintDigits is the number of hexadecimal digits in a fingerprint.
+	fingerprintDigits = 16
+)
+
+// key describes a key of the rule file.
+type key struct {
+	name string
+	// limits marks keys that say how admitted work is run, which a refuse rule can't have.
+	limits bool
+	// parse stores the value in the rule, or returns the fault and its fix.
+	parse func(rule *Rule, value string) *valueError
+}
+
+// valueError says what is wrong with a value.
+type valueError struct {
+	fault string
+	fix   string
+}
+
+var keys = [keyCount]key{
+	keyCaller:      {"Caller", false, func(rule *Rule, value string) *valueError { return parsePattern(&rule.Caller, value) }},
+	keyKind:        {"Kind", false, func(rule *Rule, value string) *valueError { return parsePattern(&rule.Kind, value) }},
+	keyIndex:       {"Index", false, func(rule *Rule, value string) *valueError { return parsePattern(&rule.Index, value) }},
+	keyFingerprint: {"Fingerprint", false, func(rule *Rule, value string) *valueError { return parseFingerprint(&rule.Fingerprint, value) }},
+	keyPriority:    {"Priority", true, func(rule *Rule, value string) *valueError { return parsePriority(&rule.Priority, value) }},
+	keyRate:        {"Rate", true, func(rule *Rule, value string) *valueError { return parseRate(&rule.RatePerSecond, value) }},
+	keyInFlight:    {"InFlight", true, func(rule *Rule, value string) *valueError { return parseInFlight(&rule.InFlight, value) }},
+	keyFor:         {"For", true, func(rule *Rule, value string) *valueError { return parseDuration(&rule.For, value, MaxFor) }},
+	keyDeadline:    {"Deadline", true, func(rule *Rule, value string) *valueError { return parseDuration(&rule.Deadline, value, MaxDeadline) }},
+	keyRelease:     {"Release", true, func(rule *Rule, value string) *valueError { return parseRelease(&rule.Release, value) }},
+}
+
+func findKey(name string) (int, bool) {
+	i := slices.IndexFunc(keys[:], func(key key) bool { return key.name == name })
+	return i, i >= 0
+}
+
+func keyNames() []string {
+	names := make([]string, keyCount)
+	for i := range keys {
+		names[i] = keys[i].name
+	}
+	return names
+}
+
+func parsePattern(target *Pattern, value string) *valueError {
+	for _, character := range value {
+		if !patternCharacter(character) {
+			return &valueError{
+				fault: fmt.Sprintf("character %q cannot stand in a pattern", character),
+				fix:   "use letters, digits and - _ . : / @, or * for any run of characters",
+			}
+		}
+	}
+	*target = Pattern(value)
+	return nil
+}
+
+func patternCharacter(character rune) bool {
+	return unicode.IsLetter(character) || unicode.IsMark(character) || unicode.IsDigit(character) ||
+		strings.ContainsRune("-_.:/@*", character)
+}
+
+var fingerprintForm = regexp.MustCompile(`^[0-9a-f*]*$`)
+
+func parseFingerprint(target *Pattern, value string) *valueError {
+	pattern := Pattern(value)
+	wellFormed := fingerprintForm.MatchString(value) && len(strings.ReplaceAll(value, Wildcard, "")) <= fingerprintDigits
+	if !wellFormed || pattern.Literal() && len(value) != fingerprintDigits {
+		return &valueError{
+			fault: fmt.Sprintf("%q is no fingerprint", value),
+			fix:   "copy the sixteen hexadecimal digits, in lower case, from `sycamorewall status`",
+		}
+	}
+	*target = pattern
+	return nil
+}
+
+func parsePriority(target *Priority, value string) *valueError {
+	if err := target.UnmarshalText([]byte(value)); err != nil {
+		return &valueError{fault: err.Error(), fix: "write " + suggest(value, priorityNames[:])}
+	}
+	return nil
+}
+
+var rateForm = regexp.MustCompile(`^([0-9]+(?:\.[0-9]+)?)/s$`)
+
+func parseRate(target *float64, value string) *valueError {
+	form := &valueError{
+		fault: fmt.Sprintf("%q is no rate", value),
+		fix:   "write requests a second, such as 50/s or 0.5/s",
+	}
+	parts := rateForm.FindStringSubmatch(value)
+	if parts == nil {
+		return form
+	}
+	rate, err := strconv.ParseFloat(parts[1], 64)
+	if err != nil {
+		return form
+	}
+	if rate < MinRate || rate > MaxRate {
+		return &valueError{
+			fault: fmt.Sprintf("rate %s is out of bounds", value),
+			fix:   fmt.Sprintf("write a rate from %g/s to %d/s, or use refuse to let nothing pass", MinRate, MaxRate),
+		}
+	}
+	*target = rate
+	return nil
+}
+
+func parseInFlight(target *int, value string) *valueError {
+	number, err := strconv.ParseUint(value, 10, 64)
+	if err != nil || number == 0 || number > MaxInFlight {
+		return &valueError{
+			fault: fmt.Sprintf("%q is no number of requests", value),
+			fix:   fmt.Sprintf("write a whole number from 1 to %d, or use refuse to let nothing pass", MaxInFlight),
+		}
+	}
+	*target = int(number)
+	return nil
+}
+
+func parseDuration(target *time.Duration, value string, maximum time.Duration) *valueError {
+	duration, err := time.ParseDuration(value)
+	if err != nil || value[0] == '+' {
+		return &valueError{fault: fmt.Sprintf("%q is no duration", value), fix: "write a number with a unit, such as 250ms or 2s"}
+	}
+	if duration <= 0 || duration > maximum {
+		return &valueError{
+			fault: fmt.Sprintf("duration %s is out of bounds", value),
+			fix:   fmt.Sprintf("write more than zero and at most %s", maximum),
+		}
+	}
+	*target = duration
+	return nil
+}
+
+func parseRelease(target *bool, value string) *valueError {
+	if value != "yes" {
+		return &valueError{fault: fmt.Sprintf("%q is no value of Release", value), fix: "write Release=yes, or leave the key out"}
+	}
+	*target = true
+	return nil
+}
--- /dev/null
+++ b/pkg/swrule/pattern.go
@@ -0,0 +1,49 @@
+package swrule
+
+import "strings"
+
+// Wildcard stands for any run of characters in a pattern, also for none.
+const Wildcard = "*"
+
+// Pattern matches a whole name. Wildcard stands for any run of characters; every other character stands for itself.
+type Pattern string
+
+// Literal reports whether the pattern has no wildcard.
+func (pattern Pattern) Literal() bool {
+	return !strings.Contains(string(pattern), Wildcard)
+}
+
+// Match reports whether the pattern matches the whole of name.
+func (pattern Pattern) Match(name string) bool {
+	if pattern == Wildcard {
+		return true
+	}
+	return matchGlob(string(pattern), name)
+}
+
+// Covers reports whether the pattern matches every name that other matches.
+func (pattern Pattern) Covers(other Pattern) bool {
+	// A wildcard of other can stand for a character that pattern does not name, so only a wildcard can take it.
+	return pattern.Match(string(other))
+}
+
+// matchGlob goes back to the last wildcard on a mismatch, which takes time in proportion to the product of the lengths.
+func matchGlob(pattern, name string) bool {
+	next, resume, resumeName := 0, -1, 0
+	for at := 0; at < len(name); {
+		switch {
+		case next < len(pattern) && pattern[next] == Wildcard[0]:
+			resume, resumeName = next+1, at
+			next++
+		case next < len(pattern) && pattern[next] == name[at]:
+			next++
+			at++
+		case resume >= 0:
+			resumeName++
+			next, at = resume, resumeName
+		default:
+			return false
+		}
+	}
+	return strings.Trim(pattern[next:], Wildcard) == ""
+}
--- /dev/null
+++ b/pkg/swrule/suggest.go
@@ -0,0 +1,47 @@
+package swrule
+
+import "strings"
+
+// maxTypos is the largest edit distance at which a word counts as a misspelling of another.
+const maxTypos = 2
+
+// suggest returns the known word that word misspells, or all known words.
+func suggest(word string, known []string) string {
+	best, bestDistance := "", maxTypos+1
+	for _, candidate := range known {
+		distance := editDistance(strings.ToLower(word), strings.ToLower(candidate))
+		if distance < bestDistance {
+			best, bestDistance = candidate, distance
+		}
+	}
+	if best != "" {
+		return best
+	}
+	last := len(known) - 1
+	return strings.Join(known[:last], ", ") + " or " + known[last]
+}
+
+// editDistance counts the bytes to insert, remove or replace to turn one word into the other. Words whose lengths differ
+// by more than maxTypos are not compared.
+func editDistance(from, to string) int {
+	if max(len(from)-len(to), len(to)-len(from)) > maxTypos {
+		return maxTypos + 1
+	}
+	row := make([]int, len(to)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(from) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(to) {
+			cost := diagonal
+			if from[i] != to[j] {
+				cost++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(cost, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(to)]
+}
