--- /dev/null
+++ b/lab/internal/swlabbackend/server_test.go
@@ -0,0 +1,252 @@
+package swlabbackend_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbackend"
+)
+
+// long outlasts every test.
+const long = time.Hour
+
+type fixture struct {
+	server   *swlabbackend.Server
+	journal  *swlabbackend.Journal
+	snapshot *swlabbackend.Snapshot
+	client   *http.Client
+}
+
+func start(t *testing.T, change func(config *swlabbackend.Config)) *fixture {
+	t.Helper()
+	journal := swlabbackend.NewJournal()
+	config := swlabbackend.Config{
+		Name: "desk-0-a", Slots: 1, Connections: 8, Service: time.Microsecond, Seed: 1, Journal: journal,
+	}
+	if change != nil {
+		change(&config)
+	}
+	server, err := swlabbackend.Start(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	snapshot := swlabbackend.NewSnapshot(1, "desk", "s1", 3, 90)
+	server.Hold(snapshot, 0)
+	client := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(client.CloseIdleConnections)
+	return &fixture{server: server, journal: journal, snapshot: snapshot, client: client}
+}
+
+func (fixture *fixture) request(id string) swlabbackend.Request {
+	return swlabbackend.Request{
+		QueryID: id, Attempt: id, Index: "desk", Snapshot: "s1", Query: "levy count:state tag:" + id, Limit: 5,
+		Timeout: long.String(),
+	}
+}
+
+// post sends a request and returns the status, zero when the connection broke, and the body.
+func (fixture *fixture) post(path string, request any) (int, string) {
+	data, err := json.Marshal(request)
+	if err != nil {
+		panic(err)
+	}
+	response, err := fixture.client.Post(fmt.Sprintf("http://%s%s", fixture.server.Address(), path), "application/json", bytes.NewReader(data))
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(body)
+}
+
+func TestSearchEqualsScanOfShard(t *testing.T) {
+	fixture := start(t, nil)
+	status, body := fixture.post("/search", fixture.request("a"))
+	if status != http.StatusOK {
+		t.Fatalf("status %d: %s", status, body)
+	}
+	var got swlabbackend.Result
+	if err := json.Unmarshal([]byte(body), &got); err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Hits) != 5 {
+		t.Errorf("%d hits, want 5", len(got.Hits))
+	}
+	if diff := cmp.Diff(fixture.snapshot.ScanShard(0, "levy count:state", 5), got); diff != "" {
+		t.Error(diff)
+	}
+	records := fixture.journal.Records()
+	if len(records) != 1 || records[0].Tag != "a" || records[0].Outcome != swlabbackend.Finished {
+		t.Errorf("records %+v", records)
+	}
+}
+
+func TestScanOfWholeCountsAllShards(t *testing.T) {
+	snapshot := swlabbackend.NewSnapshot(1, "desk", "s1", 3, 90)
+	repartitioned := swlabbackend.NewSnapshot(1, "desk", "s1", 4, 90)
+	if diff := cmp.Diff(snapshot.Scan("levy", 100), repartitioned.Scan("levy", 100)); diff != "" {
+		t.Errorf("the shard map changes the result: %s", diff)
+	}
+	if got := snapshot.Total(); got != 90 {
+		t.Errorf("%d documents, want 90", got)
+	}
+	if cmp.Equal(snapshot.Scan("levy", 100), swlabbackend.NewSnapshot(1, "desk", "s2", 3, 90).Scan("levy", 100)) {
+		t.Error("two snapshots give the same result")
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(fixture *fixture, request *swlabbackend.Request)
+		status int
+		code   string
+	}{
+		{"snapshot not held", func(_ *fixture, request *swlabbackend.Request) { request.Snapshot = "s2" }, 409, "SnapshotNotHeld"},
+		{"shard not held", func(_ *fixture, request *swlabbackend.Request) { request.Shard = 1 }, 409, "SnapshotNotHeld"},
+		{"leaving", func(fixture *fixture, _ *swlabbackend.Request) { fixture.server.Leave() }, 503, "Leaving"},
+		{"shed", func(fixture *fixture, _ *swlabbackend.Request) {
+			fixture.server.SetFault(swlabbackend.Fault{ShedAll: true})
+		}, 503, "Shed"},
+		{"late", func(fixture *fixture, request *swlabbackend.Request) {
+			fixture.server.SetFault(swlabbackend.Fault{Slower: 1e12})
+			request.Timeout = "1ms"
+		}, 504, "Late"},
+		{"malformed", func(_ *fixture, request *swlabbackend.Request) { request.Timeout = "soon" }, 400, "BadRequest"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			fixture := start(t, nil)
+			request := fixture.request("a")
+			test.before(fixture, &request)
+			status, body := fixture.post("/search", request)
+			if status != test.status || !strings.Contains(body, `"`+test.code+`"`) {
+				t.Errorf("status %d, body %s; want %d %s", status, body, test.status, test.code)
+			}
+		})
+	}
+}
+
+// waitFor blocks until a run holds or awaits the server's slot.
+func (fixture *fixture) waitFor(field string) {
+	for {
+		response, err := fixture.client.Get(fmt.Sprintf("http://%s/load", fixture.server.Address()))
+		if err != nil {
+			continue
+		}
+		body, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		if strings.Contains(string(body), field) {
+			return
+		}
+	}
+}
+
+func TestCancelEndsRunAndKeepsConnection(t *testing.T) {
+	fixture := start(t, nil)
+	fixture.server.SetFault(swlabbackend.Fault{Slower: 1e12})
+	group := swgroup.New(context.Background())
+	group.Go(func(context.Context) {
+		fixture.waitFor(`"Running":1`)
+		fixture.post("/cancel", fixture.request("a"))
+	})
+	status, _ := fixture.post("/search", fixture.request("a"))
+	group.Wait()
+	if status != 499 {
+		t.Errorf("status %d, want 499", status)
+	}
+	if records := fixture.journal.Records(); len(records) != 1 || records[0].Outcome != swlabbackend.Cancelled {
+		t.Errorf("records %+v", records)
+	}
+}
+
+func TestCrashDropsConnectionsAndComesBack(t *testing.T) {
+	fixture := start(t, func(config *swlabbackend.Config) { config.Restart = time.Millisecond })
+	request := fixture.request("a")
+	request.Query = "levy crash:boom"
+	if status, body := fixture.post("/search", request); status != 0 {
+		t.Errorf("status %d: %s", status, body)
+	}
+	for {
+		if status, _ := fixture.post("/search", fixture.request("b")); status == http.StatusOK {
+			break
+		}
+	}
+	records := fixture.journal.Records()
+	if len(records) != 2 || records[0].Outcome != swlabbackend.Crashed {
+		t.Errorf("records %+v", records)
+	}
+}
+
+func TestConnectionsAboveLimitAreClosed(t *testing.T) {
+	fixture := start(t, func(config *swlabbackend.Config) { config.Connections = 1 })
+	for i, want := range []error{nil, io.EOF} {
+		connection, err := net.Dial("tcp", fixture.server.Address().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		if want == nil {
+			if _, err = fmt.Fprintf(connection, "GET /health HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := connection.Read(make([]byte, 1)); err != want { //nolint:errorlint // the bare error is meant
+			t.Errorf("connection %d: %v, want %v", i, err, want)
+		}
+	}
+	if got := fixture.server.RejectedConnections(); got != 1 {
+		t.Errorf("%d rejected, want 1", got)
+	}
+}
+
+func TestSilentConnectionsAnswerNothingWhileNewOnesWork(t *testing.T) {
+	fixture := start(t, nil)
+	old, err := net.Dial("tcp", fixture.server.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	for fixture.server.OpenConnections() == 0 {
+		continue
+	}
+	fixture.server.Silence(false)
+	if status, _ := fixture.post("/search", fixture.request("a")); status != http.StatusOK {
+		t.Errorf("status %d on a new connection", status)
+	}
+	fmt.Fprintf(old, "GET /health HTTP/1.1\r\nHost: a\r\n\r\n")
+	fixture.post("/search", fixture.request("b"))
+	fixture.server.Close()
+	if _, err := old.Read(make([]byte, 1)); err == nil {
+		t.Error("the silent connection answered")
+	}
+}
+
+func TestWrongAnswers(t *testing.T) {
+	fixture := start(t, nil)
+	fixture.server.Hold(swlabbackend.NewSnapshot(1, "desk", "s2", 3, 90), 0)
+	fixture.post("/search", fixture.request("a"))
+	fixture.server.SetFault(swlabbackend.Fault{Crossed: 1})
+	if _, body := fixture.post("/search", fixture.request("b")); !strings.Contains(body, `"QueryID":"a"`) {
+		t.Errorf("not crossed: %s", body)
+	}
+	fixture.server.SetFault(swlabbackend.Fault{WrongSnapshot: 1})
+	if _, body := fixture.post("/search", fixture.request("c")); !strings.Contains(body, `"Snapshot":"s2"`) {
+		t.Errorf("not the other snapshot: %s", body)
+	}
+}
