--- /dev/null
+++ b/internal/swmember/board_test.go
@@ -0,0 +1,156 @@
+package swmember
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+)
+
+var ignoreLayout = cmpopts.IgnoreFields(Record{}, "_")
+
+func drawRecords(t *rapid.T) []Record {
+	return rapid.SliceOf(rapid.Custom(func(t *rapid.T) Record {
+		return Record{
+			Topic:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "topic"),
+			Key:     rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "key"),
+			Version: rapid.Uint64Range(0, 4).Draw(t, "version"),
+			Value:   rapid.SliceOfN(rapid.ByteRange(0, 2), 0, 2).Draw(t, "value"),
+		}
+	})).Draw(t, "records")
+}
+
+func everything(board *Board) []Record {
+	return append(board.Records("a"), board.Records("b")...)
+}
+
+func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := drawRecords(t)
+		shuffled := append(append([]Record(nil), records...), records...)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		one, two := NewBoard(BoardConfig{}), NewBoard(BoardConfig{})
+		one.merge("p", records)
+		for _, record := range shuffled {
+			two.merge("q", []Record{record})
+		}
+		if diff := cmp.Diff(everything(one), everything(two), ignoreLayout, cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("boards after the same records in another order (-one +two):\n%s", diff)
+		}
+		if one.digest() != two.digest() {
+			t.Error("digests of equal boards differ")
+		}
+		if again := one.merge("p", shuffled); len(again) != 0 {
+			t.Errorf("records accepted a second time: %v", again)
+		}
+	})
+}
+
+func TestVersionNeverDecreases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		board := NewBoard(BoardConfig{})
+		highest := make(map[string]uint64)
+		for _, record := range drawRecords(t) {
+			board.Put(record)
+			key := record.Topic + "/" + record.Key
+			highest[key] = max(highest[key], record.Version)
+			held, ok := board.Get(record.Topic, record.Key)
+			if !ok || held.Version != highest[key] {
+				t.Fatalf("%s is at version %d, want %d", key, held.Version, highest[key])
+			}
+		}
+	})
+}
+
+func TestSynchronizationMakesBoardsEqual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, two := NewBoard(BoardConfig{}), NewBoard(BoardConfig{})
+		one.merge("", drawRecords(t))
+		two.merge("", drawRecords(t))
+		limit := rapid.IntRange(1, 3).Draw(t, "limit")
+		for range bucketCount {
+			listed, summaries := two.summaries(one.digests(), limit)
+			records, wanted := one.compare(listed, summaries)
+			two.merge("one", records)
+			one.merge("two", two.lookup(wanted))
+		}
+		if diff := cmp.Diff(everything(one), everything(two), ignoreLayout, cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("boards after synchronization (-one +two):\n%s", diff)
+		}
+	})
+}
+
+func TestRecordExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := NewBoard(BoardConfig{})
+		empty := board.digest()
+		board.Put(Record{Topic: "t", Key: "k", Version: 1, Expires: 10 * time.Second})
+		time.Sleep(4 * time.Second)
+		held, ok := board.Get("t", "k")
+		if !ok || held.Expires != 6*time.Second {
+			t.Errorf("after 4 s the record stands for %s, want 6s", held.Expires)
+		}
+		time.Sleep(6 * time.Second)
+		if _, ok := board.Get("t", "k"); ok {
+			t.Error("the record stands after its expiry")
+		}
+		board.sweep(time.Now())
+		if board.digest() != empty {
+			t.Error("the digest still counts the expired record")
+		}
+	})
+}
+
+func TestBoardRefusesWhatIsOutOfBounds(t *testing.T) {
+	board := NewBoard(BoardConfig{MaxRecords: 2})
+	for i := range 2 {
+		board.Put(Record{Topic: "t", Key: fmt.Sprint(i)})
+	}
+	tests := map[string]struct {
+		record Record
+		want   bool
+	}{
+		"new key beyond the capacity":    {record: Record{Topic: "t", Key: "2"}, want: false},
+		"new version of a held key":      {record: Record{Topic: "t", Key: "1", Version: 1}, want: true},
+		"value that is too long":         {record: Record{Topic: "u", Key: "k", Value: make([]byte, maxValue+1)}, want: false},
+		"no key":                         {record: Record{Topic: "u"}, want: false},
+		"expiry in the past":             {record: Record{Topic: "u", Key: "k", Expires: -1}, want: false},
+		"key of another topic with room": {record: Record{Topic: "v", Key: "k"}, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := board.Put(test.record); got != test.want {
+				t.Errorf("Put = %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+func TestMessagesAreBounded(t *testing.T) {
+	board := NewBoard(BoardConfig{})
+	for i := range 1000 {
+		board.Put(Record{Topic: "t", Key: fmt.Sprint(i), Value: make([]byte, 500)})
+	}
+	sizeOf := func(records []Record) (size int) {
+		for _, record := range records {
+			size += record.size()
+		}
+		return size
+	}
+	if got := sizeOf(board.piggyback("p")); got > maxPiggyback {
+		t.Errorf("records on a probe take %d bytes, want at most %d", got, maxPiggyback)
+	}
+	records, _ := board.compare(^uint64(0), nil)
+	if got := sizeOf(records); got > maxRecords+maxValue {
+		t.Errorf("records of a synchronization take %d bytes, want at most %d", got, maxRecords+maxValue)
+	}
+	if got := sizeOf(outgoing(board.takeFresh(), "p")); got > maxRecords+maxValue {
+		t.Errorf("pushed records take %d bytes, want at most %d", got, maxRecords+maxValue)
+	}
+}
--- a/internal/swmember/member.go
+++ b/internal/swmember/member.go
@@ -2,6 +2,7 @@
 package swmember
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -10,6 +11,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+const (
+	// watcherKey is the rendezvous key that chooses watchers.
+	watcherKey = "watcher"
+	// watcherCount is the number of watchers in a data centre.
+	watcherCount = 2
+)
+
 // State is what this VM believes of a member.
 type State int
 
@@ -21,11 +29,22 @@
 	Dead    State = 3
 )
 
+var stateNames = [...]string{"Alive", "Suspect", "Leaving", "Dead"}
+
+// String returns the state's name.
+func (state State) String() string {
+	if state < 0 || int(state) >= len(stateNames) {
+		return fmt.Sprintf("State(%d)", int(state))
+	}
+	return stateNames[state]
+}
+
 // Member is one VM of the system.
 type Member struct {
 	// Name is unique among the VMs that live at one time.
 	Name string
-	// Incarnation grows with every start of a process under the same name, and with every refutation.
+	// Incarnation grows with every start of a process under the same name, and with every refutation. It orders
+	// statements about the member; it does not identify a process.
 	Incarnation uint64
 	Region      string
 	DataCentre  string
@@ -42,6 +61,7 @@
 	Self Member
 	// members holds every member that is not dead, by data centre, in order of name.
 	members map[string][]Member
+	byName  map[string]Member
 	owners  sync.Map
 }
 
@@ -52,12 +72,13 @@
 
 // NewView returns a view of members, leaving out the dead ones.
 func NewView(self Member, members []Member) *View {
-	view := &View{Self: self, members: make(map[string][]Member)}
+	view := &View{Self: self, members: make(map[string][]Member), byName: make(map[string]Member, len(members))}
 	for _, member := range members {
 		if member.State == Dead {
 			continue
 		}
 		view.members[member.DataCentre] = append(view.members[member.DataCentre], member)
+		view.byName[member.Name] = member
 	}
 	for _, list := range view.members {
 		slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
@@ -82,14 +103,30 @@
 
 // Member returns the member of that name.
 func (view *View) Member(name string) (Member, bool) {
-	for _, list := range view.members {
-		for _, member := range list {
-			if member.Name == name {
-				return member, true
-			}
+	member, ok := view.byName[name]
+	return member, ok
+}
+
+// Len returns the number of members.
+func (view *View) Len() int {
+	return len(view.byName)
+}
+
+// Watchers returns the members that watch the platform for a data centre, the first of which writes its status. The
+// caller must not change the slice.
+func (view *View) Watchers(dataCentre string) []Member {
+	owners := view.Owners(dataCentre, watcherKey)
+	return owners[:min(len(owners), watcherCount)]
+}
+
+// WatcherRank returns this VM's place among the watchers of its data centre, and whether it is one.
+func (view *View) WatcherRank() (int, bool) {
+	for rank, watcher := range view.Watchers(view.Self.DataCentre) {
+		if watcher.Name == view.Self.Name {
+			return rank, true
 		}
 	}
-	return Member{}, false
+	return 0, false
 }
 
 // Owners returns the members of a data centre in rendezvous order for a key such as a backend server's name: the first
