Issue keys, run work under them at most once, hand them over, claim callers' own

A key names the incarnation that issued it; only the holder of that authority runs. A request is passed on only to a VM that has just shown that it holds the authority, bounded by a start time on the authority's own clock, so that a paused issuer that wakes begins nothing after the caller's deadline.

Adds code IssuerUnreachable: an issuer that does not answer is not proven gone. KeyExpired may carry Ran Unknown: after the retention the table no longer proves that nothing ran. Adds the gossip topic Successor.

--- /dev/null
+++ b/internal/swkey/failure_test.go
@@ -0,0 +1,264 @@
+package swkey
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+var (
+	gone        = verdict{Code: swcode.IssuerGone, Ran: swcode.RanUnknown}
+	unreachable = verdict{Code: swcode.IssuerUnreachable, Ran: swcode.RanUnknown}
+)
+
+func TestResendNotRunAfterPausedIssuerWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b")
+		key := network.key(network.vms["a"])
+		network.pause("a")
+		outcome := network.send(network.vms["b"], key, "match", testTimeout)
+		check(t, "resend while the issuer is paused", unreachable, verdictOf(outcome))
+		time.Sleep(time.Minute)
+		network.wake("a")
+		synctest.Wait()
+		check(t, "runs after the issuer woke", 0, network.backend.count("match"))
+	})
+}
+
+func TestRequestInBuffersOfPausedIssuerIsNotRunAfterItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b")
+		vm := network.vms["a"]
+		first := network.key(vm)
+		check(t, "first", ranOnce, verdictOf(network.send(network.vms["b"], first, "match", testTimeout)))
+		key := network.key(vm)
+		network.pause("a")
+		outcome := network.send(network.vms["b"], key, "second match", testTimeout)
+		check(t, "resend to a located issuer that is paused", unreachable, verdictOf(outcome))
+		network.wake("a")
+		synctest.Wait()
+		check(t, "runs after the issuer woke", 0, network.backend.count("second match"))
+	})
+}
+
+func TestStartBeforeBoundsDirectRequestToPausedIssuer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a")
+		vm := network.vms["a"]
+		batch, err := vm.service.Issue(t.Context(), 1)
+		check(t, "error", nil, err)
+		request := RunRequest{Key: batch.Keys[0], StartBefore: batch.Clock + testTimeout}
+		time.Sleep(testTimeout)
+		outcome := vm.service.Run(t.Context(), request, func(ctx context.Context) Outcome {
+			return network.execute(ctx, vm, "match")
+		})
+		check(t, "outcome", verdict{Code: swcode.DeadlineExceeded}, verdictOf(outcome))
+		check(t, "runs", 0, network.backend.count("match"))
+	})
+}
+
+func TestIssuerKilled(t *testing.T) {
+	tests := []struct {
+		name string
+		// killAt is when the issuer dies, where the run takes from 0 to 100 ms; negative is before the request.
+		killAt time.Duration
+		runs   int
+	}{
+		{"before the run", -time.Millisecond, 0},
+		{"during the run", 50 * time.Millisecond, 1},
+		{"after the run", 150 * time.Millisecond, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := newFakeNetwork(t, "a", "b", "c")
+				network.backend.takes = 100 * time.Millisecond
+				key := network.key(network.vms["a"])
+				if test.killAt >= 0 {
+					network.group.Go(func(context.Context) { network.send(network.vms["a"], key, "match", testTimeout) })
+					time.Sleep(test.killAt)
+				}
+				network.kill("a")
+				check(t, "while the issuer is silent", unreachable, verdictOf(network.send(network.vms["b"], key, "match", testTimeout)))
+				network.start("a")
+				check(t, "at its replacement's peer", gone, verdictOf(network.send(network.vms["b"], key, "match", testTimeout)))
+				check(t, "at its replacement", unreachable, verdictOf(network.send(network.vms["a"], key, "match", testTimeout)))
+				check(t, "runs", test.runs, network.backend.count("match"))
+			})
+		})
+	}
+}
+
+func TestPartitionBetweenResendAndIssuer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b", "c")
+		key := network.key(network.vms["a"])
+		network.partition("a", "b", true)
+		check(t, "cut off", unreachable, verdictOf(network.send(network.vms["b"], key, "match", testTimeout)))
+		check(t, "another VM", ranOnce, verdictOf(network.send(network.vms["c"], key, "match", testTimeout)))
+		network.partition("a", "b", false)
+		check(t, "joined again", ranOnce, verdictOf(network.send(network.vms["b"], key, "match", testTimeout)))
+		check(t, "runs", 1, network.backend.count("match"))
+	})
+}
+
+func TestAnswerOfIssuerLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b")
+		key := network.key(network.vms["a"])
+		locate, run := 1, 2
+		network.loseAnswer = func(number int) bool { return number == run && number != locate }
+		outcome := network.send(network.vms["b"], key, "match", testTimeout)
+		check(t, "answer lost", unreachable, verdictOf(outcome))
+		check(t, "resend", ranOnce, verdictOf(network.send(network.vms["b"], key, "match", testTimeout)))
+		check(t, "runs", 1, network.backend.count("match"))
+	})
+}
+
+func TestHandoverMovesTableAndAuthority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b", "c")
+		used, unused := network.key(network.vms["a"]), network.key(network.vms["a"])
+		network.send(network.vms["a"], used, "match", testTimeout)
+		check(t, "handover", nil, network.vms["a"].service.Handover(t.Context()))
+		_, err := network.vms["a"].service.Issue(t.Context(), 1)
+		check(t, "old VM issues no more", true, err != nil)
+		check(t, "old VM passes on", ranOnce, verdictOf(network.send(network.vms["a"], unused, "count", testTimeout)))
+		network.kill("a")
+		for _, name := range []string{"b", "c"} {
+			check(t, "used key at "+name, ranOnce, verdictOf(network.send(network.vms[name], used, "match", testTimeout)))
+			check(t, "unused key at "+name, ranOnce, verdictOf(network.send(network.vms[name], unused, "count", testTimeout)))
+		}
+		check(t, "runs", []int{1, 1}, []int{network.backend.count("match"), network.backend.count("count")})
+	})
+}
+
+func TestHandoverTwiceInARow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b", "c", "d")
+		key := network.key(network.vms["a"])
+		network.send(network.vms["a"], key, "match", testTimeout)
+		for _, name := range []string{"a", "b", "c"} {
+			check(t, "handover", nil, network.vms[name].service.Handover(t.Context()))
+			network.kill(name)
+			network.remove(name)
+		}
+		check(t, "outcome", ranOnce, verdictOf(network.send(network.vms["d"], key, "match", testTimeout)))
+		check(t, "runs", 1, network.backend.count("match"))
+	})
+}
+
+func TestHandoverWaitsForRunsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b")
+		network.backend.takes = time.Second
+		key := network.key(network.vms["a"])
+		outcomes := make(chan Outcome, 1)
+		network.group.Go(func(context.Context) { outcomes <- network.send(network.vms["a"], key, "match", testTimeout) })
+		synctest.Wait()
+		check(t, "handover", nil, network.vms["a"].service.Handover(t.Context()))
+		check(t, "run in flight", ranOnce, verdictOf(<-outcomes))
+		network.kill("a")
+		check(t, "repeat at the successor", ranOnce, verdictOf(network.send(network.vms["b"], key, "match", testTimeout)))
+		check(t, "runs", 1, network.backend.count("match"))
+	})
+}
+
+func TestLostMessagesOfHandoverLeaveAtMostOneAuthority(t *testing.T) {
+	const messages = 2
+	for lost := 1; lost <= messages; lost++ {
+		for _, answer := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				network := newFakeNetwork(t, "a", "b", "c")
+				lose := func(number int) bool { return number == lost }
+				if answer {
+					network.loseAnswer = lose
+				} else {
+					network.loseRequest = lose
+				}
+				key := network.key(network.vms["a"])
+				check(t, "handover", nil, network.vms["a"].service.Handover(t.Context()))
+				network.deliverAll()
+				check(t, "holders", 1, network.holders(network.vms["a"].service.self))
+				network.kill("a")
+				for _, name := range []string{"b", "c"} {
+					check(t, "outcome at "+name, ranOnce, verdictOf(network.send(network.vms[name], key, "match", testTimeout)))
+				}
+				check(t, "runs", 1, network.backend.count("match"))
+			})
+		}
+	}
+}
+
+func TestCrashDuringHandoverLeavesAtMostOneAuthority(t *testing.T) {
+	for crashAt := 1; crashAt <= 3; crashAt++ {
+		synctest.Test(t, func(t *testing.T) {
+			network := newFakeNetwork(t, "a", "b", "c")
+			network.loseAnswer = func(number int) bool {
+				network.vms["a"].dead = network.vms["a"].dead || number >= crashAt
+				return number >= crashAt
+			}
+			key := network.key(network.vms["a"])
+			issuer := network.vms["a"].service.self
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			err := network.vms["a"].service.Handover(ctx)
+			check(t, "handover fails", true, err != nil)
+			network.deliverAll()
+			check(t, "at most one holder", true, network.holders(issuer) <= 1)
+			for _, name := range []string{"b", "c"} {
+				network.send(network.vms[name], key, "match", testTimeout)
+			}
+			check(t, "at most one run", true, network.backend.count("match") <= 1)
+		})
+	}
+}
+
+func TestAdoptedClockIsNotBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b")
+		time.Sleep(time.Hour)
+		batch, err := network.vms["a"].service.Issue(t.Context(), 1)
+		check(t, "error", nil, err)
+		old := network.vms["a"].service.own.clock
+		check(t, "handover", nil, network.vms["a"].service.Handover(t.Context()))
+		adopted, held := network.vms["b"].service.authorities.Get(network.vms["a"].service.self)
+		check(t, "held", true, held)
+		check(t, "clock not behind", true, adopted.clock.now() >= old.now())
+		time.Sleep(batch.Expires)
+		outcome := network.send(network.vms["b"], batch.Keys[0], "match", testTimeout)
+		check(t, "expired at the successor", verdict{Code: swcode.KeyExpired}, verdictOf(outcome))
+	})
+}
+
+// deliverAll ends the loss of messages.
+func (network *fakeNetwork) deliverAll() {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.loseRequest = nil
+	network.loseAnswer = nil
+}
+
+func (network *fakeNetwork) remove(name string) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	delete(network.vms, name)
+}
+
+// holders counts the living VMs that hold an issuer's active authority.
+func (network *fakeNetwork) holders(issuer Issuer) int {
+	count := 0
+	for _, vm := range network.vms {
+		authority, held := vm.service.authorities.Get(issuer)
+		if !held || network.isDead(vm) {
+			continue
+		}
+		if phase, _ := authority.current(); phase == active {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/swkey/fake_test.go
@@ -0,0 +1,407 @@
+package swkey
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swmember"
+	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+var errLost = errors.New("message lost")
+
+// fakeNetwork joins VMs. Messages to a paused VM wait until it wakes, as in the buffers of its sockets.
+type fakeNetwork struct {
+	test  *testing.T
+	group *swgroup.Group
+
+	mutex sync.Mutex
+	vms   map[string]*fakeVM
+	cut   map[[2]string]bool
+	// loseRequest and loseAnswer decide by the number of the message; nil loses none.
+	loseRequest func(number int) bool
+	loseAnswer  func(number int) bool
+	messages    int
+
+	backend fakeBackend
+	claims  fakeClaims
+	board   fakeBoard
+}
+
+type fakeVM struct {
+	name    string
+	address netip.AddrPort
+	service *Service
+	group   *swgroup.Group
+	awake   chan struct{}
+	dead    bool
+}
+
+// fakeBackend counts the runs of each body.
+type fakeBackend struct {
+	mutex sync.Mutex
+	runs  map[string]int
+	takes time.Duration
+	// refuse makes the backend refuse without running.
+	refuse bool
+}
+
+func newFakeNetwork(t *testing.T, names ...string) *fakeNetwork {
+	network := &fakeNetwork{
+		test:    t,
+		group:   swgroup.New(t.Context()),
+		vms:     make(map[string]*fakeVM),
+		cut:     make(map[[2]string]bool),
+		backend: fakeBackend{runs: make(map[string]int)},
+		claims:  fakeClaims{values: make(map[string][]byte)},
+		board:   fakeBoard{records: make(map[string]swmember.Record)},
+	}
+	for _, name := range names {
+		network.start(name)
+	}
+	t.Cleanup(network.stop)
+	return network
+}
+
+func (network *fakeNetwork) stop() {
+	for _, vm := range network.vms {
+		network.wake(vm.name)
+		vm.group.Stop()
+	}
+	network.group.Stop()
+}
+
+// start starts a VM, replacing one of the same name and address.
+func (network *fakeNetwork) start(name string) *fakeVM {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	vm := &fakeVM{name: name, address: addressOf(name), group: swgroup.New(context.Background()), awake: make(chan struct{})}
+	close(vm.awake)
+	service, err := New(Config{
+		Name:      name,
+		Transport: &fakeTransport{network: network, from: vm},
+		Directory: &fakeDirectory{network: network, self: name},
+		Board:     &network.board,
+		Claims:    &network.claims,
+		Group:     vm.group,
+		Limits:    Limits{MaxOutcome: 256, MaxBytes: 64 << 10},
+	})
+	if err != nil {
+		network.test.Fatal(err)
+	}
+	service.SetExecutor(func(ctx context.Context, request RunRequest) Outcome {
+		return network.execute(ctx, vm, string(request.Body))
+	})
+	vm.service = service
+	network.vms[name] = vm
+	return vm
+}
+
+func addressOf(name string) netip.AddrPort {
+	var last byte
+	for _, char := range []byte(name) {
+		last = last*31 + char
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, last}), 7000)
+}
+
+// execute runs a body at the backend on behalf of a VM, which may be paused or dead by the time of the answer.
+func (network *fakeNetwork) execute(_ context.Context, vm *fakeVM, body string) Outcome {
+	<-network.awakening(vm)
+	backend := &network.backend
+	backend.mutex.Lock()
+	refuse := backend.refuse || network.isDead(vm)
+	if !refuse {
+		backend.runs[body]++
+	}
+	backend.mutex.Unlock()
+	if refuse {
+		return Outcome{Code: swcode.ShedByPriority, Ran: swcode.RanNo}
+	}
+	time.Sleep(backend.takes)
+	<-network.awakening(vm)
+	return Outcome{Code: swcode.OK, Ran: swcode.RanYes, Reply: []byte("ran " + body)}
+}
+
+func (backend *fakeBackend) count(body string) int {
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	return backend.runs[body]
+}
+
+// send is a caller's request to a VM. It gives up at the timeout.
+func (network *fakeNetwork) send(vm *fakeVM, key, body string, timeout time.Duration) Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	reply := make(chan Outcome, 1)
+	network.group.Go(func(context.Context) {
+		<-network.awakening(vm)
+		if network.isDead(vm) {
+			return
+		}
+		request := RunRequest{Key: key, Caller: "desk", Fingerprint: uint64(len(body)), Body: []byte(body)}
+		reply <- vm.service.Run(ctx, request, func(ctx context.Context) Outcome { return network.execute(ctx, vm, body) })
+	})
+	timer := time.NewTimer(timeout + time.Millisecond)
+	defer timer.Stop()
+	select {
+	case outcome := <-reply:
+		return outcome
+	case <-timer.C:
+		return Outcome{Code: swcode.DeadlineExceeded, Ran: swcode.RanUnknown, Message: "no answer"}
+	}
+}
+
+func (network *fakeNetwork) key(vm *fakeVM) string {
+	batch, err := vm.service.Issue(context.Background(), 1)
+	if err != nil {
+		network.test.Fatal(err)
+	}
+	return batch.Keys[0]
+}
+
+func (network *fakeNetwork) pause(name string) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	vm := network.vms[name]
+	select {
+	case <-vm.awake:
+		vm.awake = make(chan struct{})
+	default:
+	}
+}
+
+func (network *fakeNetwork) wake(name string) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	vm := network.vms[name]
+	select {
+	case <-vm.awake:
+	default:
+		close(vm.awake)
+	}
+}
+
+func (network *fakeNetwork) kill(name string) {
+	network.mutex.Lock()
+	network.vms[name].dead = true
+	network.mutex.Unlock()
+	network.wake(name)
+}
+
+func (network *fakeNetwork) isDead(vm *fakeVM) bool {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	return vm.dead
+}
+
+func (network *fakeNetwork) awakening(vm *fakeVM) chan struct{} {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	return vm.awake
+}
+
+func (network *fakeNetwork) partition(a, b string, cut bool) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.cut[[2]string{a, b}] = cut
+	network.cut[[2]string{b, a}] = cut
+}
+
+type fakeTransport struct {
+	network *fakeNetwork
+	from    *fakeVM
+}
+
+// Call delivers a message unless it is lost. A message to a paused VM is served when the VM wakes, also after the sender
+// gave up.
+func (transport *fakeTransport) Call(ctx context.Context, target netip.AddrPort, method swpeer.Method, request, reply any) error {
+	network := transport.network
+	data, err := swpeer.Marshal(request)
+	if err != nil {
+		return err
+	}
+	answers := make(chan []byte, 1)
+	vm, number, ok := network.route(transport.from, target)
+	if !ok {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	network.group.Go(func(context.Context) {
+		<-network.awakening(vm)
+		answer, err := vm.serve(method, data)
+		if err != nil || network.isDead(vm) || network.loses(network.loseAnswer, number) {
+			return
+		}
+		answers <- answer
+	})
+	select {
+	case answer := <-answers:
+		<-network.awakening(transport.from)
+		return swpeer.Unmarshal(answer, reply)
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), errLost.Error())
+	}
+}
+
+func (network *fakeNetwork) route(from *fakeVM, target netip.AddrPort) (vm *fakeVM, number int, ok bool) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.messages++
+	for _, vm := range network.vms {
+		if vm.address != target || vm.dead || from.dead || network.cut[[2]string{from.name, vm.name}] {
+			continue
+		}
+		if network.loseRequest != nil && network.loseRequest(network.messages) {
+			return nil, 0, false
+		}
+		return vm, network.messages, true
+	}
+	return nil, 0, false
+}
+
+func (network *fakeNetwork) loses(lose func(int) bool, number int) bool {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	return lose != nil && lose(number)
+}
+
+func (vm *fakeVM) serve(method swpeer.Method, data []byte) ([]byte, error) {
+	if method == swpeer.MethodHandover {
+		var message HandoverMessage
+		if err := swpeer.Unmarshal(data, &message); err != nil {
+			return nil, err
+		}
+		answer, err := vm.service.ServeHandover(context.Background(), "", message)
+		if err != nil {
+			return nil, err
+		}
+		return swpeer.Marshal(answer)
+	}
+	var message RunMessage
+	if err := swpeer.Unmarshal(data, &message); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	answer, err := vm.service.ServeRun(ctx, "", message)
+	if err != nil {
+		return nil, err
+	}
+	return swpeer.Marshal(answer)
+}
+
+type fakeDirectory struct {
+	network *fakeNetwork
+	self    string
+}
+
+func (directory *fakeDirectory) Peer(name string) (netip.AddrPort, bool) {
+	directory.network.mutex.Lock()
+	defer directory.network.mutex.Unlock()
+	vm, ok := directory.network.vms[name]
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	return vm.address, true
+}
+
+func (directory *fakeDirectory) Successors(name string) []Peer {
+	directory.network.mutex.Lock()
+	defer directory.network.mutex.Unlock()
+	var peers []Peer
+	for _, vm := range directory.network.vms {
+		if vm.name != name {
+			peers = append(peers, Peer{Name: vm.name, Address: vm.address})
+		}
+	}
+	slices.SortFunc(peers, func(a, b Peer) int { return int(a.Address.Addr().As4()[3]) - int(b.Address.Addr().As4()[3]) })
+	return peers
+}
+
+type fakeBoard struct {
+	mutex   sync.Mutex
+	records map[string]swmember.Record
+}
+
+func (board *fakeBoard) Put(record swmember.Record) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	board.records[record.Topic+"\x00"+record.Key] = record
+}
+
+func (board *fakeBoard) Get(topic, key string) (swmember.Record, bool) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	record, ok := board.records[topic+"\x00"+key]
+	return record, ok
+}
+
+// fakeClaims stands for the platform.
+type fakeClaims struct {
+	mutex  sync.Mutex
+	values map[string][]byte
+	down   bool
+	// loseAnswers is the number of creates whose answer is lost after the effect.
+	loseAnswers int
+	listed      []string
+}
+
+func (claims *fakeClaims) Create(_ context.Context, name string, value []byte) error {
+	claims.mutex.Lock()
+	defer claims.mutex.Unlock()
+	if claims.down {
+		return errors.New("platform is down")
+	}
+	if _, ok := claims.values[name]; ok {
+		return ErrClaimExists
+	}
+	claims.values[name] = value
+	if claims.loseAnswers > 0 {
+		claims.loseAnswers--
+		return errLost
+	}
+	return nil
+}
+
+func (claims *fakeClaims) Get(_ context.Context, name string) ([]byte, error) {
+	claims.mutex.Lock()
+	defer claims.mutex.Unlock()
+	if claims.down {
+		return nil, errors.New("platform is down")
+	}
+	value, ok := claims.values[name]
+	if !ok {
+		return nil, ErrNoClaim
+	}
+	return value, nil
+}
+
+func (claims *fakeClaims) Delete(_ context.Context, name string) error {
+	claims.mutex.Lock()
+	defer claims.mutex.Unlock()
+	delete(claims.values, name)
+	return nil
+}
+
+func (claims *fakeClaims) List(_ context.Context, prefix string) ([]string, error) {
+	claims.mutex.Lock()
+	defer claims.mutex.Unlock()
+	var names []string
+	for name := range claims.values {
+		if len(name) >= len(prefix) && name[:len(prefix)] == prefix {
+			names = append(names, name)
+		}
+	}
+	claims.listed = append(claims.listed, prefix+fmt.Sprint(len(names)))
+	return names, nil
+}
--- a/internal/swmember/record.go
+++ b/internal/swmember/record.go
@@ -10,6 +10,9 @@
 	TopicQuarantine = "Quarantine"
 	// TopicDraining spreads that a backend server takes no new work; the key is the server.
 	TopicDraining = "Draining"
+	// TopicSuccessor spreads which VM holds the keys of one that left; the key is the issuer's Name/Incarnation, the value
+	// the successor's name.
+	TopicSuccessor = "Successor"
 )
 
 // Record is one fact that gossip spreads to every VM. Of two records with the same topic and key the one with the
--- a/pkg/swcode/code.go
+++ b/pkg/swcode/code.go
@@ -57,6 +57,7 @@
 	RunInProgress      Code = 608
 	PartialRun         Code = 609
 	HandoverInProgress Code = 610
+	IssuerUnreachable  Code = 611
 )
 
 // Ran tells whether any backend server may have run a request.
@@ -143,9 +144,9 @@
 	{CallerGone, "CallerGone", 499, maybeRun, false, "The caller closed its connection.", "Nothing."},
 	{Internal, "Internal", http.StatusInternalServerError, maybeRun, false, "A defect in the system.", "Report it with the log line of this request ID."},
 	{KeyInvalid, "KeyInvalid", http.StatusBadRequest, notRun, false, "The key is malformed, forged or altered.", "Take a new key from POST /v1/keys."},
-	{KeyExpired, "KeyExpired", http.StatusGone, notRun, false, "The key expired before a run began under it.", "Take a new key from POST /v1/keys."},
+	{KeyExpired, "KeyExpired", http.StatusGone, []Ran{RanNo, RanUnknown}, false, "The key expired: no run begins under it. Ran is Unknown when its outcome is no longer kept.", "When Ran is No take a new key from POST /v1/keys; else check the books first."},
 	{KeyTableFull, "KeyTableFull", http.StatusServiceUnavailable, notRun, true, "The issuer's table of keys is full.", "Send again after RetryAfter."},
-	{IssuerGone, "IssuerGone", http.StatusServiceUnavailable, unknowing, false, "The incarnation that issued the key is gone; the key will never run.", "Check the books before sending the work under a new key."},
+	{IssuerGone, "IssuerGone", http.StatusServiceUnavailable, unknowing, false, "The incarnation that issued the key is gone: this request was not run, nothing runs under the key unless it is sent again, and whether an earlier request ran is unknown.", "Check the books before sending the work under a new key."},
 	{ClaimUnavailable, "ClaimUnavailable", http.StatusServiceUnavailable, notRun, true, "The platform could not take the claim on the caller's own key.", "Send again under the same key."},
 	{ClaimedElsewhere, "ClaimedElsewhere", http.StatusConflict, unknowing, false, "Another VM claimed the caller's own key first.", "Wait for that run's outcome."},
 	{KeyReused, "KeyReused", http.StatusUnprocessableEntity, notRun, false, "The key was used with another body.", "Use one key for one piece of work."},
@@ -153,6 +154,7 @@
 	{RunInProgress, "RunInProgress", http.StatusConflict, unknowing, true, "The run under this key has not finished.", "Send again under the same key for its outcome."},
 	{PartialRun, "PartialRun", http.StatusBadGateway, unknowing, false, "Some shards ran the work and others did not or are unknown.", "Check the books for the shards that Coverage lacks."},
 	{HandoverInProgress, "HandoverInProgress", http.StatusServiceUnavailable, unknowing, true, "The issuer is handing its keys to a successor.", "Send again under the same key."},
+	{IssuerUnreachable, "IssuerUnreachable", http.StatusServiceUnavailable, unknowing, true, "The issuer of the key, which alone runs under it, did not answer; this request begins no run after its deadline.", "Send again under the same key; check the books before sending the work under a new one."},
 }
 
 var byCode = func() map[Code]Entry {
