--- /dev/null
+++ b/internal/swbackend/fake_test.go
@@ -0,0 +1,215 @@
+package swbackend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swindex"
+)
+
+// fakeServer is a backend server behind in-memory connections.
+type fakeServer struct {
+	group *swgroup.Group
+	// answer serves one request; nil sends nothing and leaves the connection open.
+	answer func(connection int, path string, request searchRequest) *fakeAnswer
+
+	mutex    sync.Mutex
+	conns    []net.Conn
+	requests []string
+	dialWait time.Duration
+	dialErr  error
+	// swallowed marks connections whose requests vanish.
+	swallowed map[int]bool
+}
+
+type fakeAnswer struct {
+	status int
+	header http.Header
+	body   any
+	wait   time.Duration
+	// hangUp closes the connection instead of answering.
+	hangUp bool
+	// repeat sends the answer that many times more.
+	repeat int
+}
+
+func newFakeServer(t *testing.T) *fakeServer {
+	fake := &fakeServer{group: swgroup.New(context.Background()), swallowed: make(map[int]bool)}
+	fake.answer = func(_ int, _ string, request searchRequest) *fakeAnswer { return echo(request) }
+	t.Cleanup(fake.close)
+	return fake
+}
+
+func echo(request searchRequest) *fakeAnswer {
+	return &fakeAnswer{status: http.StatusOK, body: searchResponse{
+		QueryID: request.QueryID, Attempt: request.Attempt, Snapshot: request.Snapshot, Shard: request.Shard,
+		Hits: []Hit{{ID: "a", Score: 1}},
+	}}
+}
+
+func (fake *fakeServer) dial(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+	timer := time.NewTimer(fake.dialWait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	if fake.dialErr != nil {
+		return nil, fake.dialErr
+	}
+	near, far := net.Pipe()
+	number := len(fake.conns)
+	fake.conns = append(fake.conns, far)
+	fake.group.Go(func(context.Context) { fake.serve(number, far) })
+	return near, nil
+}
+
+func (fake *fakeServer) serve(number int, conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		message, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		data, err := io.ReadAll(message.Body)
+		if err != nil {
+			return
+		}
+		var request searchRequest
+		if len(data) > 0 {
+			if err := json.Unmarshal(data, &request); err != nil {
+				return
+			}
+		}
+		if !fake.respond(number, conn, message.URL.Path, request) {
+			return
+		}
+	}
+}
+
+func (fake *fakeServer) respond(number int, conn net.Conn, path string, request searchRequest) bool {
+	fake.mutex.Lock()
+	fake.requests = append(fake.requests, path)
+	swallowed := fake.swallowed[number]
+	answer := fake.answer
+	fake.mutex.Unlock()
+	if swallowed {
+		return true
+	}
+	if path == "/health" {
+		return write(conn, &fakeAnswer{status: http.StatusOK, body: healthResponse{State: "Ready"}})
+	}
+	reply := answer(number, path, request)
+	if reply == nil {
+		return true
+	}
+	time.Sleep(reply.wait)
+	if reply.hangUp {
+		return false
+	}
+	for range reply.repeat + 1 {
+		if !write(conn, reply) {
+			return false
+		}
+	}
+	return true
+}
+
+func write(conn net.Conn, answer *fakeAnswer) bool {
+	data, err := json.Marshal(answer.body)
+	if err != nil {
+		return false
+	}
+	header := answer.header
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set("Content-Length", strconv.Itoa(len(data)))
+	response := http.Response{
+		StatusCode: answer.status, ProtoMajor: 1, ProtoMinor: 1, Header: header,
+		ContentLength: int64(len(data)), Body: io.NopCloser(bytes.NewReader(data)),
+	}
+	return response.Write(conn) == nil
+}
+
+// silence makes every connection that is open now swallow what it is sent.
+func (fake *fakeServer) silence() {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	for number := range fake.conns {
+		fake.swallowed[number] = true
+	}
+}
+
+func (fake *fakeServer) setAnswer(answer func(int, string, searchRequest) *fakeAnswer) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	fake.answer = answer
+}
+
+// count returns how many requests for path arrived.
+func (fake *fakeServer) count(path string) int {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	total := 0
+	for _, present := range fake.requests {
+		if present == path {
+			total++
+		}
+	}
+	return total
+}
+
+func (fake *fakeServer) dialled() int {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	return len(fake.conns)
+}
+
+func (fake *fakeServer) hangUpAll() {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	for _, conn := range fake.conns {
+		conn.Close()
+	}
+}
+
+func (fake *fakeServer) close() {
+	fake.hangUpAll()
+	fake.group.Stop()
+}
+
+const serverName = "desk-1a"
+
+// newFakePool returns a pool whose one server is fake.
+func newFakePool(t *testing.T, fake *fakeServer, config Config) *Pool {
+	config.Dial = fake.dial
+	pool := NewPool(config)
+	t.Cleanup(pool.Close)
+	pool.SetServers([]swindex.Server{{
+		Name: serverName, Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 2, Connections: 25,
+	}})
+	return pool
+}
+
+func newSubRequest(timeout time.Duration) SubRequest {
+	return SubRequest{
+		Server: serverName, QueryID: 7, Attempt: 9, Caller: "treasurer-desk", Kind: "balance-check", Index: "desk",
+		Snapshot: "s1", Shard: 3, Query: "a", Limit: 5, Fingerprint: 77, Deadline: time.Now().Add(timeout),
+	}
+}
