Add the lab's open-loop load generator

Each request is due at a time drawn by seed, whatever the answers, and its latency counts from then.

--- /dev/null
+++ b/lab/internal/swlabload/load.go
@@ -0,0 +1,289 @@
+package swlabload
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
+)
+
+const (
+	// maxOutstanding is the number of requests of a stream under way at once; the next ones wait, and their wait is
+	// part of their latency.
+	maxOutstanding = 4096
+	// resolution of histograms, their upper bound and their significant figures.
+	resolution         = time.Microsecond
+	highest            = time.Minute
+	significantFigures = 3
+	// grace is how long past its timeout a caller waits for an answer.
+	grace = 2 * time.Second
+)
+
+// Stream is one kind of work that one caller sends.
+type Stream struct {
+	Priority swrule.Priority
+	Caller   string
+	Kind     string
+	Index    string
+	// Rate is the number of requests a second.
+	Rate float64
+	// Queries are sent in turn.
+	Queries []string
+	Limit   int
+	Timeout time.Duration
+	// MinCoverage is the least coverage asked for; one when zero.
+	MinCoverage float64
+	// Run sends non-idempotent work under keys of the tier, each twice through different VMs.
+	Run bool
+	// Resend sends a request again when its connection broke, as callers of a crashing request do.
+	Resend int
+	// Burst limits the stream to a part of the run; zero values are the run's start and end.
+	From  time.Duration
+	Until time.Duration
+	// Repeat keeps the query text the same for all requests, without a tag.
+	Repeat bool
+}
+
+// Result is one request with its answer.
+type Result struct {
+	Stream *Stream
+	// Tag names the request in the query text, and Query is the whole text that was sent.
+	Tag    string
+	Query  string
+	Target string
+	Key    string
+	// Intended is when the request was due, and Latency the time from then to the answer.
+	Intended time.Time
+	Latency  time.Duration
+	Status   int
+	Answer   Answer
+	// Err is set when no answer came.
+	Err error
+}
+
+// Whole reports whether the answer is whole.
+func (result *Result) Whole() bool {
+	return result.Err == nil && result.Answer.Code == swcode.OK && result.Answer.Coverage.Documents == result.Answer.Coverage.Of
+}
+
+// Config holds what a run of load is built from.
+type Config struct {
+	Balancer *Balancer
+	Streams  []*Stream
+	Duration time.Duration
+	// ClientDelay is added to each way between callers and VMs.
+	ClientDelay time.Duration
+	Seed        uint64
+	// Observe sees every result; it is called from many goroutines.
+	Observe func(result Result)
+}
+
+// Line sums up the requests of one priority and caller.
+type Line struct {
+	Priority swrule.Priority
+	Caller   string
+	Kind     string
+	Sent     int64
+	Whole    int64
+	Partial  int64
+	Refused  int64
+	// Failed counts answers with other codes, and Broken those that never came.
+	Failed int64
+	Broken int64
+	// Coverage is the mean over answers.
+	Coverage float64
+	P50      Milliseconds
+	P99      Milliseconds
+	P999     Milliseconds
+	// Codes counts the answers by name of their code.
+	Codes map[string]int64
+}
+
+// Milliseconds is a duration as tables and JSON give it.
+type Milliseconds float64
+
+func milliseconds(value int64) Milliseconds {
+	return Milliseconds(float64(value) * float64(resolution) / float64(time.Millisecond))
+}
+
+// tally collects the results of one stream.
+type tally struct {
+	mutex     sync.Mutex
+	line      Line
+	answered  int64
+	coverage  float64
+	histogram *hdrhistogram.Histogram
+}
+
+// Run sends the load until the duration has passed and every answer has come, and returns a line for each stream.
+func Run(ctx context.Context, config Config) []Line {
+	group := swgroup.New(ctx)
+	tallies := make([]*tally, len(config.Streams))
+	for i, stream := range config.Streams {
+		tallies[i] = &tally{
+			line: Line{
+				Priority: stream.Priority, Caller: stream.Caller, Kind: stream.Kind, Codes: make(map[string]int64),
+			},
+			histogram: hdrhistogram.New(1, int64(highest/resolution), significantFigures),
+		}
+		sender := &sender{
+			config: &config, stream: stream, tally: tallies[i], number: i, group: group,
+			places: make(chan struct{}, maxOutstanding),
+			random: rand.New(rand.NewPCG(config.Seed, uint64(i))),
+		}
+		group.Go(sender.run)
+	}
+	group.Wait()
+	lines := make([]Line, len(tallies))
+	for i, tally := range tallies {
+		lines[i] = tally.finish()
+	}
+	return lines
+}
+
+// sender sends the requests of one stream.
+type sender struct {
+	config *Config
+	stream *Stream
+	tally  *tally
+	number int
+	group  *swgroup.Group
+	places chan struct{}
+	random *rand.Rand
+	sent   atomic.Int64
+	keys   keyStore
+}
+
+// run starts each request at its due time; times between requests are exponential.
+func (sender *sender) run(ctx context.Context) {
+	begin := time.Now()
+	until := sender.config.Duration
+	if sender.stream.Until > 0 {
+		until = min(until, sender.stream.Until)
+	}
+	due := begin.Add(sender.stream.From)
+	for {
+		due = due.Add(time.Duration(sender.random.ExpFloat64() / sender.stream.Rate * float64(time.Second)))
+		if due.Sub(begin) > until || !sleepUntil(ctx, due) {
+			return
+		}
+		select {
+		case sender.places <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		intended, number := due, sender.sent.Add(1)
+		sender.group.Go(func(ctx context.Context) {
+			defer func() { <-sender.places }()
+			sender.send(ctx, intended, number)
+		})
+	}
+}
+
+func sleepUntil(ctx context.Context, due time.Time) bool {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (sender *sender) send(ctx context.Context, intended time.Time, number int64) {
+	stream := sender.stream
+	tag := fmt.Sprintf("%d-%d", sender.number, number)
+	query := stream.Queries[int(number)%len(stream.Queries)]
+	if !stream.Repeat {
+		query += " tag:" + tag
+	}
+	request := Request{
+		Caller: stream.Caller, Kind: stream.Kind, Index: stream.Index, Query: query, Limit: stream.Limit,
+		Timeout: stream.Timeout.String(),
+	}
+	if stream.MinCoverage > 0 {
+		request.MinCoverage = &stream.MinCoverage
+	}
+	result := Result{Stream: stream, Tag: tag, Query: query, Intended: intended}
+	if stream.Run {
+		sender.sendRun(ctx, request, result)
+		return
+	}
+	for range stream.Resend + 1 {
+		sender.post(ctx, "/v1/search", request, &result)
+		if result.Whole() {
+			break
+		}
+	}
+	sender.finish(result)
+}
+
+func (sender *sender) finish(result Result) {
+	sender.tally.add(&result)
+	if sender.config.Observe != nil {
+		sender.config.Observe(result)
+	}
+}
+
+// post sends a request to a VM that the balancer picks.
+func (sender *sender) post(ctx context.Context, path string, request Request, result *Result) {
+	ctx, cancel := context.WithTimeout(ctx, sender.stream.Timeout+2*sender.config.ClientDelay+grace)
+	defer cancel()
+	target := sender.config.Balancer.Pick()
+	result.Target = target.Name
+	result.Answer = Answer{}
+	sleepUntil(ctx, time.Now().Add(sender.config.ClientDelay))
+	result.Status, result.Err = sender.config.Balancer.Post(ctx, target, path, request, &result.Answer)
+	sleepUntil(ctx, time.Now().Add(sender.config.ClientDelay))
+	result.Latency = time.Since(result.Intended)
+}
+
+func (tally *tally) add(result *Result) {
+	tally.mutex.Lock()
+	defer tally.mutex.Unlock()
+	line := &tally.line
+	line.Sent++
+	switch {
+	case result.Err != nil:
+		line.Broken++
+		return
+	case result.Whole():
+		line.Whole++
+		_ = tally.histogram.RecordValue(min(int64(result.Latency/resolution), int64(highest/resolution)))
+	case result.Answer.Code == swcode.OK:
+		line.Partial++
+	case result.Answer.Ran == swcode.RanNo:
+		line.Refused++
+	default:
+		line.Failed++
+	}
+	line.Codes[result.Answer.Code.String()]++
+	if result.Answer.Code == swcode.OK {
+		tally.answered++
+		tally.coverage += result.Answer.Coverage.Ratio()
+	}
+}
+
+func (tally *tally) finish() Line {
+	line := tally.line
+	if tally.answered > 0 {
+		line.Coverage = tally.coverage / float64(tally.answered)
+	}
+	line.P50 = milliseconds(tally.histogram.ValueAtQuantile(50))
+	line.P99 = milliseconds(tally.histogram.ValueAtQuantile(99))
+	line.P999 = milliseconds(tally.histogram.ValueAtQuantile(99.9))
+	return line
+}
--- /dev/null
+++ b/lab/internal/swlabload/run.go
@@ -0,0 +1,65 @@
+package swlabload
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// keyBatch is the number of keys taken at once.
+	keyBatch = 32
+	// keyTimeout bounds the taking of keys.
+	keyTimeout = 2 * time.Second
+	// runsEach is how often each run is sent under its key.
+	runsEach = 2
+)
+
+// keyStore holds keys that were taken ahead.
+type keyStore struct {
+	mutex sync.Mutex
+	keys  []string
+}
+
+// take returns a key, or nothing when the VM gives none.
+func (sender *sender) take(ctx context.Context) string {
+	store := &sender.keys
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if len(store.keys) == 0 {
+		ctx, cancel := context.WithTimeout(ctx, keyTimeout)
+		defer cancel()
+		var reply struct{ Keys []string }
+		wanted := struct {
+			Caller string
+			Count  int
+		}{sender.stream.Caller, keyBatch}
+		if _, err := sender.config.Balancer.Post(ctx, sender.config.Balancer.Pick(), "/v1/keys", wanted, &reply); err != nil {
+			return ""
+		}
+		store.keys = reply.Keys
+	}
+	if len(store.keys) == 0 {
+		return ""
+	}
+	key := store.keys[0]
+	store.keys = store.keys[1:]
+	return key
+}
+
+// sendRun sends non-idempotent work several times under one key, through the VMs that the balancer picks. The first
+// answer counts in the tally; all are observed.
+func (sender *sender) sendRun(ctx context.Context, request Request, result Result) {
+	request.Key = sender.take(ctx)
+	result.Key = request.Key
+	for i := range runsEach {
+		sender.post(ctx, "/v1/runs", request, &result)
+		if i == 0 {
+			sender.finish(result)
+			continue
+		}
+		if sender.config.Observe != nil {
+			sender.config.Observe(result)
+		}
+	}
+}
