--- a/internal/swkey/fake_test.go
+++ b/internal/swkey/fake_test.go
@@ -333,10 +333,11 @@
 	records map[string]swmember.Record
 }
 
-func (board *fakeBoard) Put(record swmember.Record) {
+func (board *fakeBoard) Put(record swmember.Record) bool {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	board.records[record.Topic+"\x00"+record.Key] = record
+	return true
 }
 
 func (board *fakeBoard) Get(topic, key string) (swmember.Record, bool) {
--- a/internal/swkey/service.go
+++ b/internal/swkey/service.go
@@ -51,7 +51,7 @@
 
 // Board holds the records that gossip spreads.
 type Board interface {
-	Put(record swmember.Record)
+	Put(record swmember.Record) bool
 	Get(topic, key string) (swmember.Record, bool)
 }
 
