--- /dev/null
+++ b/internal/swedit/error.go
@@ -0,0 +1,63 @@
+package swedit
+
+import "fmt"
+
+// RaceError tells that the rules are not at the version that the operator edited. Nothing was written.
+type RaceError struct {
+	// Base is the version that the operator edited.
+	Base uint64
+	// Version is the version at the platform, or zero when there is no object.
+	Version uint64
+	// Text is the rule file at the platform.
+	Text string
+	// Edits holds the edits since Base that are still remembered, newest first.
+	Edits []Edit
+	// Bad is set when the object at the platform can't be decoded.
+	Bad error
+}
+
+// Error names both versions and the last editor.
+func (err *RaceError) Error() string {
+	if err.Version == 0 {
+		return fmt.Sprintf("version %d was edited, but the platform has no rules; nothing was written", err.Base)
+	}
+	text := fmt.Sprintf("version %d was edited, but the rules are at version %d", err.Base, err.Version)
+	if len(err.Edits) > 0 {
+		text += " by " + err.Edits[0].By
+	}
+	return text + "; nothing was written"
+}
+
+// UnknownError tells that the answer to a write was lost and that its outcome could not be settled. Applying the same
+// file again finds out, as long as the platform remembers the edits since.
+type UnknownError struct {
+	EditID string
+	// Version is the version at the platform when it is known.
+	Version uint64
+	Cause   error
+}
+
+// Error names the edit.
+func (err *UnknownError) Error() string {
+	return fmt.Sprintf("the outcome of edit %s is unknown: %v", err.EditID, err.Cause)
+}
+
+// Unwrap returns the last failure.
+func (err *UnknownError) Unwrap() error {
+	return err.Cause
+}
+
+// UnavailableError tells that the platform could not be reached in time. Nothing was written.
+type UnavailableError struct {
+	Cause error
+}
+
+// Error names the last failure.
+func (err *UnavailableError) Error() string {
+	return fmt.Sprintf("nothing was written: %v", err.Cause)
+}
+
+// Unwrap returns the last failure.
+func (err *UnavailableError) Unwrap() error {
+	return err.Cause
+}
--- /dev/null
+++ b/internal/swedit/main_test.go
@@ -0,0 +1,15 @@
+package swedit
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the properties; the flag on the command line overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
