--- /dev/null
+++ b/lab/internal/swlabfleet/user.go
@@ -0,0 +1,150 @@
+// Package swlabfleet runs the platform, the backend servers and the VMs of one user, with a proxy between all of them.
+package swlabfleet
+
+import (
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabload"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
+)
+
+// DataCentre is one data centre and its region.
+type DataCentre struct {
+	Name   string
+	Region string
+}
+
+// Pool is the backend servers of one kind of work, which hold one index.
+type Pool struct {
+	Index string
+	// Shards is the number of shards, and Replicas the number of servers of each.
+	Shards       int
+	Replicas     int
+	Slots        int
+	Connections  int
+	ConnectDelay time.Duration
+	// Service is the median service time.
+	Service time.Duration
+	// Documents is the number of documents of the index.
+	Documents int
+}
+
+// User is the shape of one user's fleet and load.
+type User struct {
+	Name        string
+	DataCentres []DataCentre
+	// WithinRegion and BetweenRegions are one-way delays between data centres.
+	WithinRegion   time.Duration
+	BetweenRegions time.Duration
+	// ClientDelay is the one-way delay between callers and VMs.
+	ClientDelay time.Duration
+	Pools       []Pool
+	// Rules is the rule file.
+	Rules string
+	// Streams is the load of a calm day.
+	Streams []swlabload.Stream
+}
+
+const (
+	// connectSlow and connectFast are the times that new connections take.
+	connectSlow = 5 * time.Millisecond
+	connectFast = time.Millisecond
+	// documentsEach is the number of documents of an index.
+	documentsEach = 1500
+	// hitLimit is the number of hits that callers ask for.
+	hitLimit = 10
+)
+
+// Users returns both users in order of name.
+func Users() []User {
+	return []User{avellana(), kowhai()}
+}
+
+// FindUser returns the user of that name.
+func FindUser(name string) (User, bool) {
+	for _, user := range Users() {
+		if user.Name == name {
+			return user, true
+		}
+	}
+	return User{}, false
+}
+
+func kowhai() User {
+	return User{
+		Name: "kowhai",
+		DataCentres: []DataCentre{
+			{"auckland-1", "auckland"}, {"wellington-1", "wellington"}, {"christchurch-1", "christchurch"},
+		},
+		WithinRegion: 500 * time.Microsecond, BetweenRegions: 10 * time.Millisecond, ClientDelay: 3 * time.Millisecond,
+		Pools: []Pool{
+			{Index: "desk", Shards: 10, Replicas: 3, Slots: 2, Connections: 25, ConnectDelay: connectSlow, Service: 20 * time.Millisecond, Documents: documentsEach},
+			{Index: "portal", Shards: 15, Replicas: 3, Slots: 2, Connections: 25, ConnectDelay: connectSlow, Service: 20 * time.Millisecond, Documents: documentsEach},
+			{Index: "export", Shards: 1, Replicas: 10, Slots: 3, Connections: 100, ConnectDelay: connectFast, Service: 40 * time.Millisecond, Documents: documentsEach},
+			{Index: "levy", Shards: 1, Replicas: 5, Slots: 3, Connections: 100, ConnectDelay: connectFast, Service: 40 * time.Millisecond, Documents: documentsEach},
+		},
+		Rules: `pass Caller=treasurer-desk Priority=Urgent                 # treasurer support, case 790
+pass Caller=member-portal Priority=Standard                # portal team, case 801
+pass Caller=audit-export Priority=Deferrable               # audit team, case 812
+pass Caller=levy-notice-sender Priority=Deferrable         # levy team, case 815
+`,
+		Streams: []swlabload.Stream{
+			{Priority: swrule.Urgent, Caller: "treasurer-desk", Kind: "balance-check", Index: "desk", Rate: 40, Timeout: 500 * time.Millisecond,
+				Queries: []string{"levy", "grant count:state", "hall rent", "bus count:month", "kit"}, Limit: hitLimit},
+			{Priority: swrule.Urgent, Caller: "treasurer-desk", Kind: "payment-match", Index: "levy", Rate: 4, Timeout: time.Second,
+				Queries: []string{"rent", "loan"}, Limit: 1, Run: true},
+			{Priority: swrule.Standard, Caller: "member-portal", Kind: "entry-search", Index: "portal", Rate: 25, Timeout: time.Second,
+				Queries: []string{"coach", "food count:state", "power", "kit hall"}, Limit: hitLimit},
+			{Priority: swrule.Deferrable, Caller: "audit-export", Kind: "export-scan", Index: "export", Rate: 20, Timeout: 3 * time.Second,
+				Queries: []string{"loan count:month count:state", "levy count:month"}, Limit: hitLimit},
+			{Priority: swrule.Deferrable, Caller: "levy-notice-sender", Kind: "notice-list", Index: "levy", Rate: 10, Timeout: 3 * time.Second,
+				Queries: []string{"levy", "grant"}, Limit: hitLimit},
+		},
+	}
+}
+
+func avellana() User {
+	return User{
+		Name: "avellana",
+		DataCentres: []DataCentre{
+			{"maule-1", "maule"}, {"araucania-1", "araucania"}, {"ohiggins-1", "ohiggins"},
+		},
+		WithinRegion: 500 * time.Microsecond, BetweenRegions: 20 * time.Millisecond, ClientDelay: time.Millisecond,
+		Pools: []Pool{
+			{Index: "belt", Shards: 10, Replicas: 3, Slots: 2, Connections: 25, ConnectDelay: connectSlow, Service: 15 * time.Millisecond, Documents: documentsEach},
+			{Index: "calibration", Shards: 15, Replicas: 3, Slots: 2, Connections: 25, ConnectDelay: connectSlow, Service: 15 * time.Millisecond, Documents: documentsEach},
+			{Index: "ledger", Shards: 1, Replicas: 10, Slots: 2, Connections: 35, ConnectDelay: connectFast, Service: 40 * time.Millisecond, Documents: documentsEach},
+			{Index: "buyer", Shards: 1, Replicas: 5, Slots: 2, Connections: 35, ConnectDelay: connectFast, Service: 40 * time.Millisecond, Documents: documentsEach},
+		},
+		Rules: `pass Caller=belt-console Priority=Urgent                   # line supervisors, case 14
+pass Caller=calibration-feed Priority=Standard             # calibration, case 15
+pass Caller=lot-ledger Priority=Deferrable                 # lot office, case 22
+pass Caller=buyer-report Priority=Deferrable               # sales, case 23
+`,
+		Streams: []swlabload.Stream{
+			{Priority: swrule.Urgent, Caller: "belt-console", Kind: "defect-match", Index: "belt", Rate: 50, Timeout: 400 * time.Millisecond,
+				Queries: []string{"husk", "crack count:state", "mould shell", "stone count:month", "rot"}, Limit: hitLimit},
+			{Priority: swrule.Urgent, Caller: "belt-console", Kind: "reject-count", Index: "buyer", Rate: 4, Timeout: time.Second,
+				Queries: []string{"rot", "crack"}, Limit: 1, Run: true},
+			{Priority: swrule.Standard, Caller: "calibration-feed", Kind: "batch-search", Index: "calibration", Rate: 25, Timeout: time.Second,
+				Queries: []string{"size", "sack count:state", "belt", "shell stone"}, Limit: hitLimit},
+			{Priority: swrule.Deferrable, Caller: "lot-ledger", Kind: "lot-scan", Index: "ledger", Rate: 15, Timeout: 3 * time.Second,
+				Queries: []string{"lot count:month count:state", "sack count:month"}, Limit: hitLimit},
+			{Priority: swrule.Deferrable, Caller: "buyer-report", Kind: "report", Index: "buyer", Rate: 6, Timeout: 3 * time.Second,
+				Queries: []string{"size", "lot"}, Limit: hitLimit},
+		},
+	}
+}
+
+// SpreadOverShards reads the pools of few replicas as that many shards of one replica each, in place of copies of one
+// shard.
+func (user User) SpreadOverShards() User {
+	pools := append([]Pool(nil), user.Pools...)
+	for i := range pools {
+		if pools[i].Shards == 1 {
+			pools[i].Shards, pools[i].Replicas = pools[i].Replicas, 1
+		}
+	}
+	user.Pools = pools
+	return user
+}
