--- /dev/null
+++ b/lab/internal/swlabcheck/check_test.go
@@ -0,0 +1,191 @@
+package swlabcheck_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbackend"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabcheck"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabload"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+const (
+	shards    = 4
+	documents = 200
+	query     = "levy count:state tag:1"
+	limit     = 5
+)
+
+var (
+	begin     = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	snapshots = []*swlabbackend.Snapshot{
+		swlabbackend.NewSnapshot(1, "desk", "s1", shards, documents),
+		swlabbackend.NewSnapshot(1, "desk", "s2", shards+1, documents),
+	}
+)
+
+// evidence holds one whole answer to one request, and rules that were accepted long before.
+func evidence() *swlabcheck.Evidence {
+	stream := &swlabload.Stream{Caller: "treasurer-desk", Index: "desk", Limit: limit}
+	result := swlabload.Result{
+		Stream: stream, Tag: "1", RequestID: "1", Query: query, Target: "vm1",
+		Intended: begin, Sent: begin, Latency: time.Second, First: true, Last: true,
+		Answer: answer(snapshots[0], query),
+	}
+	made := &swlabcheck.Evidence{
+		Results:   []swlabload.Result{result},
+		Snapshots: func(string) []*swlabbackend.Snapshot { return snapshots },
+		Rules:     []swlabcheck.RuleChange{{Version: 7, At: begin.Add(-time.Hour)}},
+	}
+	for shard := range shards {
+		made.Records = append(made.Records, swlabbackend.Record{
+			Server: "desk-a", QueryID: "q", Index: "desk", Snapshot: "s1", Shard: shard, Tag: "1",
+			Started: begin.Add(time.Millisecond), Outcome: swlabbackend.Finished,
+		})
+	}
+	return made
+}
+
+func answer(snapshot *swlabbackend.Snapshot, query string) swlabload.Answer {
+	scan := snapshot.Scan(query, limit)
+	made := swlabload.Answer{
+		Code: swcode.OK, Ran: swcode.RanYes, RequestID: "1", Snapshot: snapshot.ID, RuleVersion: 7, Counts: scan.Counts,
+		Coverage: swlabload.Coverage{
+			Documents: snapshot.Total(), Of: snapshot.Total(), Shards: len(snapshot.Shards), OfShards: len(snapshot.Shards),
+		},
+	}
+	for _, hit := range scan.Hits {
+		made.Hits = append(made.Hits, swlabload.Hit{ID: hit.ID, Score: hit.Score, Text: hit.Text})
+	}
+	return made
+}
+
+// again adds another result of the same VM.
+func again(evidence *swlabcheck.Evidence, after time.Duration, version int64) {
+	result := evidence.Results[0]
+	result.Intended = begin.Add(after)
+	result.Sent = result.Intended
+	result.Answer.RuleVersion = version
+	evidence.Results = append(evidence.Results, result)
+}
+
+func TestEachCheckFiresOnItsFaultAlone(t *testing.T) {
+	type violations = swlabcheck.Violations
+	tests := []struct {
+		name  string
+		plant func(evidence *swlabcheck.Evidence)
+		want  violations
+	}{
+		{"no fault", func(*swlabcheck.Evidence) {}, violations{}},
+		{"hit of another snapshot", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer.Hits[1].Text = strings.Replace(evidence.Results[0].Answer.Hits[1].Text, "s1", "s2", 1)
+		}, violations{MixedSnapshots: 1}},
+		{"snapshot that never was", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer.Snapshot = "s9"
+		}, violations{MixedSnapshots: 1}},
+		{"answer to another request", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer.RequestID = "2"
+		}, violations{CrossedAnswers: 1}},
+		{"hits of another query", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer = answer(snapshots[0], "hall")
+		}, violations{CrossedAnswers: 1}},
+		{"full coverage without a hit", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer.Hits = evidence.Results[0].Answer.Hits[1:]
+		}, violations{FalseCoverage: 1}},
+		{"full coverage with doubled counts", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer.Counts["state=open"]++
+		}, violations{FalseCoverage: 1}},
+		{"coverage of a shard that did not run", func(evidence *swlabcheck.Evidence) {
+			evidence.Records = evidence.Records[1:]
+		}, violations{FalseCoverage: 1}},
+		{"coverage of a shard that was cancelled", func(evidence *swlabcheck.Evidence) {
+			evidence.Records[0].Outcome = swlabbackend.Cancelled
+		}, violations{FalseCoverage: 1}},
+		{"coverage of another total", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer.Coverage.Of--
+			evidence.Results[0].Answer.Coverage.Documents--
+		}, violations{FalseCoverage: 1}},
+		{"coverage of another shard map", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer.Coverage.OfShards++
+		}, violations{FalseCoverage: 1}},
+		{"refusal of what ran", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer = swlabload.Answer{Code: swcode.ShedByPriority, Ran: swcode.RanNo}
+		}, violations{RanDespiteRefusal: 1}},
+		{"refusal of what ran later", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer = swlabload.Answer{Code: swcode.ShedByPriority, Ran: swcode.RanNo}
+			for i := range evidence.Records {
+				evidence.Records[i].Started = begin.Add(time.Hour)
+			}
+		}, violations{RanDespiteRefusal: 1}},
+		{"run twice under one key", func(evidence *swlabcheck.Evidence) {
+			evidence.Records = append(evidence.Records, swlabbackend.Record{RunKey: "k"}, swlabbackend.Record{RunKey: "k"})
+		}, violations{RanTwice: 1}},
+		{"run twice under two keys", func(evidence *swlabcheck.Evidence) {
+			evidence.Records = append(evidence.Records, swlabbackend.Record{RunKey: "k", Tag: "9"}, swlabbackend.Record{RunKey: "l", Tag: "9"})
+		}, violations{RanTwice: 1}},
+		{"run at two shards", func(evidence *swlabcheck.Evidence) {
+			evidence.Records = append(evidence.Records, swlabbackend.Record{RunKey: "k"}, swlabbackend.Record{RunKey: "k", Shard: 1})
+		}, violations{}},
+		{"work for a leaving server", func(evidence *swlabcheck.Evidence) {
+			evidence.Arrivals = []swlabbackend.Arrival{{SinceLeaving: swlabcheck.LeavingGrace}, {SinceLeaving: swlabcheck.LeavingGrace + 1}}
+		}, violations{WorkAfterLeaving: 1}},
+		{"connection broken in a planned stop", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Err = errors.New("connection reset")
+			evidence.Stops = []swlabcheck.Window{{VM: "vm2", From: begin, Until: begin.Add(time.Second)}}
+		}, violations{CutByPlannedStop: 1}},
+		{"connection broken long after a planned stop", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Err = errors.New("connection reset")
+			evidence.Stops = []swlabcheck.Window{{VM: "vm2", From: begin.Add(-time.Hour), Until: begin.Add(-time.Minute)}}
+		}, violations{}},
+		{"older rules after newer", func(evidence *swlabcheck.Evidence) {
+			again(evidence, time.Minute, 9)
+			again(evidence, 2*time.Minute, 8)
+		}, violations{RuleReverted: 1}},
+		{"older rules beside newer", func(evidence *swlabcheck.Evidence) {
+			again(evidence, time.Minute, 9)
+			again(evidence, time.Minute, 8)
+		}, violations{}},
+		{"rules late", func(evidence *swlabcheck.Evidence) {
+			evidence.Rules = append(evidence.Rules, swlabcheck.RuleChange{Version: 8, At: begin})
+			again(evidence, swlabcheck.RuleGrace, 7)
+		}, violations{RuleLate: 1}},
+		{"rules late where none can arrive", func(evidence *swlabcheck.Evidence) {
+			evidence.Rules = append(evidence.Rules, swlabcheck.RuleChange{Version: 8, At: begin})
+			evidence.CutOff = []swlabcheck.Window{{VM: "vm1", From: begin, Until: begin.Add(time.Hour)}}
+			again(evidence, swlabcheck.RuleGrace, 7)
+		}, violations{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			planted := evidence()
+			test.plant(planted)
+			verdict := swlabcheck.Check(planted)
+			if diff := cmp.Diff(test.want, verdict.Violations); diff != "" {
+				t.Errorf("%s%v", diff, verdict.Examples)
+			}
+		})
+	}
+}
+
+func TestExtraLoadCountsShardsAskedTwice(t *testing.T) {
+	repeated := evidence()
+	repeated.Records = append(repeated.Records, repeated.Records[0])
+	report := swlabcheck.NewReport(repeated, nil, nil)
+	if report.ExtraLoad != 0.25 {
+		t.Errorf("extra load %v, want 0.25", report.ExtraLoad)
+	}
+}
+
+func TestWastedCountsWorkWithoutWholeAnswer(t *testing.T) {
+	wasted := evidence()
+	wasted.Results[0].Answer = swlabload.Answer{Code: swcode.DeadlineExceeded, Ran: swcode.RanUnknown}
+	report := swlabcheck.NewReport(wasted, []swlabload.Line{{Caller: "treasurer-desk"}}, nil)
+	if got := report.Priorities[0].Wasted; got != 1 {
+		t.Errorf("%d wasted, want 1", got)
+	}
+}
--- /dev/null
+++ b/lab/internal/swlabcheck/report.go
@@ -0,0 +1,116 @@
+package swlabcheck
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabload"
+)
+
+// Line is the service that one priority and caller had.
+type Line struct {
+	swlabload.Line
+	// Offered is the number of requests sent.
+	Offered int64
+	// Wasted is the number of requests that ran in part and got no whole answer.
+	Wasted int64
+}
+
+// Report is the outcome of one run.
+type Report struct {
+	Scenario   string
+	User       string
+	Seed       uint64
+	Duration   string
+	Priorities []Line
+	// Coverage is the mean over all answers.
+	Coverage float64
+	// ExtraLoad is the number of sub-requests that backend servers ran twice or in vain for a shard that they had
+	// begun already, as a share of the shards asked for.
+	ExtraLoad float64
+	// SubRequests is the number of sub-requests that backend servers began.
+	SubRequests   int
+	PlatformCalls map[string]int64
+	Violations    Violations
+	Examples      []string `json:",omitempty"`
+}
+
+// NewReport sums up a run.
+func NewReport(evidence *Evidence, lines []swlabload.Line, calls map[string]int64) Report {
+	verdict := Check(evidence)
+	report := Report{
+		Violations: verdict.Violations, Examples: verdict.Examples, PlatformCalls: calls,
+		SubRequests: len(evidence.Records), ExtraLoad: extraLoad(evidence),
+	}
+	wasted := wastedBy(evidence)
+	var answered, covered float64
+	for _, line := range lines {
+		report.Priorities = append(report.Priorities, Line{Line: line, Offered: line.Sent, Wasted: wasted[lineKey{line.Caller, line.Kind}]})
+		count := float64(line.Whole + line.Partial)
+		answered += count
+		covered += count * line.Coverage
+	}
+	slices.SortStableFunc(report.Priorities, func(a, b Line) int { return int(a.Priority) - int(b.Priority) })
+	if answered > 0 {
+		report.Coverage = covered / answered
+	}
+	return report
+}
+
+type lineKey struct {
+	caller string
+	kind   string
+}
+
+// wastedBy counts the requests that ran in part and got no whole answer.
+func wastedBy(evidence *Evidence) map[lineKey]int64 {
+	ran := make(map[string]bool)
+	for _, record := range evidence.Records {
+		ran[record.Tag] = true
+	}
+	wasted := make(map[lineKey]int64)
+	for i := range evidence.Results {
+		result := &evidence.Results[i]
+		if result.First && ran[result.Tag] && !result.Whole() {
+			wasted[lineKey{result.Stream.Caller, result.Stream.Kind}]++
+		}
+	}
+	return wasted
+}
+
+func extraLoad(evidence *Evidence) float64 {
+	type part struct {
+		queryID string
+		shard   int
+	}
+	asked := make(map[part]bool)
+	for _, record := range evidence.Records {
+		asked[part{record.QueryID, record.Shard}] = true
+	}
+	if len(asked) == 0 {
+		return 0
+	}
+	return float64(len(evidence.Records)-len(asked)) / float64(len(asked))
+}
+
+// Print writes the report as a table.
+func (report *Report) Print(out io.Writer) {
+	fmt.Fprintf(out, "%s, %s, seed %d, %s\n\n", report.Scenario, report.User, report.Seed, report.Duration)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "PRIORITY\tCALLER\tKIND\tSENT\tWHOLE\tREFUSED\tFAILED\tBROKEN\tWASTED\tP50\tP99\tP99.9\tCOVERAGE\t")
+	for _, line := range report.Priorities {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1fms\t%.1fms\t%.1fms\t%.4f\t\n",
+			line.Priority, line.Caller, line.Kind, line.Sent, line.Whole, line.Refused, line.Failed, line.Broken, line.Wasted,
+			line.P50, line.P99, line.P999, line.Coverage)
+	}
+	_ = table.Flush()
+	fmt.Fprintf(out, "\ncoverage %.4f, extra load %.2f %%, %d sub-requests, platform calls %v\n",
+		report.Coverage, 100*report.ExtraLoad, report.SubRequests, report.PlatformCalls)
+	fmt.Fprintf(out, "violations %d: %+v\n", report.Violations.Total(), report.Violations)
+	if len(report.Examples) > 0 {
+		fmt.Fprintln(out, "  "+strings.Join(report.Examples, "\n  "))
+	}
+}
--- a/lab/internal/swlabload/load.go
+++ b/lab/internal/swlabload/load.go
@@ -59,12 +59,18 @@
 	Tag    string
 	Query  string
 	Target string
-	Key    string
-	// Intended is when the request was due, and Latency the time from then to the answer.
+	// RequestID is the ID that the answer has to echo.
+	RequestID string
+	Key       string
+	// Intended is when the request was due, Sent when it was sent, and Latency the time from when it was due to the answer.
 	Intended time.Time
+	Sent     time.Time
 	Latency  time.Duration
-	Status   int
-	Answer   Answer
+	// First and Last tell the sendings of one piece of work apart.
+	First  bool
+	Last   bool
+	Status int
+	Answer Answer
 	// Err is set when no answer came.
 	Err error
 }
@@ -74,6 +80,11 @@
 	return result.Err == nil && result.Answer.Code == swcode.OK && result.Answer.Coverage.Documents == result.Answer.Coverage.Of
 }
 
+// Ended returns when the answer came.
+func (result *Result) Ended() time.Time {
+	return result.Intended.Add(result.Latency)
+}
+
 // Config holds what a run of load is built from.
 type Config struct {
 	Balancer *Balancer
@@ -204,35 +215,48 @@
 }
 
 func (sender *sender) send(ctx context.Context, intended time.Time, number int64) {
+	result := Result{Stream: sender.stream, Intended: intended, First: true, Last: true}
+	if sender.stream.Run {
+		sender.sendRun(ctx, number, result)
+		return
+	}
+	for attempt := range sender.stream.Resend + 1 {
+		result.First = attempt == 0
+		sender.post(ctx, "/v1/search", sender.request(number, attempt, &result), &result)
+		if attempt < sender.stream.Resend && !result.Whole() {
+			sender.observe(result)
+			continue
+		}
+		break
+	}
+	sender.finish(result)
+}
+
+// request makes the request of a number and names it in the result.
+func (sender *sender) request(number int64, attempt int, result *Result) Request {
 	stream := sender.stream
-	tag := fmt.Sprintf("%d-%d", sender.number, number)
 	query := stream.Queries[int(number)%len(stream.Queries)]
+	result.Tag = fmt.Sprintf("%d-%d-%d", sender.number, number, attempt)
 	if !stream.Repeat {
-		query += " tag:" + tag
+		query += " tag:" + result.Tag
 	}
+	result.Query, result.RequestID = query, result.Tag
 	request := Request{
 		Caller: stream.Caller, Kind: stream.Kind, Index: stream.Index, Query: query, Limit: stream.Limit,
-		Timeout: stream.Timeout.String(),
+		Timeout: stream.Timeout.String(), RequestID: result.RequestID,
 	}
 	if stream.MinCoverage > 0 {
 		request.MinCoverage = &stream.MinCoverage
 	}
-	result := Result{Stream: stream, Tag: tag, Query: query, Intended: intended}
-	if stream.Run {
-		sender.sendRun(ctx, request, result)
-		return
-	}
-	for range stream.Resend + 1 {
-		sender.post(ctx, "/v1/search", request, &result)
-		if result.Whole() {
-			break
-		}
-	}
-	sender.finish(result)
+	return request
 }
 
 func (sender *sender) finish(result Result) {
 	sender.tally.add(&result)
+	sender.observe(result)
+}
+
+func (sender *sender) observe(result Result) {
 	if sender.config.Observe != nil {
 		sender.config.Observe(result)
 	}
@@ -246,6 +270,7 @@
 	result.Target = target.Name
 	result.Answer = Answer{}
 	sleepUntil(ctx, time.Now().Add(sender.config.ClientDelay))
+	result.Sent = time.Now()
 	result.Status, result.Err = sender.config.Balancer.Post(ctx, target, path, request, &result.Answer)
 	sleepUntil(ctx, time.Now().Add(sender.config.ClientDelay))
 	result.Latency = time.Since(result.Intended)
--- a/lab/internal/swlabload/run.go
+++ b/lab/internal/swlabload/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -15,6 +17,9 @@
 	runsEach = 2
 )
 
+// errNoKey says that no VM gave a key.
+var errNoKey = errors.New("no key for a run")
+
 // keyStore holds keys that were taken ahead.
 type keyStore struct {
 	mutex sync.Mutex
@@ -49,17 +54,23 @@
 
 // sendRun sends non-idempotent work several times under one key, through the VMs that the balancer picks. The first
 // answer counts in the tally; all are observed.
-func (sender *sender) sendRun(ctx context.Context, request Request, result Result) {
+func (sender *sender) sendRun(ctx context.Context, number int64, result Result) {
+	request := sender.request(number, 0, &result)
 	request.Key = sender.take(ctx)
 	result.Key = request.Key
+	if request.Key == "" {
+		result.Err = errNoKey
+		result.Latency = time.Since(result.Intended)
+		sender.finish(result)
+		return
+	}
 	for i := range runsEach {
+		result.First, result.Last = i == 0, i == runsEach-1
 		sender.post(ctx, "/v1/runs", request, &result)
-		if i == 0 {
+		if result.First {
 			sender.finish(result)
 			continue
 		}
-		if sender.config.Observe != nil {
-			sender.config.Observe(result)
-		}
+		sender.observe(result)
 	}
 }
