--- a/internal/swadmission/queue.go
+++ b/internal/swadmission/queue.go
@@ -84,6 +84,8 @@
 	shedders [swrule.Priorities]shedder
 	sequence uint64
 	ticked   time.Time
+	// unused keeps waiters for use again.
+	unused sync.Pool
 }
 
 // waiter is work that waits for a slot. ready receives nil with the slot, or the refusal.
@@ -95,8 +97,6 @@
 	ready    chan *swcode.Error
 }
 
-var waiters = sync.Pool{New: func() any { return &waiter{ready: make(chan *swcode.Error, 1)} }}
-
 // Lease is the right to one of the backend server's slots. Give it back with Queue.Release exactly once.
 type Lease struct {
 	Work Work
@@ -116,6 +116,7 @@
 		shares:   newShareLedger(settings.Shares),
 		ticked:   time.Now(),
 	}
+	queue.unused.New = func() any { return &waiter{ready: make(chan *swcode.Error, 1)} }
 	for i := range queue.lines {
 		queue.lines[i].callers = make(map[string]*callerLine)
 		queue.reserved[i] = max(1, int(queue.shares.share[i]*float64(queue.limit)))
@@ -164,7 +165,7 @@
 	case <-ctx.Done():
 		refusal = queue.withdraw(ctx, waiter)
 	}
-	waiters.Put(waiter)
+	queue.unused.Put(waiter)
 	if refusal != nil {
 		return Lease{}, queue.refuse(&work, refusal)
 	}
@@ -239,7 +240,7 @@
 }
 
 func (queue *Queue) push(now time.Time, work Work) *waiter {
-	waiter := waiters.Get().(*waiter)
+	waiter := queue.unused.Get().(*waiter)
 	queue.sequence++
 	waiter.work, waiter.entered, waiter.sequence, waiter.queued = work, now, queue.sequence, true
 	queue.lines[work.Priority].push(waiter)
--- /dev/null
+++ b/internal/swadmission/queue_test.go
@@ -0,0 +1,321 @@
+package swadmission
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swsetting"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
+)
+
+// newReadyQueue returns a queue past its ramp.
+func newReadyQueue(slots int, settings swsetting.Admission) *Queue {
+	queue := NewQueue(QueueConfig{Slots: slots, Settings: settings})
+	queue.slots.learned = float64(slots)
+	return queue
+}
+
+// queueRun drives a queue step by step and checks what must hold after each step.
+type queueRun struct {
+	queue   *Queue
+	waiting map[int]*waiter
+	running map[int]Lease
+	refused map[int]bool
+	next    int
+}
+
+func (run *queueRun) offer(t *rapid.T) {
+	work := Work{
+		Priority: swrule.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
+		Caller:   fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "caller")),
+		Cohort:   rapid.Uint16().Draw(t, "cohort"),
+		Deadline: time.Now().Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "timeout")) * time.Millisecond),
+	}
+	id := run.next
+	run.next++
+	waiter, refusal := run.queue.enter(time.Now(), work)
+	switch {
+	case refusal != nil:
+		run.refused[id] = true
+	case waiter == nil:
+		run.running[id] = Lease{Work: work, started: time.Now()}
+	default:
+		run.waiting[id] = waiter
+	}
+}
+
+func (run *queueRun) finish(t *rapid.T) {
+	for id, lease := range run.running {
+		delete(run.running, id)
+		run.queue.Release(lease, Result(rapid.IntRange(0, 3).Draw(t, "result")))
+		return
+	}
+}
+
+func (run *queueRun) withdraw(*rapid.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for id, waiter := range run.waiting {
+		delete(run.waiting, id)
+		run.refused[id] = true
+		run.queue.withdraw(ctx, waiter)
+		return
+	}
+}
+
+func (run *queueRun) pass(t *rapid.T) {
+	time.Sleep(time.Duration(rapid.IntRange(1, 30).Draw(t, "pause")) * time.Millisecond)
+}
+
+// check moves granted and refused waiters on, and fails when a request is in two places or a slot is idle.
+func (run *queueRun) check(t *rapid.T) {
+	for id, waiter := range run.waiting {
+		select {
+		case refusal := <-waiter.ready:
+			delete(run.waiting, id)
+			if refusal != nil {
+				run.refused[id] = true
+				continue
+			}
+			run.running[id] = Lease{Work: waiter.work, started: time.Now()}
+		default:
+			if !waiter.queued {
+				t.Fatalf("request %d is neither queued, granted nor refused", id)
+			}
+		}
+	}
+	for id := range run.running {
+		if run.refused[id] {
+			t.Fatalf("request %d was refused and runs", id)
+		}
+	}
+	load := run.queue.Load()
+	if load.Running != len(run.running) || load.Waiting != len(run.waiting) {
+		t.Fatalf("queue counts %+v, outside there are %d running and %d waiting", load, len(run.running), len(run.waiting))
+	}
+	if load.Waiting > 0 && load.Running < load.Limit {
+		t.Fatalf("%d wait while %d of %d slots are used", load.Waiting, load.Running, load.Limit)
+	}
+	if load.Waiting > run.queue.limit {
+		t.Fatalf("%d wait, limit %d", load.Waiting, run.queue.limit)
+	}
+}
+
+func TestQueueIsWorkConservingAndDecidesOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbleTB{t}, func(t *rapid.T) {
+			run := &queueRun{
+				queue:   NewQueue(QueueConfig{Slots: 3, Settings: swsetting.Admission{QueueLimit: 12, ShedByCohort: true}}),
+				waiting: make(map[int]*waiter), running: make(map[int]Lease), refused: make(map[int]bool),
+			}
+			t.Repeat(map[string]func(*rapid.T){
+				"offer": run.offer, "finish": run.finish, "withdraw": run.withdraw, "pass": run.pass, "": run.check,
+			})
+		})
+	})
+}
+
+// backlog keeps as many requests of each priority and caller waiting as given, and returns the slot time that each got.
+func backlog(queue *Queue, callers map[swrule.Priority][]string, service [swrule.Priorities]time.Duration, total time.Duration) map[string]time.Duration {
+	group := swgroup.New(context.Background())
+	var mutex sync.Mutex
+	used := make(map[string]time.Duration)
+	end := time.Now().Add(total)
+	for priority, names := range callers {
+		for _, name := range names {
+			group.Go(func(ctx context.Context) {
+				for time.Now().Before(end) {
+					lease, err := queue.Acquire(ctx, Work{Priority: priority, Caller: name})
+					if err != nil {
+						time.Sleep(time.Millisecond)
+						continue
+					}
+					time.Sleep(service[priority])
+					mutex.Lock()
+					used[fmt.Sprint(priority)] += service[priority]
+					used[name] += service[priority]
+					mutex.Unlock()
+					queue.Release(lease, Completed)
+				}
+			})
+		}
+	}
+	group.Wait()
+	return used
+}
+
+func names(prefix string, count int) []string {
+	list := make([]string, count)
+	for i := range list {
+		list[i] = fmt.Sprint(prefix, i)
+	}
+	return list
+}
+
+func TestMinimumSharesHoldUnderFloodsOfEveryPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbleTB{t}, func(t *rapid.T) {
+			shares := []int{
+				rapid.IntRange(10, 50).Draw(t, "urgent"), rapid.IntRange(5, 30).Draw(t, "standard"), rapid.IntRange(5, 20).Draw(t, "deferrable"),
+			}
+			var service [swrule.Priorities]time.Duration
+			for i := range service {
+				service[i] = time.Duration(rapid.IntRange(1, 20).Draw(t, "service")) * time.Millisecond
+			}
+			slots := rapid.IntRange(1, 3).Draw(t, "slots")
+			queue := newReadyQueue(slots, swsetting.Admission{Shares: shares})
+			const total = 4 * time.Second
+			used := backlog(queue, map[swrule.Priority][]string{
+				swrule.Urgent: names("u", 6), swrule.Standard: names("s", 6), swrule.Deferrable: names("d", 6),
+			}, service, total)
+			capacity := total * time.Duration(slots)
+			// A priority may be behind by its own cost and that of the work in the slots.
+			allowance := 2 * 20 * time.Millisecond * time.Duration(slots+1)
+			for i, share := range shares {
+				least := capacity*time.Duration(share)/100 - allowance
+				if got := used[fmt.Sprint(swrule.Priority(i))]; got < least {
+					t.Fatalf("%s got %s of %s, share %d%%", swrule.Priority(i), got, capacity, share)
+				}
+			}
+			if spare := capacity * time.Duration(100-shares[1]-shares[2]-10) / 100; used[fmt.Sprint(swrule.Urgent)] < spare {
+				t.Fatalf("Urgent got %s, less than what the others' shares leave, %s", used[fmt.Sprint(swrule.Urgent)], spare)
+			}
+		})
+	})
+}
+
+func TestCallersOfAPriorityShareAlike(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newReadyQueue(2, swsetting.Admission{})
+		callers := append(names("peer", 3), "flood", "flood", "flood", "flood", "flood", "flood", "flood", "flood", "flood")
+		used := backlog(queue, map[swrule.Priority][]string{swrule.Standard: callers},
+			[swrule.Priorities]time.Duration{0, 5 * time.Millisecond, 0}, 10*time.Second)
+		for _, peer := range names("peer", 3) {
+			if got, least := used[peer], 20*time.Second/4*95/100; got < least {
+				t.Errorf("%s got %s beside a flood, want at least %s", peer, got, least)
+			}
+		}
+	})
+}
+
+func TestNothingStarves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newReadyQueue(1, swsetting.Admission{Shares: []int{100, 0, 0}})
+		callers := map[swrule.Priority][]string{swrule.Urgent: names("u", 8), swrule.Deferrable: {"slow"}}
+		used := backlog(queue, callers, [swrule.Priorities]time.Duration{time.Millisecond, 0, time.Millisecond}, 10*time.Second)
+		if used["slow"] == 0 {
+			t.Error("Deferrable work without a share never ran")
+		}
+	})
+}
+
+// hold takes all slots of the queue for the time.
+func hold(t *testing.T, group *swgroup.Group, queue *Queue, slots int, service time.Duration) {
+	for range slots {
+		lease, err := queue.Acquire(t.Context(), Work{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		group.Go(func(context.Context) {
+			time.Sleep(service)
+			queue.Release(lease, Completed)
+		})
+	}
+}
+
+func TestEarliestDeadlineGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newReadyQueue(1, swsetting.Admission{})
+		group := swgroup.New(context.Background())
+		hold(t, group, queue, 1, 10*time.Millisecond)
+		order := make(chan int, 3)
+		for _, timeout := range []int{300, 100, 200} {
+			group.Go(func(ctx context.Context) {
+				work := Work{Caller: "a", Deadline: time.Now().Add(time.Duration(timeout) * time.Millisecond)}
+				lease, err := queue.Acquire(ctx, work)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				order <- timeout
+				queue.Release(lease, Completed)
+			})
+		}
+		synctest.Wait()
+		group.Wait()
+		if diff := cmp.Diff([]int{100, 200, 300}, []int{<-order, <-order, <-order}); diff != "" {
+			t.Errorf("order (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestWorkThatCannotFinishIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newReadyQueue(1, swsetting.Admission{})
+		group := swgroup.New(context.Background())
+		hold(t, group, queue, 1, 50*time.Millisecond)
+		time.Sleep(60 * time.Millisecond)
+		hold(t, group, queue, 1, 50*time.Millisecond)
+		start := time.Now()
+		_, err := queue.Acquire(t.Context(), Work{Deadline: start.Add(40 * time.Millisecond)})
+		if !errors.Is(err, &swcode.Error{Code: swcode.CannotMeet}) {
+			t.Errorf("error %v, want CannotMeet", err)
+		}
+		if took := time.Since(start); took > 0 {
+			t.Errorf("refused after %s", took)
+		}
+		group.Wait()
+	})
+}
+
+func TestSlowServerIsTriedAgainWhenIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newReadyQueue(1, swsetting.Admission{})
+		group := swgroup.New(context.Background())
+		hold(t, group, queue, 1, time.Minute)
+		group.Wait()
+		lease, err := queue.Acquire(t.Context(), Work{Deadline: time.Now().Add(100 * time.Millisecond)})
+		if err != nil {
+			t.Fatalf("an idle server is not tried: %v", err)
+		}
+		queue.Release(lease, Completed)
+	})
+}
+
+func TestLimitFollowsWhatTheServerTakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := NewQueue(QueueConfig{Slots: 8})
+		work := func(result Result) {
+			lease, err := queue.Acquire(t.Context(), Work{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			queue.Release(lease, result)
+		}
+		limits := []int{queue.Load().Limit}
+		for range 200 {
+			work(Completed)
+		}
+		limits = append(limits, queue.Load().Limit)
+		for range 3 {
+			time.Sleep(2 * shedPause)
+			work(ShedByServer)
+		}
+		limits = append(limits, queue.Load().Limit)
+		queue.Restart()
+		limits = append(limits, queue.Load().Limit)
+		if diff := cmp.Diff([]int{1, 8, 2, 1}, limits); diff != "" {
+			t.Errorf("limits at the start, after answers, after refusals, after a restart (-want +got):\n%s", diff)
+		}
+	})
+}
