Add the callers' library

Run takes keys ahead, sends again under the same key, and states Ran for all sends together: a refusal after a lost answer does not prove that nothing ran. The deadline goes along on the issuer's clock, less the drift since the key was taken, so that nothing begins after it at a VM that was paused meanwhile.

--- /dev/null
+++ b/pkg/swclient/client.go
@@ -0,0 +1,175 @@
+package swclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+// Defaults of Config.
+const (
+	defaultTimeout     = 2 * time.Second
+	defaultResendAfter = 500 * time.Millisecond
+	defaultKeysAhead   = 32
+	firstBackoff       = 20 * time.Millisecond
+	lastBackoff        = time.Second
+	// maxReply bounds the size of a reply in bytes.
+	maxReply = 64 << 20
+)
+
+// Config holds what a Client is built from. Zero fields but Endpoints take defaults.
+type Config struct {
+	// Endpoints are base URLs of entry VMs or of their balancer. A resend goes to the next one.
+	Endpoints []string
+	// HTTP carries the calls; its transport holds the caller's certificate. It must not have a Timeout of its own.
+	HTTP *http.Client
+	// Caller names the caller where no client certificate does.
+	Caller string
+	// Timeout bounds a call whose context has no deadline.
+	Timeout time.Duration
+	// ResendAfter is how long one send may stay without an answer before the next one.
+	ResendAfter time.Duration
+	// KeysAhead is the number of keys taken at a time.
+	KeysAhead int
+}
+
+// Client sends requests to the query tier. It is safe for concurrent use. Construct it with New.
+type Client struct {
+	config Config
+	next   atomic.Uint64
+	keys   keyReserve
+}
+
+// New returns a client.
+func New(config Config) (*Client, error) {
+	if len(config.Endpoints) == 0 {
+		return nil, errors.New("a client needs at least one endpoint")
+	}
+	setDefault(&config.HTTP, &http.Client{})
+	setDefault(&config.Timeout, defaultTimeout)
+	setDefault(&config.ResendAfter, defaultResendAfter)
+	setDefault(&config.KeysAhead, defaultKeysAhead)
+	return &Client{config: config}, nil
+}
+
+func setDefault[Value comparable](field *Value, value Value) {
+	var zero Value
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Search runs an idempotent query, sending it again while that may help and the context's deadline allows. A refusal is
+// a *swcode.Error.
+func (client *Client) Search(ctx context.Context, request SearchRequest) (SearchReply, error) {
+	ctx, cancel := client.bound(ctx)
+	defer cancel()
+	request.Caller = client.callerOf(request.Caller)
+	for attempt := 0; ; attempt++ {
+		var reply SearchReply
+		request.Timeout = remaining(ctx)
+		err := client.post(ctx, PathSearch, &request, &reply)
+		if err == nil {
+			err = reply.Err()
+		}
+		if err == nil {
+			return reply, nil
+		}
+		if !retryable(err) || !wait(ctx, attempt, err) {
+			return reply, err
+		}
+	}
+}
+
+// retryable reports whether an idempotent request may succeed when sent again.
+func retryable(err error) bool {
+	var refused *swcode.Error
+	if !errors.As(err, &refused) {
+		return true
+	}
+	return swcode.Describe(refused.Code).Retry
+}
+
+// bound gives the context a deadline.
+func (client *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, client.config.Timeout)
+}
+
+func (client *Client) callerOf(caller string) string {
+	if caller != "" {
+		return caller
+	}
+	return client.config.Caller
+}
+
+// remaining returns the time until the context's deadline.
+func remaining(ctx context.Context) Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return Duration(max(time.Until(deadline), time.Millisecond))
+}
+
+// wait pauses before a resend: for RetryAfter, or a time that doubles with each attempt, and up to half as long again.
+// It returns false when the context ends before that.
+func wait(ctx context.Context, attempt int, err error) bool {
+	pause := min(firstBackoff<<min(attempt, 10), lastBackoff)
+	var refused *swcode.Error
+	if errors.As(err, &refused) && refused.RetryAfter > 0 {
+		pause = refused.RetryAfter
+	}
+	pause += rand.N(pause/2 + 1)
+	deadline, ok := ctx.Deadline()
+	if ok && time.Until(deadline) <= pause {
+		return false
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// post sends a request to the next endpoint and decodes the reply, whatever its status.
+func (client *Client) post(ctx context.Context, path string, request, reply any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	number := client.next.Add(1) - 1
+	endpoint := client.config.Endpoints[number%uint64(len(client.config.Endpoints))]
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	call.Header.Set("Content-Type", "application/json")
+	response, err := client.config.HTTP.Do(call)
+	if err != nil {
+		return errors.Wrap(err, "send request")
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return errors.Wrap(err, "read reply")
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return errors.Wrapf(err, "decode reply of status %d", response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/swclient/client_test.go
@@ -0,0 +1,246 @@
+package swclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+func check(t *testing.T, what string, want, got any) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+// call is one request as the fake tier got it.
+type call struct {
+	Host string
+	Path string
+	Key  string
+}
+
+// fakeTier answers calls from a script, one step a call of its path; the last step repeats.
+type fakeTier struct {
+	search []step
+	runs   []step
+	issued int
+	clock  time.Duration
+	calls  []call
+	last   RunRequest
+}
+
+// step answers a call. An error loses the answer.
+type step struct {
+	reply SearchReply
+	err   error
+	// silent leaves the call without an answer until it is withdrawn.
+	silent bool
+}
+
+func (tier *fakeTier) RoundTrip(request *http.Request) (*http.Response, error) {
+	var body RunRequest
+	var keys KeysRequest
+	data, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	if request.URL.Path == PathKeys {
+		err = json.Unmarshal(data, &keys)
+		tier.calls = append(tier.calls, call{Host: request.URL.Host, Path: PathKeys})
+		return respond(tier.issue(keys.Count)), err
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
+		return nil, err
+	}
+	tier.last = body
+	tier.calls = append(tier.calls, call{Host: request.URL.Host, Path: request.URL.Path, Key: body.Key})
+	script := &tier.search
+	if request.URL.Path == PathRuns {
+		script = &tier.runs
+	}
+	next := (*script)[0]
+	if len(*script) > 1 {
+		*script = (*script)[1:]
+	}
+	if next.silent {
+		<-request.Context().Done()
+		return nil, request.Context().Err()
+	}
+	return respond(next.reply), next.err
+}
+
+func (tier *fakeTier) issue(count int) KeysReply {
+	reply := KeysReply{Code: swcode.OK, Expires: Duration(time.Minute), Clock: Duration(tier.clock)}
+	for range count {
+		tier.issued++
+		reply.Keys = append(reply.Keys, "key-"+string(rune('0'+tier.issued)))
+	}
+	return reply
+}
+
+func respond(body any) *http.Response {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil
+	}
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(data))}
+}
+
+func newTestClient(t *testing.T, tier *fakeTier) *Client {
+	client, err := New(Config{
+		Endpoints: []string{"http://vm1", "http://vm2"},
+		HTTP:      &http.Client{Transport: tier},
+		Caller:    "treasurer-desk",
+		KeysAhead: 1,
+	})
+	check(t, "error", nil, err)
+	return client
+}
+
+func ok() step { return step{reply: SearchReply{Code: swcode.OK, Ran: swcode.RanYes}} }
+
+func refused(code swcode.Code, ran swcode.Ran) step {
+	return step{reply: SearchReply{Code: code, Ran: ran}}
+}
+
+func lost() step { return step{err: errors.New("connection reset")} }
+
+func TestRun(t *testing.T) {
+	sent := func(host, key string) call { return call{Host: host, Path: PathRuns, Key: key} }
+	keys := func(host string) call { return call{Host: host, Path: PathKeys} }
+	tests := []struct {
+		name  string
+		key   string
+		runs  []step
+		calls []call
+		code  swcode.Code
+		ran   swcode.Ran
+	}{
+		{"an answer", "", []step{ok()}, []call{keys("vm1"), sent("vm2", "key-1")}, swcode.OK, swcode.RanYes},
+		{"a lost answer is asked for under the same key elsewhere", "", []step{lost(), ok()},
+			[]call{keys("vm1"), sent("vm2", "key-1"), sent("vm1", "key-1")}, swcode.OK, swcode.RanYes},
+		{"a silent VM", "", []step{{silent: true}, ok()},
+			[]call{keys("vm1"), sent("vm2", "key-1"), sent("vm1", "key-1")}, swcode.OK, swcode.RanYes},
+		{"an unreachable issuer is asked again", "", []step{refused(swcode.IssuerUnreachable, swcode.RanUnknown), ok()},
+			[]call{keys("vm1"), sent("vm2", "key-1"), sent("vm1", "key-1")}, swcode.OK, swcode.RanYes},
+		{"an issuer gone at the first send gives a new key", "", []step{refused(swcode.IssuerGone, swcode.RanUnknown), ok()},
+			[]call{keys("vm1"), sent("vm2", "key-1"), keys("vm1"), sent("vm2", "key-2")}, swcode.OK, swcode.RanYes},
+		{"an issuer gone after a lost answer ends it", "", []step{lost(), refused(swcode.IssuerGone, swcode.RanUnknown)},
+			[]call{keys("vm1"), sent("vm2", "key-1"), sent("vm1", "key-1")}, swcode.IssuerGone, swcode.RanUnknown},
+		{"an unknown outcome ends it", "", []step{refused(swcode.OutcomeUnknown, swcode.RanUnknown)},
+			[]call{keys("vm1"), sent("vm2", "key-1")}, swcode.OutcomeUnknown, swcode.RanUnknown},
+		{"a refusal as not run ends it", "", []step{refused(swcode.RefusedByRule, swcode.RanNo)},
+			[]call{keys("vm1"), sent("vm2", "key-1")}, swcode.RefusedByRule, swcode.RanNo},
+		{"a refusal after a lost answer does not prove that nothing ran", "", []step{lost(), refused(swcode.RefusedByRule, swcode.RanNo)},
+			[]call{keys("vm1"), sent("vm2", "key-1"), sent("vm1", "key-1")}, swcode.RefusedByRule, swcode.RanUnknown},
+		{"a key that expired unused is replaced", "", []step{refused(swcode.KeyExpired, swcode.RanNo), ok()},
+			[]call{keys("vm1"), sent("vm2", "key-1"), keys("vm1"), sent("vm2", "key-2")}, swcode.OK, swcode.RanYes},
+		{"a key that expired and was forgotten is not", "", []step{refused(swcode.KeyExpired, swcode.RanUnknown)},
+			[]call{keys("vm1"), sent("vm2", "key-1")}, swcode.KeyExpired, swcode.RanUnknown},
+		{"the caller's own key is never replaced", "own", []step{refused(swcode.IssuerGone, swcode.RanUnknown)},
+			[]call{sent("vm1", "own")}, swcode.IssuerGone, swcode.RanUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tier := &fakeTier{runs: test.runs}
+				reply, err := newTestClient(t, tier).Run(t.Context(), RunRequest{Key: test.key})
+				code, ran := reply.Code, reply.Ran
+				var failed *swcode.Error
+				if errors.As(err, &failed) {
+					code, ran = failed.Code, failed.Ran
+				}
+				check(t, "calls", test.calls, tier.calls)
+				check(t, "code", test.code, code)
+				check(t, "ran", test.ran, ran)
+			})
+		})
+	}
+}
+
+func TestRunThatNoOneAnswersIsUnknownAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tier := &fakeTier{runs: []step{{silent: true}}}
+		began := time.Now()
+		_, err := newTestClient(t, tier).Run(t.Context(), RunRequest{})
+		var failed *swcode.Error
+		check(t, "typed", true, errors.As(err, &failed))
+		check(t, "ran", swcode.RanUnknown, failed.Ran)
+		check(t, "within the timeout", true, time.Since(began) <= defaultTimeout)
+	})
+}
+
+func TestStartBeforeIsTheDeadlineOnTheIssuersClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tier := &fakeTier{runs: []step{ok()}, clock: time.Hour}
+		client := newTestClient(t, tier)
+		check(t, "error", nil, client.fetchKeys(t.Context()))
+		time.Sleep(10 * time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := client.Run(ctx, RunRequest{})
+		check(t, "error", nil, err)
+		drift := 10 * time.Millisecond
+		check(t, "start before", Duration(time.Hour+11*time.Second-drift), tier.last.StartBefore)
+	})
+}
+
+func TestKeysThatExpireSoonAreNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tier := &fakeTier{runs: []step{ok()}}
+		client := newTestClient(t, tier)
+		check(t, "error", nil, client.fetchKeys(t.Context()))
+		time.Sleep(time.Minute - expiryMargin)
+		_, err := client.Run(t.Context(), RunRequest{})
+		check(t, "error", nil, err)
+		check(t, "key", "key-2", tier.last.Key)
+	})
+}
+
+func TestSearchIsSentAgainOnlyWhereThatMayHelp(t *testing.T) {
+	tests := []struct {
+		name   string
+		search []step
+		calls  int
+		code   swcode.Code
+	}{
+		{"lost", []step{lost(), ok()}, 2, swcode.OK},
+		{"shed", []step{refused(swcode.ShedByPriority, swcode.RanNo), ok()}, 2, swcode.OK},
+		{"refused", []step{refused(swcode.RefusedByRule, swcode.RanNo)}, 1, swcode.RefusedByRule},
+		{"quarantined", []step{refused(swcode.Quarantined, swcode.RanNo)}, 1, swcode.Quarantined},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tier := &fakeTier{search: test.search}
+				reply, _ := newTestClient(t, tier).Search(t.Context(), SearchRequest{Kind: "balance-check"})
+				check(t, "calls", test.calls, len(tier.calls))
+				check(t, "code", test.code, reply.Code)
+			})
+		})
+	}
+}
+
+func TestRetryAfterIsTheLeastWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := refused(swcode.ShedByPriority, swcode.RanNo)
+		first.reply.RetryAfter = Duration(time.Second)
+		tier := &fakeTier{search: []step{first, ok()}}
+		began := time.Now()
+		_, err := newTestClient(t, tier).Search(t.Context(), SearchRequest{})
+		check(t, "error", nil, err)
+		waited := time.Since(began)
+		check(t, "waited 1 to 1.5 s", true, waited >= time.Second && waited <= 1500*time.Millisecond)
+	})
+}
