--- a/lab/internal/swlabcheck/report.go
+++ b/lab/internal/swlabcheck/report.go
@@ -6,8 +6,10 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabload"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
 )
 
 // Line is the service that one priority and caller had.
@@ -36,6 +38,7 @@
 	PlatformCalls map[string]int64
 	Violations    Violations
 	Examples      []string `json:",omitempty"`
+	Timeline      []Bucket `json:",omitempty"`
 }
 
 // NewReport sums up a run.
@@ -114,3 +117,52 @@
 		fmt.Fprintln(out, "  "+strings.Join(report.Examples, "\n  "))
 	}
 }
+
+// Bucket is one second of a run for one priority.
+type Bucket struct {
+	Second   int
+	Priority swrule.Priority
+	Sent     int
+	Whole    int
+	P50      swlabload.Milliseconds
+	P99      swlabload.Milliseconds
+}
+
+// NewTimeline sums results up by the second in which they were due.
+func NewTimeline(results []swlabload.Result, begin time.Time, duration time.Duration) []Bucket {
+	type at struct {
+		second   int
+		priority swrule.Priority
+	}
+	latencies := make(map[at][]time.Duration)
+	sent := make(map[at]int)
+	for i := range results {
+		result := &results[i]
+		key := at{int(result.Intended.Sub(begin) / time.Second), result.Stream.Priority}
+		sent[key]++
+		if result.Whole() {
+			latencies[key] = append(latencies[key], result.Latency)
+		}
+	}
+	var buckets []Bucket
+	for second := range int(duration/time.Second) + 1 {
+		for priority := range swrule.Priority(swrule.Priorities) {
+			key := at{second, priority}
+			slices.Sort(latencies[key])
+			buckets = append(buckets, Bucket{
+				Second: second, Priority: priority, Sent: sent[key], Whole: len(latencies[key]),
+				P50: quantile(latencies[key], 0.5), P99: quantile(latencies[key], 0.99),
+			})
+		}
+	}
+	return buckets
+}
+
+// quantile returns a quantile of sorted latencies.
+func quantile(sorted []time.Duration, share float64) swlabload.Milliseconds {
+	if len(sorted) == 0 {
+		return 0
+	}
+	value := sorted[int(share*float64(len(sorted)-1))]
+	return swlabload.Milliseconds(float64(value) / float64(time.Millisecond))
+}
--- a/lab/internal/swlabload/load.go
+++ b/lab/internal/swlabload/load.go
@@ -43,6 +43,8 @@
 	MinCoverage float64
 	// Run sends non-idempotent work under keys of the tier, each twice through different VMs.
 	Run bool
+	// OwnKeys sends non-idempotent work under keys of the caller's own.
+	OwnKeys bool
 	// Resend sends a request again when its connection broke, as callers of a crashing request do.
 	Resend int
 	// Burst limits the stream to a part of the run; zero values are the run's start and end.
--- a/lab/internal/swlabload/run.go
+++ b/lab/internal/swlabload/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -52,11 +53,19 @@
 	return key
 }
 
+// key returns the key for a run, which is the caller's own or one of the tier's.
+func (sender *sender) key(ctx context.Context, number int64) string {
+	if sender.stream.OwnKeys {
+		return fmt.Sprintf("%s-%d-%d", sender.stream.Caller, sender.config.Seed, number)
+	}
+	return sender.take(ctx)
+}
+
 // sendRun sends non-idempotent work several times under one key, through the VMs that the balancer picks. The first
 // answer counts in the tally; all are observed.
 func (sender *sender) sendRun(ctx context.Context, number int64, result Result) {
 	request := sender.request(number, 0, &result)
-	request.Key = sender.take(ctx)
+	request.Key = sender.key(ctx, number)
 	result.Key = request.Key
 	if request.Key == "" {
 		result.Err = errNoKey
--- /dev/null
+++ b/lab/internal/swlabscenario/fault.go
@@ -0,0 +1,186 @@
+package swlabscenario
+
+import (
+	"context"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbackend"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabplatform"
+)
+
+const (
+	// stragglerFactor is how much slower a straggler is.
+	stragglerFactor = 20
+	// wrongChance is the chance of each kind of wrong answer.
+	wrongChance = 0.02
+	// repartitioned is the number of shards after a repartition of ten.
+	repartitioned = 12
+	// downFor and slowFor are shares of a run during which the platform is down and slow.
+	downFor = 0.4
+)
+
+type action = func(ctx context.Context, bench *Bench) error
+
+// straggle makes the first replica of a shard slow, or normal again.
+func straggle(shard int, factor float64) action {
+	return func(_ context.Context, bench *Bench) error {
+		bench.Fleet.Replicas(bench.index(), shard)[0].SetFault(swlabbackend.Fault{Slower: factor, Misleading: factor > 1})
+		return nil
+	}
+}
+
+func publish(id string, shards int) action {
+	return func(_ context.Context, bench *Bench) error {
+		if shards == 0 {
+			shards = bench.User.Pools[0].Shards
+		}
+		return bench.Fleet.Publish(bench.index(), id, shards)
+	}
+}
+
+func retire(id string) action {
+	return func(_ context.Context, bench *Bench) error { return bench.Fleet.Retire(bench.index(), id) }
+}
+
+func drop(id string) action {
+	return func(_ context.Context, bench *Bench) error {
+		bench.Fleet.Drop(bench.index(), id)
+		return nil
+	}
+}
+
+// wrong makes a part of the answers of all servers wrong.
+func wrong(chance float64) action {
+	return func(_ context.Context, bench *Bench) error {
+		bench.eachServer(bench.index(), func(server *swlabbackend.Server) {
+			server.SetFault(swlabbackend.Fault{Crossed: chance, WrongSnapshot: chance, Duplicate: chance})
+		})
+		return nil
+	}
+}
+
+// silence makes every open connection to backend servers silent.
+func silence(_ context.Context, bench *Bench) error {
+	bench.eachServer("", func(server *swlabbackend.Server) { server.Silence(false) })
+	return nil
+}
+
+// lose takes down the servers of the urgent index that match, until regain.
+func lose(match func(bench *Bench, server *swlabbackend.Server) bool) action {
+	return func(_ context.Context, bench *Bench) error {
+		bench.eachServer(bench.index(), func(server *swlabbackend.Server) {
+			if match(bench, server) {
+				server.Lose()
+			}
+		})
+		return nil
+	}
+}
+
+func regain(match func(bench *Bench, server *swlabbackend.Server) bool) action {
+	return func(_ context.Context, bench *Bench) error {
+		var failed error
+		bench.eachServer(bench.index(), func(server *swlabbackend.Server) {
+			if !match(bench, server) {
+				return
+			}
+			if err := server.Return(); err != nil {
+				failed = err
+			}
+		})
+		return failed
+	}
+}
+
+// inFirst matches the servers of the first data centre.
+func inFirst(bench *Bench, server *swlabbackend.Server) bool {
+	return server.DataCentre() == bench.dataCentre(0)
+}
+
+// ofShard matches the servers of the first shard.
+func ofShard(bench *Bench, server *swlabbackend.Server) bool {
+	for _, replica := range bench.Fleet.Replicas(bench.index(), 0) {
+		if replica == server {
+			return true
+		}
+	}
+	return false
+}
+
+// leave makes one replica of a shard leave.
+func leave(shard int, announce bool) action {
+	return func(_ context.Context, bench *Bench) error {
+		return bench.Fleet.Leave(bench.Fleet.Replicas(bench.index(), shard)[shard%3], announce)
+	}
+}
+
+func kill(dataCentre, number int) action {
+	return func(_ context.Context, bench *Bench) error {
+		bench.Fleet.KillVM(bench.Fleet.VM(dataCentre, number))
+		return nil
+	}
+}
+
+func revive(dataCentre, number int) action {
+	return func(ctx context.Context, bench *Bench) error {
+		return bench.Fleet.StartVM(ctx, bench.Fleet.VM(dataCentre, number))
+	}
+}
+
+func restart(number int) action {
+	return func(ctx context.Context, bench *Bench) error {
+		return bench.restart(ctx, bench.Fleet.VMs[number])
+	}
+}
+
+// pause stops a VM from running for a time.
+func pause(dataCentre, number int, lasting time.Duration) action {
+	return func(ctx context.Context, bench *Bench) error {
+		vm := bench.Fleet.VM(dataCentre, number)
+		bench.cannotLearn(vm.Name, lasting)
+		if err := bench.Fleet.PauseVM(vm, true); err != nil {
+			return err
+		}
+		select {
+		case <-time.After(lasting):
+		case <-ctx.Done():
+		}
+		return bench.Fleet.PauseVM(vm, false)
+	}
+}
+
+// cutPeers cuts a data centre off from the others, and cutPlatform from the platform.
+func cutPeers(dataCentre int, cut bool) action {
+	return func(_ context.Context, bench *Bench) error {
+		bench.Fleet.Partition(bench.dataCentre(dataCentre), cut)
+		return nil
+	}
+}
+
+func cutPlatform(dataCentre int, cut bool) action {
+	return func(_ context.Context, bench *Bench) error {
+		bench.Fleet.PartitionPlatform(bench.dataCentre(dataCentre), cut)
+		return nil
+	}
+}
+
+// cannotLearn notes that a data centre is out of reach of new rules for a time.
+func cannotLearn(dataCentre int, lasting time.Duration) action {
+	return func(_ context.Context, bench *Bench) error {
+		bench.cannotLearn(bench.dataCentre(dataCentre), lasting)
+		return nil
+	}
+}
+
+func changeRules(_ context.Context, bench *Bench) error {
+	return bench.changeRules()
+}
+
+var (
+	platformDown    = setPlatform(swlabplatform.Fault{Down: true})
+	platformSlow    = setPlatform(swlabplatform.Fault{Slow: time.Second})
+	platformSilent  = setPlatform(swlabplatform.Fault{WatchSilent: true})
+	platformStale   = setPlatform(swlabplatform.Fault{StaleReads: true})
+	platformLoses   = setPlatform(swlabplatform.Fault{LoseAnswers: -1})
+	platformHealthy = setPlatform(swlabplatform.Fault{})
+)
