--- a/internal/swmember/network_test.go
+++ b/internal/swmember/network_test.go
@@ -24,12 +24,14 @@
 
 // network connects directories by calls that are encoded as between real VMs.
 type network struct {
-	t     testing.TB
-	mutex sync.Mutex
-	nodes map[netip.AddrPort]*node
+	t testing.TB
+	// serving runs the handlers of calls.
+	serving *swgroup.Group
+	mutex   sync.Mutex
+	nodes   map[netip.AddrPort]*node
 	// cut reports whether nothing passes between two nodes.
 	cut func(a, b *node) bool
-	// mute makes calls cost nothing but their encoding, for measurements of processor time.
+	// immediate makes calls take no time, for measurements of processor time.
 	immediate bool
 }
 
@@ -51,7 +53,10 @@
 }
 
 func newNetwork(t testing.TB) *network {
-	return &network{t: t, nodes: make(map[netip.AddrPort]*node), cut: func(_, _ *node) bool { return false }}
+	return &network{
+		t: t, serving: swgroup.New(context.Background()), nodes: make(map[netip.AddrPort]*node),
+		cut: func(_, _ *node) bool { return false },
+	}
 }
 
 func address(number int) netip.AddrPort {
@@ -108,6 +113,7 @@
 	for _, node := range nodes {
 		node.group.Stop()
 	}
+	network.serving.Stop()
 }
 
 func (node *node) pause() {
@@ -167,7 +173,7 @@
 	}
 	to.count(len(data))
 	result := make(chan []byte, 1)
-	to.group.Go(func(ctx context.Context) {
+	network.serving.Go(func(ctx context.Context) {
 		network.delay(from, to)
 		answer, err := to.serve(ctx, method, data)
 		if err != nil {
--- a/internal/swpeer/stream.go
+++ b/internal/swpeer/stream.go
@@ -33,6 +33,8 @@
 	MethodStatus Method = 8
 	// MethodProbeVia asks a peer to probe another.
 	MethodProbeVia Method = 9
+	// MethodReport tells a watcher which rules a VM has in force.
+	MethodReport Method = 10
 )
 
 // streamCancelled is the QUIC error code of a withdrawn stream.
