--- a/pkg/swrule/pattern.go
+++ b/pkg/swrule/pattern.go
@@ -15,10 +15,8 @@
 
 // Match reports whether the pattern matches the whole of name.
 func (pattern Pattern) Match(name string) bool {
-	if pattern == Wildcard {
-		return true
-	}
-	return matchGlob(string(pattern), name)
+	matcher := pattern.compile()
+	return matcher.match(name)
 }
 
 // Covers reports whether the pattern matches every name that other matches.
@@ -27,6 +25,32 @@
 	return pattern.Match(string(other))
 }
 
+// matcher is a pattern that is ready for many names.
+type matcher struct {
+	// head is the part before the first wildcard.
+	head string
+	// rest is the part from the first wildcard on, or empty without one.
+	rest string
+}
+
+func (pattern Pattern) compile() matcher {
+	at := strings.Index(string(pattern), Wildcard)
+	if at < 0 {
+		at = len(pattern)
+	}
+	return matcher{head: string(pattern[:at]), rest: string(pattern[at:])}
+}
+
+func (matcher *matcher) match(name string) bool {
+	if matcher.rest == "" {
+		return matcher.head == name
+	}
+	if !strings.HasPrefix(name, matcher.head) {
+		return false
+	}
+	return matcher.rest == Wildcard || matchGlob(matcher.rest, name[len(matcher.head):])
+}
+
 // matchGlob goes back to the last wildcard on a mismatch, which takes time in proportion to the product of the lengths.
 func matchGlob(pattern, name string) bool {
 	next, resume, resumeName := 0, -1, 0
--- a/pkg/swrule/rule.go
+++ b/pkg/swrule/rule.go
@@ -44,18 +44,46 @@
 
 // Matches reports whether the rule's patterns all match the request.
 func (rule *Rule) Matches(request Request) bool {
-	return rule.Caller.Match(request.Caller) &&
-		rule.Kind.Match(request.Kind) &&
-		rule.Index.Match(request.Index) &&
-		rule.Fingerprint.Match(request.Fingerprint)
+	matchers := rule.compile()
+	return matchers.match(&request)
 }
 
 // Covers reports whether the rule matches every request that other matches.
 func (rule *Rule) Covers(other *Rule) bool {
-	return rule.Caller.Covers(other.Caller) &&
-		rule.Kind.Covers(other.Kind) &&
-		rule.Index.Covers(other.Index) &&
-		rule.Fingerprint.Covers(other.Fingerprint)
+	matchers := rule.compile()
+	return matchers.cover(other)
+}
+
+// matchers holds the patterns of a rule, apart from the rest of it, so that a walk over many rules touches little memory.
+type matchers struct {
+	caller      matcher
+	kind        matcher
+	index       matcher
+	fingerprint matcher
+}
+
+func (rule *Rule) compile() matchers {
+	return matchers{
+		caller:      rule.Caller.compile(),
+		kind:        rule.Kind.compile(),
+		index:       rule.Index.compile(),
+		fingerprint: rule.Fingerprint.compile(),
+	}
+}
+
+func (matchers *matchers) match(request *Request) bool {
+	return matchers.caller.match(request.Caller) &&
+		matchers.kind.match(request.Kind) &&
+		matchers.index.match(request.Index) &&
+		matchers.fingerprint.match(request.Fingerprint)
+}
+
+// cover relies on what Pattern.Covers tells: a pattern covers another if it matches the other's text.
+func (matchers *matchers) cover(other *Rule) bool {
+	return matchers.caller.match(string(other.Caller)) &&
+		matchers.kind.match(string(other.Kind)) &&
+		matchers.index.match(string(other.Index)) &&
+		matchers.fingerprint.match(string(other.Fingerprint))
 }
 
 // Canonical returns the rule without its comment, its keys in a fixed order and one space between them.
--- a/pkg/swrule/ruleset.go
+++ b/pkg/swrule/ruleset.go
@@ -6,6 +6,7 @@
 	lines     []sourceLine
 	rules     []Rule
 	decisions []Decision
+	matchers  []matchers
 	buckets   buckets
 }
 
@@ -30,7 +31,7 @@
 // Match returns the decision of the first rule that matches. When none does, it refuses, with Line zero.
 func (ruleSet *RuleSet) Match(request Request) Decision {
 	first := ruleSet.buckets.first(request.Caller, request.Kind, func(i int) bool {
-		return ruleSet.rules[i].Matches(request)
+		return ruleSet.matchers[i].match(&request)
 	})
 	if first < 0 {
 		return Decision{Action: Refuse, Priority: Deferrable}
@@ -40,6 +41,7 @@
 
 func (ruleSet *RuleSet) add(rule Rule) {
 	ruleSet.buckets.add(&rule, len(ruleSet.rules))
+	ruleSet.matchers = append(ruleSet.matchers, rule.compile())
 	ruleSet.rules = append(ruleSet.rules, rule)
 	ruleSet.decisions = append(ruleSet.decisions, rule.decision())
 }
@@ -47,7 +49,7 @@
 // hiding returns the first rule that covers rule, or nil.
 func (ruleSet *RuleSet) hiding(rule *Rule) *Rule {
 	first := ruleSet.buckets.first(bucketPart(rule.Caller), bucketPart(rule.Kind), func(i int) bool {
-		return ruleSet.rules[i].Covers(rule)
+		return ruleSet.matchers[i].cover(rule)
 	})
 	if first < 0 {
 		return nil
