--- a/cmd/root.go
+++ b/cmd/root.go
@@ -54,5 +54,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newServeCommand(), newSettingsCommand(), newSearchCommand(), newStatusCommand(), newVersionCommand())
 	return root
 }
--- /dev/null
+++ b/internal/swapp/observer.go
@@ -0,0 +1,51 @@
+package swapp
+
+import (
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swadmission"
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
+	"github.com/sycamorewall/sycamorewall/internal/swmetric"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+// poolObserver records what happens at the backend servers that this VM sends to.
+type poolObserver struct {
+	recorder *swmetric.Recorder
+}
+
+// QueueWait records how long a sub-request waited for a slot.
+func (poolObserver poolObserver) QueueWait(work *swadmission.Work, wait time.Duration) {
+	poolObserver.recorder.QueueWait(work.Priority, work.Caller, wait)
+}
+
+// Service records how long a sub-request held its slot.
+func (poolObserver poolObserver) Service(work *swadmission.Work, service time.Duration) {
+	poolObserver.recorder.Service(work.Priority, work.Caller, service)
+}
+
+// Shed counts a sub-request that the queue refused.
+func (poolObserver poolObserver) Shed(_ *swadmission.Work, code swcode.Code) {
+	poolObserver.recorder.Event("sub_request_"+code.String(), 1)
+}
+
+// Wasted counts a sub-request that held a slot for nothing.
+func (poolObserver poolObserver) Wasted(*swadmission.Work, time.Duration) {
+	poolObserver.recorder.Event("sub_request_wasted", 1)
+}
+
+// connectionEvents names the events of connections to backend servers.
+var connectionEvents = map[swbackend.ConnectionEvent]string{
+	swbackend.Dialled:        "connection_dialled",
+	swbackend.DialFailed:     "connection_dial_failed",
+	swbackend.Silent:         "connection_silent",
+	swbackend.Crossed:        "connection_crossed",
+	swbackend.Died:           "connection_died",
+	swbackend.Distrusted:     "connection_distrusted",
+	swbackend.ClosedToCancel: "connection_closed_to_cancel",
+}
+
+// Connection counts an event of a connection.
+func (poolObserver poolObserver) Connection(_ string, event swbackend.ConnectionEvent) {
+	poolObserver.recorder.Event(connectionEvents[event], 1)
+}
--- /dev/null
+++ b/internal/swapp/runs.go
@@ -0,0 +1,200 @@
+package swapp
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swhttp"
+	"github.com/sycamorewall/sycamorewall/internal/swkey"
+	"github.com/sycamorewall/sycamorewall/internal/swmember"
+	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+	"github.com/sycamorewall/sycamorewall/internal/swquery"
+	"github.com/sycamorewall/sycamorewall/pkg/swclient"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+// kindClaim names the platform objects that bind callers' own keys.
+const kindClaim = "Claim"
+
+func newKeyService(config Config, group *swgroup.Group, node *swpeer.Node, directory *swmember.Directory, board *swmember.Board, platform *swplatform.Client) (*swkey.Service, error) {
+	return swkey.New(swkey.Config{
+		Name:      config.Settings.Name,
+		Transport: node,
+		Directory: keyDirectory{directory: directory},
+		Board:     board,
+		Claims:    claimStore{client: platform},
+		Group:     group,
+	})
+}
+
+// keyDirectory finds the VMs that hold or take over keys.
+type keyDirectory struct {
+	directory *swmember.Directory
+}
+
+// Peer returns the address of the VM of that name.
+func (keyDirectory keyDirectory) Peer(name string) (netip.AddrPort, bool) {
+	member, known := keyDirectory.directory.View().Member(name)
+	return member.Peer, known
+}
+
+// Successors returns the VMs of this data centre in rendezvous order.
+func (keyDirectory keyDirectory) Successors(name string) []swkey.Peer {
+	view := keyDirectory.directory.View()
+	var peers []swkey.Peer
+	for _, member := range view.Owners(view.Self.DataCentre, "keys/"+name) {
+		if member.Name == name || member.State != swmember.Alive {
+			continue
+		}
+		peers = append(peers, swkey.Peer{Name: member.Name, Address: member.Peer})
+	}
+	return peers
+}
+
+// claimStore keeps claims at the platform.
+type claimStore struct {
+	client *swplatform.Client
+}
+
+// Create stores a claim that must not exist.
+func (claimStore claimStore) Create(ctx context.Context, name string, value []byte) error {
+	_, err := claimStore.client.Create(ctx, kindClaim, name, value)
+	if errors.Is(err, swplatform.ErrConflict) {
+		return swkey.ErrClaimExists
+	}
+	return err
+}
+
+// Get returns a claim.
+func (claimStore claimStore) Get(ctx context.Context, name string) ([]byte, error) {
+	object, err := claimStore.client.Get(ctx, kindClaim, name)
+	if errors.Is(err, swplatform.ErrNotFound) {
+		return nil, swkey.ErrNoClaim
+	}
+	return object.Value, err
+}
+
+// Delete removes a claim.
+func (claimStore claimStore) Delete(ctx context.Context, name string) error {
+	err := claimStore.client.Delete(ctx, kindClaim, name, 0)
+	if errors.Is(err, swplatform.ErrNotFound) {
+		return swkey.ErrNoClaim
+	}
+	return err
+}
+
+// List returns the names of claims that begin with prefix.
+func (claimStore claimStore) List(ctx context.Context, prefix string) ([]string, error) {
+	_, versions, err := claimStore.client.List(ctx, kindClaim, prefix)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(versions))
+	for i := range versions {
+		names[i] = versions[i].Name
+	}
+	return names, nil
+}
+
+// runService runs non-idempotent work under keys.
+type runService struct {
+	keys   *swkey.Service
+	engine *swquery.Engine
+}
+
+func newRunService(keys *swkey.Service, engine *swquery.Engine) *runService {
+	service := &runService{keys: keys, engine: engine}
+	keys.SetExecutor(service.execute)
+	return service
+}
+
+// Issue returns keys for non-idempotent work.
+func (runService *runService) Issue(ctx context.Context, count int) (swclient.KeysReply, error) {
+	batch, err := runService.keys.Issue(ctx, count)
+	if err != nil {
+		return swclient.KeysReply{}, err
+	}
+	return swclient.KeysReply{
+		Code:    swcode.OK,
+		Keys:    batch.Keys,
+		Expires: swclient.Duration(batch.Expires),
+		Clock:   swclient.Duration(batch.Clock),
+	}, nil
+}
+
+// Run runs the work under its key, or finds the outcome of the run that has been.
+func (runService *runService) Run(ctx context.Context, request swclient.RunRequest) swclient.SearchReply {
+	started := time.Now()
+	body, err := json.Marshal(request)
+	if err != nil {
+		return refusalReply(request.RequestID, &swcode.Error{Code: swcode.Internal, Message: err.Error()})
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.Timeout))
+	defer cancel()
+	work := swkey.RunRequest{
+		Key:         request.Key,
+		Caller:      request.Caller,
+		Fingerprint: runFingerprint(&request),
+		StartBefore: time.Duration(request.StartBefore),
+		Body:        body,
+	}
+	outcome := runService.keys.Run(ctx, work, func(ctx context.Context) swkey.Outcome { return runService.execute(ctx, work) })
+	reply := replyOf(request.RequestID, outcome)
+	reply.Took = swclient.Duration(time.Since(started))
+	return reply
+}
+
+// runFingerprint identifies the work of a run; a resend under the same key must have the same.
+func runFingerprint(request *swclient.RunRequest) uint64 {
+	query := swhttp.NewQuery(&request.SearchRequest)
+	return query.Fingerprint ^ xxhash.Sum64String(request.Route)
+}
+
+// execute runs work at the VM that holds the authority over its key.
+func (runService *runService) execute(ctx context.Context, work swkey.RunRequest) swkey.Outcome {
+	var request swclient.RunRequest
+	if err := json.Unmarshal(work.Body, &request); err != nil {
+		return swkey.OutcomeOf(&swcode.Error{Code: swcode.BadRequest, Message: err.Error()})
+	}
+	query := swhttp.NewQuery(&request.SearchRequest)
+	query.RunKey = work.Key
+	query.Route = request.Route
+	if deadline, ok := ctx.Deadline(); ok {
+		query.Timeout = min(query.Timeout, time.Until(deadline))
+	}
+	result := runService.engine.Run(ctx, query)
+	outcome := swkey.Outcome{Code: result.Code, Ran: result.Ran}
+	if result.Err != nil {
+		outcome = swkey.OutcomeOf(result.Err)
+	}
+	reply, err := json.Marshal(swhttp.NewReply("", result))
+	if err == nil {
+		outcome.Reply = reply
+	}
+	return outcome
+}
+
+// replyOf turns the outcome of a run into the reply to this caller's request.
+func replyOf(requestID string, outcome swkey.Outcome) swclient.SearchReply {
+	var reply swclient.SearchReply
+	if len(outcome.Reply) > 0 && json.Unmarshal(outcome.Reply, &reply) == nil {
+		reply.RequestID = requestID
+		return reply
+	}
+	refusal := &swcode.Error{}
+	if errors.As(outcome.Err(), &refusal) {
+		return refusalReply(requestID, refusal)
+	}
+	return swclient.SearchReply{Code: outcome.Code, Ran: outcome.Ran, RequestID: requestID}
+}
+
+func refusalReply(requestID string, refusal *swcode.Error) swclient.SearchReply {
+	return swclient.SearchReply{Code: refusal.Code, Ran: refusal.Ran, RequestID: requestID, Refusal: swhttp.RefusalFields(refusal)}
+}
--- /dev/null
+++ b/internal/swhttp/handler.go
@@ -0,0 +1,207 @@
+package swhttp
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
+	"github.com/sycamorewall/sycamorewall/internal/swquery"
+	"github.com/sycamorewall/sycamorewall/pkg/swclient"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+const (
+	// defaultLimit is the number of hits returned where the caller gives none.
+	defaultLimit = 10
+	// maxRequestID is the longest request ID in bytes.
+	maxRequestID = 128
+	// maxKeys is the largest number of keys in one request.
+	maxKeys = 1000
+)
+
+// unknownField finds the name in the error that encoding/json gives for a field that the target lacks.
+func unknownField(err error) (string, bool) {
+	const prefix = "json: unknown field "
+	text := err.Error()
+	if !strings.HasPrefix(text, prefix) {
+		return "", false
+	}
+	return strings.Trim(strings.TrimPrefix(text, prefix), `"`), true
+}
+
+func (server *Server) live(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, healthReply{State: "Live"})
+}
+
+type healthReply struct {
+	State  string
+	Reason string `json:",omitempty"`
+}
+
+func (server *Server) ready(writer http.ResponseWriter, _ *http.Request) {
+	if err := server.config.Ready(); err != nil {
+		writeJSON(writer, http.StatusServiceUnavailable, healthReply{State: "NotReady", Reason: err.Error()})
+		return
+	}
+	writeJSON(writer, http.StatusOK, healthReply{State: "Ready"})
+}
+
+func (server *Server) status(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, server.config.Status())
+}
+
+func (server *Server) search(writer http.ResponseWriter, request *http.Request) {
+	var search swclient.SearchRequest
+	if err := decodeBody(request, &search); err != nil {
+		server.refuse(writer, search.RequestID, err)
+		return
+	}
+	if err := server.complete(request, &search); err != nil {
+		server.refuse(writer, search.RequestID, err)
+		return
+	}
+	result := server.config.Queries.Run(request.Context(), NewQuery(&search))
+	reply := NewReply(search.RequestID, result)
+	server.logRefusal(&search, &reply)
+	writeReply(writer, reply)
+}
+
+func (server *Server) keys(writer http.ResponseWriter, request *http.Request) {
+	var wanted swclient.KeysRequest
+	if err := decodeBody(request, &wanted); err != nil {
+		server.refuse(writer, "", err)
+		return
+	}
+	if wanted.Count < 1 || wanted.Count > maxKeys {
+		server.refuse(writer, "", &swcode.Error{Code: swcode.BadField, Field: "Count", Message: "it is outside 1 to 1000", Fix: "ask for fewer keys, more often"})
+		return
+	}
+	reply, err := server.config.Keys.Issue(request.Context(), wanted.Count)
+	if err != nil {
+		server.refuse(writer, "", err)
+		return
+	}
+	setRetryAfter(writer, time.Duration(reply.RetryAfter))
+	writeJSON(writer, swcode.Describe(reply.Code).Status, reply)
+}
+
+func (server *Server) runs(writer http.ResponseWriter, request *http.Request) {
+	var run swclient.RunRequest
+	if err := decodeBody(request, &run); err != nil {
+		server.refuse(writer, run.RequestID, err)
+		return
+	}
+	if run.Key == "" {
+		run.Key = request.Header.Get(swclient.HeaderIdempotencyKey)
+	}
+	if run.Key == "" {
+		server.refuse(writer, run.RequestID, &swcode.Error{Code: swcode.BadField, Field: "Key", Message: "it is empty", Fix: "take a key from POST /v1/keys, or send an Idempotency-Key header"})
+		return
+	}
+	if err := server.complete(request, &run.SearchRequest); err != nil {
+		server.refuse(writer, run.RequestID, err)
+		return
+	}
+	reply := server.config.Keys.Run(request.Context(), run)
+	server.logRefusal(&run.SearchRequest, &reply)
+	writeReply(writer, reply)
+}
+
+// complete proves the caller's name and fills in defaults.
+func (server *Server) complete(request *http.Request, search *swclient.SearchRequest) error {
+	if err := server.proveCaller(request, search); err != nil {
+		return err
+	}
+	if len(search.RequestID) > maxRequestID {
+		return &swcode.Error{Code: swcode.BadField, Field: "RequestID", Message: "it is longer than 128 bytes", Fix: "give a shorter ID"}
+	}
+	if search.RequestID == "" {
+		search.RequestID = swquery.FormatID(rand.Uint64())
+	}
+	if search.Timeout == 0 {
+		search.Timeout = swclient.Duration(server.config.DefaultTimeout)
+	}
+	if search.Limit == 0 {
+		search.Limit = defaultLimit
+	}
+	return nil
+}
+
+// proveCaller takes the caller's name from its certificate, or from the request where the settings trust it.
+func (server *Server) proveCaller(request *http.Request, search *swclient.SearchRequest) error {
+	if request.TLS != nil && len(request.TLS.PeerCertificates) > 0 {
+		proven := request.TLS.PeerCertificates[0].Subject.CommonName
+		if search.Caller != "" && search.Caller != proven {
+			return &swcode.Error{Code: swcode.CallerNotProven, Field: "Caller", Message: "the certificate names " + proven, Fix: "leave the field out"}
+		}
+		search.Caller = proven
+		return nil
+	}
+	if !server.config.TrustCallerField {
+		return &swcode.Error{Code: swcode.CallerNotProven, Field: "Caller", Message: "no client certificate proves it", Fix: "present a client certificate"}
+	}
+	return nil
+}
+
+func (server *Server) refuse(writer http.ResponseWriter, requestID string, err error) {
+	refusal := &swcode.Error{}
+	if !errors.As(err, &refusal) {
+		refusal = &swcode.Error{Code: swcode.Internal, Ran: swcode.RanNo, Message: err.Error()}
+	}
+	writeRefusal(writer, requestID, refusal)
+}
+
+func (server *Server) logRefusal(search *swclient.SearchRequest, reply *swclient.SearchReply) {
+	if reply.Code == swcode.OK {
+		return
+	}
+	server.config.Log.Debug().Str("RequestID", reply.RequestID).Str("Caller", search.Caller).Str("Kind", search.Kind).
+		Int("Code", int(reply.Code)).Stringer("Ran", reply.Ran).Int("Rule", reply.Rule).Msg(reply.Message)
+}
+
+// NewQuery turns a request of a caller into a query with an ID of its own.
+func NewQuery(search *swclient.SearchRequest) swquery.Query {
+	minCoverage := 1.0
+	if search.MinCoverage != nil {
+		minCoverage = *search.MinCoverage
+	}
+	return swquery.Query{
+		ID:          rand.Uint64(),
+		RequestID:   search.RequestID,
+		Caller:      search.Caller,
+		Kind:        search.Kind,
+		Index:       search.Index,
+		Text:        search.Query,
+		Limit:       search.Limit,
+		MinCoverage: minCoverage,
+		Timeout:     time.Duration(search.Timeout),
+		Fingerprint: swquarantine.Fingerprint(search.Kind, search.Index, search.Query),
+	}
+}
+
+// NewReply turns the result of a query into the reply to its caller.
+func NewReply(requestID string, result swquery.Result) swclient.SearchReply {
+	reply := swclient.SearchReply{
+		Code:        result.Code,
+		Ran:         result.Ran,
+		RequestID:   requestID,
+		Snapshot:    result.Snapshot,
+		Coverage:    swclient.Coverage(result.Coverage),
+		RuleVersion: result.RuleVersion,
+		Counts:      result.Counts,
+		Took:        swclient.Duration(result.Took),
+	}
+	if result.Err != nil {
+		reply.Refusal = RefusalFields(result.Err)
+		return reply
+	}
+	reply.Hits = make([]swclient.Hit, len(result.Hits))
+	for i, hit := range result.Hits {
+		reply.Hits[i] = swclient.Hit(hit)
+	}
+	return reply
+}
--- a/internal/swindex/registry.go
+++ b/internal/swindex/registry.go
@@ -13,7 +13,7 @@
 type Registry struct {
 	mutex      sync.Mutex
 	catalogues atomic.Pointer[map[string]*Catalogue]
-	servers    atomic.Pointer[map[string]Server]
+	servers    atomic.Pointer[ServerMap]
 	draining   atomic.Pointer[map[string]time.Time]
 	lists      map[string]ServerList
 }
@@ -22,7 +22,7 @@
 func NewRegistry() *Registry {
 	registry := &Registry{lists: make(map[string]ServerList)}
 	registry.catalogues.Store(&map[string]*Catalogue{})
-	registry.servers.Store(&map[string]Server{})
+	registry.servers.Store(&ServerMap{})
 	registry.draining.Store(&map[string]time.Time{})
 	return registry
 }
@@ -110,21 +110,41 @@
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	registry.lists[list.DataCentre] = list
-	next := make(map[string]Server)
+	next := &ServerMap{byName: make(map[string]Server)}
 	for dataCentre, list := range registry.lists {
 		for _, server := range list.Servers {
 			if server.DataCentre == "" {
 				server.DataCentre = dataCentre
 			}
-			next[server.Name] = server
+			next.byName[server.Name] = server
 		}
 	}
-	registry.servers.Store(&next)
+	registry.servers.Store(next)
 }
 
-// Servers returns every backend server known, by name. The caller must not change the map.
-func (registry *Registry) Servers() map[string]Server {
-	return *registry.servers.Load()
+// Servers returns every backend server known. The pointer changes with every change of a list.
+func (registry *Registry) Servers() *ServerMap {
+	return registry.servers.Load()
+}
+
+// ServerMap holds backend servers by name. It is immutable.
+type ServerMap struct {
+	byName map[string]Server
+}
+
+// Server returns the backend server of that name.
+func (serverMap *ServerMap) Server(name string) (Server, bool) {
+	server, ok := serverMap.byName[name]
+	return server, ok
+}
+
+// All returns every backend server.
+func (serverMap *ServerMap) All() []Server {
+	servers := make([]Server, 0, len(serverMap.byName))
+	for _, server := range serverMap.byName {
+		servers = append(servers, server)
+	}
+	return servers
 }
 
 // SetDraining marks a backend server as taking no new work for a while. It reports whether that was news.
--- a/internal/swmetric/metric.go
+++ b/internal/swmetric/metric.go
@@ -104,11 +104,14 @@
 	histograms.subRequests.RecordValue(float64(subRequests))
 }
 
-// SubRequest records the answer of one backend server at its owner.
-func (recorder *Recorder) SubRequest(priority swrule.Priority, caller string, queueWait, service time.Duration) {
-	histograms := recorder.histograms(recorder.class(priority, caller))
-	histograms.queueWait.RecordDuration(queueWait)
-	histograms.service.RecordDuration(service)
+// QueueWait records how long a sub-request waited for a slot of a backend server.
+func (recorder *Recorder) QueueWait(priority swrule.Priority, caller string, wait time.Duration) {
+	recorder.histograms(recorder.class(priority, caller)).queueWait.RecordDuration(wait)
+}
+
+// Service records how long a sub-request held its slot.
+func (recorder *Recorder) Service(priority swrule.Priority, caller string, service time.Duration) {
+	recorder.histograms(recorder.class(priority, caller)).service.RecordDuration(service)
 }
 
 // Event counts something that happened, by name.
--- /dev/null
+++ b/internal/swquery/execution.go
@@ -0,0 +1,113 @@
+package swquery
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/internal/swindex"
+	"github.com/sycamorewall/sycamorewall/internal/swmember"
+	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
+)
+
+// execution is the state of one query between the steps.
+type execution struct {
+	query    *Query
+	started  time.Time
+	deadline time.Time
+
+	decision    swrule.Decision
+	ruleVersion uint64
+	verdict     swquarantine.Verdict
+	release     func()
+
+	epoch    uint16
+	snapshot *swindex.Snapshot
+	view     *swmember.View
+	plan     []ShardPlan
+	gather   *Gather
+	scatter  *scatter
+
+	// earlier holds what gathers on other snapshots did before a restart.
+	earlierRan      swcode.Ran
+	earlierAttempts int
+	result          Result
+}
+
+// restartError takes a query back to the pin because no replica of a shard holds the snapshot.
+type restartError struct {
+	Snapshot string
+}
+
+// Error names the snapshot.
+func (err *restartError) Error() string {
+	return fmt.Sprintf("no replica of a shard holds snapshot %q", err.Snapshot)
+}
+
+// refuse returns a refusal that says whether any backend server may have run the query.
+func (execution *execution) refuse(code swcode.Code, message string) *swcode.Error {
+	return &swcode.Error{Code: code, Ran: execution.ran(), Message: message, Rule: execution.decision.Line}
+}
+
+func (execution *execution) ran() swcode.Ran {
+	ran := execution.earlierRan
+	if execution.gather != nil {
+		ran = moreRan(ran, execution.gather.Ran())
+	}
+	return ran
+}
+
+// reset drops the gather so that the query can start on another snapshot.
+func (execution *execution) reset() {
+	execution.earlierRan = execution.ran()
+	if execution.gather != nil {
+		execution.earlierAttempts += execution.gather.Attempts
+	}
+	if execution.scatter != nil {
+		execution.scatter.close()
+	}
+	execution.epoch++
+	execution.snapshot, execution.plan, execution.gather, execution.scatter = nil, nil, nil, nil
+}
+
+// finish withdraws open attempts and gives back what the rule's limit lent.
+func (execution *execution) finish() {
+	if execution.scatter != nil {
+		execution.scatter.close()
+	}
+	if execution.release != nil {
+		execution.release()
+	}
+}
+
+// outcome turns the error of the steps, if any, into a result.
+func (execution *execution) outcome(err error) Result {
+	result := execution.result
+	result.RuleVersion = execution.ruleVersion
+	result.Rule = execution.decision.Line
+	result.Priority = execution.decision.Priority
+	result.SubRequests = execution.earlierAttempts
+	if execution.gather != nil {
+		result.SubRequests += execution.gather.Attempts
+		result.Hedges = execution.gather.Hedges
+		result.Retries = execution.gather.Retries
+		result.Coverage = execution.gather.Coverage()
+	}
+	if execution.snapshot != nil {
+		result.Snapshot = execution.snapshot.ID
+	}
+	if err == nil {
+		result.Code, result.Ran = swcode.OK, swcode.RanYes
+		return result
+	}
+	refusal := &swcode.Error{}
+	if !errors.As(err, &refusal) {
+		refusal = execution.refuse(swcode.Internal, err.Error())
+	}
+	result.Code, result.Ran, result.Err = refusal.Code, refusal.Ran, refusal
+	result.Hits, result.Counts = nil, nil
+	return result
+}
--- /dev/null
+++ b/internal/swquery/gather.go
@@ -0,0 +1,495 @@
+package swquery
+
+import (
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+const (
+	// maxAttempts bounds the attempts for one shard of one query.
+	maxAttempts = 6
+	// attemptBits is the width of the attempt number inside an attempt ID.
+	attemptBits = 8
+	// shardBits is the width of the shard's position inside an attempt ID.
+	shardBits = 24
+)
+
+// Target is one way to reach a replica: a backend server through the VM that owns it.
+type Target struct {
+	Server string
+	Owner  string
+	// Local marks a server of this VM's data centre.
+	Local bool
+}
+
+// ShardPlan is one shard of the pinned snapshot with the ways to reach it, best first.
+type ShardPlan struct {
+	Number    int
+	Documents int64
+	Targets   []Target
+}
+
+// Command tells the scatter to send an attempt.
+type Command struct {
+	Attempt uint64
+	Shard   int
+	Target  Target
+}
+
+// Orders is what the gather wants done after an event. The slices are reused by the next event.
+type Orders struct {
+	Send   []Command
+	Cancel []Command
+}
+
+// Budget grants attempts beyond the first for a shard.
+type Budget interface {
+	// Take reports whether one more attempt is granted.
+	Take() bool
+}
+
+// GatherConfig holds what a Gather is built from.
+type GatherConfig struct {
+	Shards []ShardPlan
+	// Epoch tells apart the gathers of one query; it stands in each attempt ID.
+	Epoch uint16
+	// Idempotent allows more than one attempt for a shard once one may have run.
+	Idempotent bool
+	// MayRetry forbids hedges and retries, when false, of a request that may crash servers; nil allows them.
+	MayRetry func() bool
+	Budget   Budget
+	// HedgeAfter returns the wait before a shard is hedged, or zero for never.
+	HedgeAfter func(shard int, target Target) time.Duration
+}
+
+// Gather decides which attempts to send for each shard and which answer counts. It does no I/O and takes the time as
+// an argument; one goroutine uses it. Each shard counts once, whatever hedges and retries did.
+type Gather struct {
+	config  GatherConfig
+	shards  []gatherShard
+	orders  Orders
+	waiting int
+
+	Attempts int
+	Hedges   int
+	Retries  int
+	// NotHeld is set when no replica of a shard holds the snapshot.
+	NotHeld bool
+}
+
+type gatherShard struct {
+	plan       ShardPlan
+	nextTarget int
+	attempts   []attempt
+	// running is the number of attempts without an outcome.
+	running int
+	hedgeAt time.Time
+	state   shardState
+	answer  swbackend.Answer
+	notHeld int
+	ran     swcode.Ran
+}
+
+type shardState int
+
+const (
+	shardRunning  shardState = 0
+	shardAnswered shardState = 1
+	shardFailed   shardState = 2
+)
+
+type attempt struct {
+	target Target
+	sentAt time.Time
+	ended  bool
+	// lost marks an attempt that ended with the loss of its owner; its answer still counts when it comes after all.
+	lost  bool
+	hedge bool
+	// useless marks a server that cannot answer whoever asks it.
+	useless bool
+}
+
+// NewGather returns a gather that has sent nothing.
+func NewGather(config GatherConfig) *Gather {
+	gather := &Gather{config: config, shards: make([]gatherShard, len(config.Shards)), waiting: len(config.Shards)}
+	backing := make([]attempt, 2*len(config.Shards))
+	for i := range gather.shards {
+		gather.shards[i].plan = config.Shards[i]
+		gather.shards[i].attempts = backing[2*i : 2*i : 2*i+2]
+	}
+	gather.orders.Send = make([]Command, 0, len(config.Shards))
+	return gather
+}
+
+// Start sends the first attempt for the shards from first up to but not including last.
+func (gather *Gather) Start(now time.Time, first, last int) Orders {
+	gather.reset()
+	for i := first; i < last; i++ {
+		gather.send(now, i, false)
+	}
+	return gather.orders
+}
+
+// Done reports whether every shard has an answer or has failed.
+func (gather *Gather) Done() bool {
+	return gather.waiting == 0
+}
+
+// Answer takes the outcome of an attempt. It reports the attempt's age and whether the attempt was one of this gather
+// that had no outcome yet; any other is to be counted and dropped.
+func (gather *Gather) Answer(now time.Time, attemptID uint64, server string, answer swbackend.Answer) (orders Orders, age time.Duration, known bool) {
+	gather.reset()
+	position, attempt := gather.find(attemptID)
+	if attempt == nil || attempt.target.Server != server {
+		return Orders{}, 0, false
+	}
+	if attempt.ended && !attempt.lost {
+		return Orders{}, 0, false
+	}
+	shard := &gather.shards[position]
+	if !attempt.lost {
+		shard.running--
+	}
+	lost := attempt.lost
+	attempt.ended = true
+	attempt.lost = false
+	shard.noteRan(answer.Ran)
+	age = now.Sub(attempt.sentAt)
+	if lost && answer.Outcome != swbackend.Answered {
+		return gather.orders, age, true
+	}
+	if shard.state != shardRunning {
+		return gather.orders, age, true
+	}
+	if answer.Outcome == swbackend.Answered {
+		gather.accept(position, answer)
+		return gather.orders, age, true
+	}
+	attempt.useless = answer.Outcome == swbackend.SnapshotNotHeld || answer.Outcome == swbackend.ServerLeaving
+	gather.failed(now, position, answer)
+	return gather.orders, age, true
+}
+
+func (gather *Gather) accept(position int, answer swbackend.Answer) {
+	shard := &gather.shards[position]
+	shard.state = shardAnswered
+	shard.answer = answer
+	gather.waiting--
+	gather.cancelOthers(position)
+}
+
+func (gather *Gather) cancelOthers(position int) {
+	shard := &gather.shards[position]
+	for i := range shard.attempts {
+		if shard.attempts[i].ended {
+			continue
+		}
+		gather.orders.Cancel = append(gather.orders.Cancel, Command{
+			Attempt: gather.attemptID(position, i),
+			Shard:   shard.plan.Number,
+			Target:  shard.attempts[i].target,
+		})
+	}
+}
+
+func (gather *Gather) failed(now time.Time, position int, answer swbackend.Answer) {
+	shard := &gather.shards[position]
+	shard.answer = answer
+	if answer.Outcome == swbackend.SnapshotNotHeld {
+		shard.notHeld++
+	}
+	if shard.running > 0 {
+		return
+	}
+	if gather.mayRetry(shard, answer) && gather.send(now, position, false) {
+		gather.Retries++
+		return
+	}
+	gather.fail(position)
+}
+
+// mayRetry reports whether a shard whose attempts have all ended may be tried again.
+func (gather *Gather) mayRetry(shard *gatherShard, answer swbackend.Answer) bool {
+	if !shard.hasTarget() {
+		return false
+	}
+	if !gather.config.Idempotent && shard.ran != swcode.RanNo {
+		return false
+	}
+	if costsNothing(answer.Outcome) {
+		return true
+	}
+	if gather.suspect() {
+		return false
+	}
+	return gather.config.Budget.Take()
+}
+
+// suspect reports whether the request may crash the servers that run it.
+func (gather *Gather) suspect() bool {
+	return gather.config.MayRetry != nil && !gather.config.MayRetry()
+}
+
+// costsNothing reports whether the backend server spent no capacity on the attempt.
+func costsNothing(outcome swbackend.Outcome) bool {
+	switch outcome {
+	case swbackend.SnapshotNotHeld, swbackend.ServerLeaving, swbackend.Unreachable, swbackend.UnknownServer:
+		return true
+	default:
+		return false
+	}
+}
+
+func (gather *Gather) fail(position int) {
+	shard := &gather.shards[position]
+	shard.state = shardFailed
+	gather.waiting--
+	if shard.notHeld > 0 && shard.notHeld == len(shard.attempts) {
+		gather.NotHeld = true
+	}
+}
+
+// Lose takes the loss of the attempts that match: their owner did not acknowledge them or its exchange broke. ran tells
+// whether they may have run.
+func (gather *Gather) Lose(now time.Time, ran swcode.Ran, matches func(attemptID uint64, target Target) bool) Orders {
+	gather.reset()
+	lost := swbackend.Answer{Outcome: swbackend.Broken, Ran: ran, Code: swcode.BackendFailed, Message: "the owner of the backend server was lost"}
+	if ran == swcode.RanNo {
+		lost.Outcome = swbackend.Unreachable
+	}
+	for position := range gather.shards {
+		gather.loseShard(now, position, lost, matches)
+	}
+	return gather.orders
+}
+
+func (gather *Gather) loseShard(now time.Time, position int, lost swbackend.Answer, matches func(uint64, Target) bool) {
+	shard := &gather.shards[position]
+	for i := range shard.attempts {
+		attempt := &shard.attempts[i]
+		if attempt.ended || !matches(gather.attemptID(position, i), attempt.target) {
+			continue
+		}
+		attempt.ended = true
+		attempt.lost = true
+		shard.running--
+		shard.noteRan(lost.Ran)
+		lost.Message = "owner " + attempt.target.Owner + " of backend server " + attempt.target.Server + " was lost"
+		if shard.state == shardRunning {
+			gather.failed(now, position, lost)
+		}
+	}
+}
+
+// Tick sends the hedges that are due.
+func (gather *Gather) Tick(now time.Time) Orders {
+	gather.reset()
+	if !gather.config.Idempotent || gather.suspect() {
+		return gather.orders
+	}
+	for position := range gather.shards {
+		shard := &gather.shards[position]
+		if shard.state != shardRunning || shard.hedgeAt.IsZero() || now.Before(shard.hedgeAt) {
+			continue
+		}
+		shard.hedgeAt = time.Time{}
+		if !shard.hasTarget() {
+			continue
+		}
+		if gather.config.Budget.Take() && gather.send(now, position, true) {
+			gather.Hedges++
+		}
+	}
+	return gather.orders
+}
+
+// NextTick returns the time of the next hedge, or the zero time when none is due.
+func (gather *Gather) NextTick() time.Time {
+	var next time.Time
+	for position := range gather.shards {
+		shard := &gather.shards[position]
+		if shard.state != shardRunning || shard.hedgeAt.IsZero() {
+			continue
+		}
+		if next.IsZero() || shard.hedgeAt.Before(next) {
+			next = shard.hedgeAt
+		}
+	}
+	return next
+}
+
+func (gather *Gather) send(now time.Time, position int, hedge bool) bool {
+	shard := &gather.shards[position]
+	if !shard.hasTarget() {
+		gather.failUnreachable(position)
+		return false
+	}
+	target := shard.plan.Targets[shard.nextTarget]
+	shard.nextTarget++
+	shard.attempts = append(shard.attempts, attempt{target: target, sentAt: now, hedge: hedge})
+	shard.running++
+	gather.Attempts++
+	shard.hedgeAt = time.Time{}
+	if gather.config.HedgeAfter != nil {
+		if wait := gather.config.HedgeAfter(shard.plan.Number, target); wait > 0 {
+			shard.hedgeAt = now.Add(wait)
+		}
+	}
+	gather.orders.Send = append(gather.orders.Send, Command{
+		Attempt: gather.attemptID(position, len(shard.attempts)-1),
+		Shard:   shard.plan.Number,
+		Target:  target,
+	})
+	return true
+}
+
+// hasTarget moves on to the next target whose server may answer, and reports whether there is one.
+func (shard *gatherShard) hasTarget() bool {
+	if len(shard.attempts) >= maxAttempts {
+		return false
+	}
+	for shard.nextTarget < len(shard.plan.Targets) {
+		if !shard.isUseless(shard.plan.Targets[shard.nextTarget].Server) {
+			return true
+		}
+		shard.nextTarget++
+	}
+	return false
+}
+
+func (shard *gatherShard) isUseless(server string) bool {
+	for i := range shard.attempts {
+		if shard.attempts[i].useless && shard.attempts[i].target.Server == server {
+			return true
+		}
+	}
+	return false
+}
+
+// failUnreachable fails a shard that has no replica to send to.
+func (gather *Gather) failUnreachable(position int) {
+	shard := &gather.shards[position]
+	if shard.state != shardRunning || shard.running > 0 {
+		return
+	}
+	shard.answer = swbackend.Answer{Outcome: swbackend.Unreachable, Code: swcode.NoReplica, Message: "no live replica is left"}
+	gather.fail(position)
+}
+
+// Withdraw returns the attempts that have no outcome, to be cancelled.
+func (gather *Gather) Withdraw() Orders {
+	gather.reset()
+	for position := range gather.shards {
+		gather.cancelOthers(position)
+	}
+	return gather.orders
+}
+
+// Coverage returns what the answered shards cover of the plan.
+func (gather *Gather) Coverage() Coverage {
+	coverage := Coverage{OfShards: len(gather.shards)}
+	for i := range gather.shards {
+		shard := &gather.shards[i]
+		coverage.Of += shard.plan.Documents
+		if shard.state == shardAnswered {
+			coverage.Documents += shard.plan.Documents
+			coverage.Shards++
+		}
+	}
+	return coverage
+}
+
+// Ran tells whether any backend server may have run a part of the query. Attempts without an outcome may have run.
+func (gather *Gather) Ran() swcode.Ran {
+	ran := swcode.RanNo
+	for i := range gather.shards {
+		shard := &gather.shards[i]
+		ran = moreRan(ran, shard.ran)
+		if shard.running > 0 {
+			ran = moreRan(ran, swcode.RanUnknown)
+		}
+	}
+	return ran
+}
+
+// Failure returns the outcome of the first failed shard, and the shard's number.
+func (gather *Gather) Failure() (answer swbackend.Answer, shard int, found bool) {
+	for i := range gather.shards {
+		if gather.shards[i].state == shardFailed {
+			return gather.shards[i].answer, gather.shards[i].plan.Number, true
+		}
+	}
+	return swbackend.Answer{}, 0, false
+}
+
+// tally counts the shards of non-idempotent work by whether they ran.
+func (gather *Gather) tally() (ran, notRun, unknown int) {
+	for i := range gather.shards {
+		shard := &gather.shards[i]
+		switch {
+		case shard.state == shardAnswered:
+			ran++
+		case shard.running > 0 || shard.ran == swcode.RanUnknown:
+			unknown++
+		case shard.ran == swcode.RanYes:
+			ran++
+		default:
+			notRun++
+		}
+	}
+	return ran, notRun, unknown
+}
+
+func (shard *gatherShard) noteRan(ran swcode.Ran) {
+	shard.ran = moreRan(shard.ran, ran)
+}
+
+// moreRan returns Yes over Unknown over No.
+func moreRan(a, b swcode.Ran) swcode.Ran {
+	if a == swcode.RanYes || b == swcode.RanYes {
+		return swcode.RanYes
+	}
+	if a == swcode.RanUnknown || b == swcode.RanUnknown {
+		return swcode.RanUnknown
+	}
+	return swcode.RanNo
+}
+
+func (gather *Gather) attemptID(position, number int) uint64 {
+	return uint64(gather.config.Epoch)<<(shardBits+attemptBits) | uint64(position)<<attemptBits | uint64(number)
+}
+
+func (gather *Gather) find(attemptID uint64) (position int, found *attempt) {
+	epoch := attemptID >> (shardBits + attemptBits)
+	position = int(attemptID >> attemptBits & (1<<shardBits - 1))
+	number := int(attemptID & (1<<attemptBits - 1))
+	if epoch != uint64(gather.config.Epoch) || position >= len(gather.shards) {
+		return 0, nil
+	}
+	shard := &gather.shards[position]
+	if number >= len(shard.attempts) {
+		return 0, nil
+	}
+	return position, &shard.attempts[number]
+}
+
+func (gather *Gather) reset() {
+	gather.orders.Send = gather.orders.Send[:0]
+	gather.orders.Cancel = gather.orders.Cancel[:0]
+}
+
+// Reachable returns the highest coverage that the query can still come to, as a fraction.
+func (gather *Gather) Reachable() float64 {
+	coverage := Coverage{OfShards: len(gather.shards)}
+	for i := range gather.shards {
+		shard := &gather.shards[i]
+		coverage.Of += shard.plan.Documents
+		if shard.state != shardFailed {
+			coverage.Documents += shard.plan.Documents
+			coverage.Shards++
+		}
+	}
+	return coverage.Fraction()
+}
--- /dev/null
+++ b/internal/swquery/gather_test.go
@@ -0,0 +1,249 @@
+package swquery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+type grantAll struct{}
+
+func (grantAll) Take() bool { return true }
+
+type grantNone struct{}
+
+func (grantNone) Take() bool { return false }
+
+func testPlan(shards, replicas int) []ShardPlan {
+	plan := make([]ShardPlan, shards)
+	for i := range plan {
+		plan[i] = ShardPlan{Number: 100 + i, Documents: int64(10 + i)}
+		for j := range replicas {
+			plan[i].Targets = append(plan[i].Targets, Target{Server: fmt.Sprintf("s%d-%d", i, j), Owner: fmt.Sprintf("vm%d", j)})
+		}
+	}
+	return plan
+}
+
+func answered(count int64) swbackend.Answer {
+	return swbackend.Answer{Outcome: swbackend.Answered, Ran: swcode.RanYes, Counts: map[string]int64{"n": count}}
+}
+
+// TestGatherCountsEachShardOnceUnderAnyInterleaving drives a gather with answers, losses, hedges and duplicates in random
+// order and checks it against the answers that were delivered.
+func TestGatherCountsEachShardOnceUnderAnyInterleaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := rapid.IntRange(1, 6).Draw(t, "shards")
+		replicas := rapid.IntRange(1, 4).Draw(t, "replicas")
+		gather := NewGather(GatherConfig{
+			Shards:     testPlan(shards, replicas),
+			Epoch:      3,
+			Idempotent: true,
+			Budget:     grantAll{},
+			HedgeAfter: func(int, Target) time.Duration { return time.Millisecond },
+		})
+		now := time.Unix(0, 0)
+		var sent []Command
+		record := func(orders Orders) { sent = append(sent, orders.Send...) }
+		record(gather.Start(now, 0, shards))
+		accepted := make(map[int]bool)
+		for range rapid.IntRange(0, 40).Draw(t, "events") {
+			now = now.Add(time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0, 1:
+				command := rapid.SampledFrom(sent).Draw(t, "attempt")
+				orders, _, known := gather.Answer(now, command.Attempt, command.Target.Server, answered(1))
+				if known {
+					accepted[command.Shard] = true
+				}
+				record(orders)
+			case 2:
+				command := rapid.SampledFrom(sent).Draw(t, "attempt")
+				orders, _, _ := gather.Answer(now, command.Attempt, command.Target.Server, swbackend.Answer{Outcome: swbackend.Failed, Ran: swcode.RanUnknown})
+				record(orders)
+			case 3:
+				owner := fmt.Sprintf("vm%d", rapid.IntRange(0, replicas-1).Draw(t, "owner"))
+				record(gather.Lose(now, swcode.RanUnknown, func(_ uint64, target Target) bool { return target.Owner == owner }))
+			case 4:
+				record(gather.Tick(now))
+			}
+			checkGather(t, gather, shards, accepted)
+		}
+	})
+}
+
+func checkGather(t *rapid.T, gather *Gather, shards int, accepted map[int]bool) {
+	var want Coverage
+	want.OfShards = shards
+	var counted int64
+	for i := range gather.shards {
+		shard := &gather.shards[i]
+		want.Of += shard.plan.Documents
+		if shard.state == shardAnswered {
+			want.Shards++
+			want.Documents += shard.plan.Documents
+			counted++
+			if !accepted[shard.plan.Number] {
+				t.Fatalf("shard %d counts without an answer", shard.plan.Number)
+			}
+		}
+	}
+	if diff := cmp.Diff(want, gather.Coverage()); diff != "" {
+		t.Fatal(diff)
+	}
+	if diff := cmp.Diff(counted, mergeCounts(gather.shards)["n"]); diff != "" {
+		t.Fatal(diff)
+	}
+	running := 0
+	for i := range gather.shards {
+		if gather.shards[i].state == shardRunning {
+			running++
+			if gather.shards[i].running == 0 {
+				t.Fatalf("shard %d waits for nothing", gather.shards[i].plan.Number)
+			}
+		}
+	}
+	if diff := cmp.Diff(running == 0, gather.Done()); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// TestNonIdempotentShardIsNotSentAgainOnceAByteMayHaveLeft checks the attempts after each kind of failure.
+func TestNonIdempotentShardIsNotSentAgainOnceAByteMayHaveLeft(t *testing.T) {
+	cases := map[string]struct {
+		answer swbackend.Answer
+		want   int
+	}{
+		"refused by the server":   {swbackend.Answer{Outcome: swbackend.Shed, Ran: swcode.RanNo}, 1},
+		"not connected":           {swbackend.Answer{Outcome: swbackend.Unreachable, Ran: swcode.RanNo}, 1},
+		"connection broken":       {swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown}, 0},
+		"failed after it ran":     {swbackend.Answer{Outcome: swbackend.Failed, Ran: swcode.RanYes}, 0},
+		"gave up at the deadline": {swbackend.Answer{Outcome: swbackend.Late, Ran: swcode.RanUnknown}, 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			gather := NewGather(GatherConfig{Shards: testPlan(1, 3), Budget: grantAll{}})
+			now := time.Unix(0, 0)
+			first := gather.Start(now, 0, 1).Send[0]
+			orders, _, _ := gather.Answer(now, first.Attempt, first.Target.Server, test.answer)
+			if diff := cmp.Diff(test.want, len(orders.Send)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestNonIdempotentShardIsNeverHedged checks that time alone sends nothing.
+func TestNonIdempotentShardIsNeverHedged(t *testing.T) {
+	gather := NewGather(GatherConfig{
+		Shards:     testPlan(2, 3),
+		Budget:     grantAll{},
+		HedgeAfter: func(int, Target) time.Duration { return time.Millisecond },
+	})
+	now := time.Unix(0, 0)
+	gather.Start(now, 0, 2)
+	if diff := cmp.Diff(0, len(gather.Tick(now.Add(time.Hour)).Send)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestLateAnswerOfALostOwnerStillCounts checks that work done by an owner that was only paused is used.
+func TestLateAnswerOfALostOwnerStillCounts(t *testing.T) {
+	gather := NewGather(GatherConfig{Shards: testPlan(1, 2), Idempotent: true, Budget: grantAll{}})
+	now := time.Unix(0, 0)
+	first := gather.Start(now, 0, 1).Send[0]
+	gather.Lose(now, swcode.RanUnknown, func(uint64, Target) bool { return true })
+	orders, _, known := gather.Answer(now, first.Attempt, first.Target.Server, answered(7))
+	if !known || !gather.Done() {
+		t.Fatal("the late answer was dropped")
+	}
+	if diff := cmp.Diff(1, len(orders.Cancel)); diff != "" {
+		t.Error("the retry is to be withdrawn: " + diff)
+	}
+	if diff := cmp.Diff(map[string]int64{"n": 7}, mergeCounts(gather.shards)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestRetryNeedsBudgetUnlessTheServerSpentNothing checks what an empty budget still allows.
+func TestRetryNeedsBudgetUnlessTheServerSpentNothing(t *testing.T) {
+	cases := map[string]struct {
+		outcome swbackend.Outcome
+		want    int
+	}{
+		"broken":            {swbackend.Broken, 0},
+		"shed":              {swbackend.Shed, 0},
+		"snapshot not held": {swbackend.SnapshotNotHeld, 1},
+		"leaving":           {swbackend.ServerLeaving, 1},
+		"unreachable":       {swbackend.Unreachable, 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			gather := NewGather(GatherConfig{Shards: testPlan(1, 2), Idempotent: true, Budget: grantNone{}})
+			now := time.Unix(0, 0)
+			first := gather.Start(now, 0, 1).Send[0]
+			orders, _, _ := gather.Answer(now, first.Attempt, first.Target.Server, swbackend.Answer{Outcome: test.outcome})
+			if diff := cmp.Diff(test.want, len(orders.Send)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestAnswerOfAnotherEpochOrServerIsUnknown checks that answers that crossed are not taken.
+func TestAnswerOfAnotherEpochOrServerIsUnknown(t *testing.T) {
+	gather := NewGather(GatherConfig{Shards: testPlan(1, 2), Epoch: 2, Idempotent: true, Budget: grantAll{}})
+	now := time.Unix(0, 0)
+	first := gather.Start(now, 0, 1).Send[0]
+	earlier := NewGather(GatherConfig{Shards: testPlan(1, 2), Epoch: 1, Idempotent: true, Budget: grantAll{}}).Start(now, 0, 1).Send[0]
+	for name, crossed := range map[string]Command{
+		"earlier epoch": earlier,
+		"other server":  {Attempt: first.Attempt, Target: Target{Server: "s0-1"}},
+		"other shard":   {Attempt: first.Attempt + 1<<attemptBits, Target: first.Target},
+	} {
+		if _, _, known := gather.Answer(now, crossed.Attempt, crossed.Target.Server, answered(1)); known {
+			t.Errorf("%s: the answer was taken", name)
+		}
+	}
+	if diff := cmp.Diff(Coverage{Of: 10, OfShards: 1}, gather.Coverage()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestSnapshotHeldByNoReplicaIsReported checks that a shard fails as not held only when every replica said so.
+func TestSnapshotHeldByNoReplicaIsReported(t *testing.T) {
+	gather := NewGather(GatherConfig{Shards: testPlan(1, 2), Idempotent: true, Budget: grantNone{}})
+	now := time.Unix(0, 0)
+	notHeld := swbackend.Answer{Outcome: swbackend.SnapshotNotHeld}
+	first := gather.Start(now, 0, 1).Send[0]
+	orders, _, _ := gather.Answer(now, first.Attempt, first.Target.Server, notHeld)
+	if gather.NotHeld {
+		t.Error("one replica of two does not hold the snapshot")
+	}
+	second := orders.Send[0]
+	gather.Answer(now, second.Attempt, second.Target.Server, notHeld)
+	if !gather.NotHeld {
+		t.Error("no replica holds the snapshot")
+	}
+}
+
+// BenchmarkGather450Shards drives one query of 450 shards through the gather.
+func BenchmarkGather450Shards(b *testing.B) {
+	plan := testPlan(450, 3)
+	b.ReportAllocs()
+	for b.Loop() {
+		gather := NewGather(GatherConfig{Shards: plan, Idempotent: true, Budget: grantAll{}})
+		now := time.Unix(0, 0)
+		sent := append([]Command(nil), gather.Start(now, 0, 450).Send...)
+		for _, command := range sent {
+			gather.Answer(now, command.Attempt, command.Target.Server, swbackend.Answer{Outcome: swbackend.Answered})
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/450, "ns/sub-request")
+}
--- /dev/null
+++ b/internal/swquery/plan.go
@@ -0,0 +1,218 @@
+package swquery
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swindex"
+	"github.com/sycamorewall/sycamorewall/internal/swmember"
+)
+
+const (
+	// maxReplicas bounds the replicas of a shard that a plan considers, nearest first.
+	maxReplicas = 4
+	// localPrior is the expected time of an answer from this VM's data centre before any was observed.
+	localPrior = 4 * time.Millisecond
+	// regionPrior is the same for another data centre of this VM's region.
+	regionPrior = 8 * time.Millisecond
+	// remotePrior is the same for another region.
+	remotePrior = 40 * time.Millisecond
+	// jitterLow and jitterSpan scale an expectation at random, so that roots do not all prefer one replica.
+	jitterLow  = 0.85
+	jitterSpan = 0.3
+)
+
+// Placement chooses which VM sends to a backend server.
+type Placement interface {
+	// Senders returns the VMs that may send to the server, the preferred one first.
+	Senders(view *swmember.View, server swindex.Server) []swmember.Member
+}
+
+// OwnerPlacement gives each backend server to one VM of its data centre by rendezvous hash. A server in a data centre
+// without a live VM goes to one VM of all the others.
+type OwnerPlacement struct{}
+
+// Senders returns the owner and its substitutes.
+func (OwnerPlacement) Senders(view *swmember.View, server swindex.Server) []swmember.Member {
+	owners := view.Owners(server.DataCentre, server.Name)
+	if len(owners) > 0 {
+		return owners
+	}
+	var all []swmember.Member
+	for _, dataCentre := range view.DataCentres() {
+		all = append(all, view.Members(dataCentre)...)
+	}
+	return swmember.Rank(all, server.Name)
+}
+
+// DirectPlacement lets every VM send to every backend server itself.
+type DirectPlacement struct{}
+
+// Senders returns this VM.
+func (DirectPlacement) Senders(view *swmember.View, _ swindex.Server) []swmember.Member {
+	return []swmember.Member{view.Self}
+}
+
+// replica is a way to a shard that a plan may choose.
+type replica struct {
+	server     string
+	local      bool
+	prior      time.Duration
+	owner      string
+	substitute string
+}
+
+type shardTemplate struct {
+	number    int
+	documents int64
+	replicas  []replica
+}
+
+// template holds what a plan takes from the snapshot, the members and the server lists; it is made again when one of
+// them changes.
+type template struct {
+	snapshot *swindex.Snapshot
+	view     *swmember.View
+	servers  *swindex.ServerMap
+	shards   []shardTemplate
+}
+
+// Planner turns a snapshot into a plan for one query. It is safe for concurrent use.
+type Planner struct {
+	registry  *swindex.Registry
+	placement Placement
+	latencies *Latencies
+
+	mutex     sync.Mutex
+	templates map[*swindex.Snapshot]*template
+}
+
+// NewPlanner returns a planner over the registry.
+func NewPlanner(registry *swindex.Registry, placement Placement, latencies *Latencies) *Planner {
+	return &Planner{
+		registry:  registry,
+		placement: placement,
+		latencies: latencies,
+		templates: make(map[*swindex.Snapshot]*template),
+	}
+}
+
+// Plan orders the ways to each shard of the snapshot by expected time of answer, leaving out draining servers.
+func (planner *Planner) Plan(now time.Time, snapshot *swindex.Snapshot, view *swmember.View) []ShardPlan {
+	template := planner.template(snapshot, view)
+	plan := make([]ShardPlan, len(template.shards))
+	targets := make([]Target, 0, 2*maxReplicas*len(template.shards))
+	for i := range template.shards {
+		shard := &template.shards[i]
+		first := len(targets)
+		targets = planner.appendTargets(targets, now, shard)
+		plan[i] = ShardPlan{Number: shard.number, Documents: shard.documents, Targets: targets[first:len(targets):len(targets)]}
+	}
+	return plan
+}
+
+func (planner *Planner) appendTargets(targets []Target, now time.Time, shard *shardTemplate) []Target {
+	var order [maxReplicas]int
+	var score [maxReplicas]float64
+	count := 0
+	for i := range shard.replicas {
+		replica := &shard.replicas[i]
+		if planner.registry.Draining(replica.server) {
+			continue
+		}
+		expected := planner.latencies.Expect(now, replica.server, replica.prior)
+		order[count] = i
+		score[i] = float64(expected) * (jitterLow + jitterSpan*rand.Float64())
+		count++
+	}
+	slices.SortFunc(order[:count], func(a, b int) int {
+		if score[a] < score[b] {
+			return -1
+		}
+		return 1
+	})
+	for _, i := range order[:count] {
+		replica := &shard.replicas[i]
+		targets = append(targets, Target{Server: replica.server, Owner: replica.owner, Local: replica.local})
+	}
+	for _, i := range order[:count] {
+		replica := &shard.replicas[i]
+		if replica.substitute != "" {
+			targets = append(targets, Target{Server: replica.server, Owner: replica.substitute, Local: replica.local})
+		}
+	}
+	return targets
+}
+
+func (planner *Planner) template(snapshot *swindex.Snapshot, view *swmember.View) *template {
+	servers := planner.registry.Servers()
+	planner.mutex.Lock()
+	defer planner.mutex.Unlock()
+	known := planner.templates[snapshot]
+	if known != nil && known.view == view && known.servers == servers {
+		return known
+	}
+	known = &template{snapshot: snapshot, view: view, servers: servers}
+	known.shards = make([]shardTemplate, len(snapshot.Shards))
+	for i := range snapshot.Shards {
+		known.shards[i] = planner.shardTemplate(&snapshot.Shards[i], view, servers)
+	}
+	planner.forgetOld(snapshot)
+	planner.templates[snapshot] = known
+	return known
+}
+
+// maxTemplates bounds the snapshots whose templates are kept.
+const maxTemplates = 64
+
+func (planner *Planner) forgetOld(keep *swindex.Snapshot) {
+	if len(planner.templates) < maxTemplates {
+		return
+	}
+	for snapshot := range planner.templates {
+		if snapshot != keep {
+			delete(planner.templates, snapshot)
+		}
+	}
+}
+
+func (planner *Planner) shardTemplate(shard *swindex.Shard, view *swmember.View, servers *swindex.ServerMap) shardTemplate {
+	replicas := make([]replica, 0, len(shard.Replicas))
+	for _, name := range shard.Replicas {
+		server, known := servers.Server(name)
+		if !known || server.Leaving {
+			continue
+		}
+		senders := planner.placement.Senders(view, server)
+		if len(senders) == 0 {
+			continue
+		}
+		replicas = append(replicas, newReplica(view, server, senders))
+	}
+	slices.SortStableFunc(replicas, func(a, b replica) int { return int(a.prior - b.prior) })
+	if len(replicas) > maxReplicas {
+		replicas = replicas[:maxReplicas]
+	}
+	return shardTemplate{number: shard.Number, documents: shard.Documents, replicas: replicas}
+}
+
+func newReplica(view *swmember.View, server swindex.Server, senders []swmember.Member) replica {
+	replica := replica{
+		server: server.Name,
+		local:  server.DataCentre == view.Self.DataCentre,
+		prior:  remotePrior,
+		owner:  senders[0].Name,
+	}
+	if len(senders) > 1 {
+		replica.substitute = senders[1].Name
+	}
+	if senders[0].Region == view.Self.Region {
+		replica.prior = regionPrior
+	}
+	if replica.local {
+		replica.prior = localPrior
+	}
+	return replica
+}
--- /dev/null
+++ b/internal/swquery/step_gather.go
@@ -0,0 +1,274 @@
+package swquery
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
+	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+// gatherStep waits for the shards' answers, with hedges, retries and cancellation.
+type gatherStep struct {
+	engine *Engine
+}
+
+func (*gatherStep) String() string { return "gather the answers" }
+
+// Run returns once every shard has answered, or the query can no longer reach the coverage that it asks for.
+func (gatherStep *gatherStep) Run(ctx context.Context, execution *execution) error {
+	ctx, cancel := context.WithDeadline(ctx, execution.answerBy())
+	defer cancel()
+	wait := &gatherWait{engine: gatherStep.engine, execution: execution}
+	wait.run(ctx)
+	orders := execution.gather.Withdraw()
+	execution.scatter.withdraw(orders.Cancel)
+	return gatherStep.conclude(ctx, execution)
+}
+
+func (gatherStep *gatherStep) conclude(ctx context.Context, execution *execution) error {
+	gather := execution.gather
+	if !execution.query.Idempotent() {
+		return concludeRun(execution)
+	}
+	coverage := gather.Coverage()
+	if coverage.whole() || coverage.Shards > 0 && coverage.Fraction() >= execution.query.MinCoverage {
+		gatherStep.engine.config.Quarantine.Completed(execution.query.Fingerprint)
+		return nil
+	}
+	if gather.NotHeld {
+		return &restartError{Snapshot: execution.snapshot.ID}
+	}
+	return execution.shortfall(ctx, coverage)
+}
+
+// shortfall returns the refusal of a query that did not reach its coverage.
+func (execution *execution) shortfall(ctx context.Context, coverage Coverage) error {
+	covered := fmt.Sprintf("%d of %d shards answered", coverage.Shards, coverage.OfShards)
+	answer, shard, failed := execution.gather.Failure()
+	if !failed {
+		code := swcode.DeadlineExceeded
+		if ctx.Err() == context.Canceled {
+			code = swcode.CallerGone
+		}
+		return execution.refuse(code, covered)
+	}
+	return execution.refuse(failureCode(answer), fmt.Sprintf("shard %d of snapshot %s: %s; %s", shard, execution.snapshot.ID, answer.Message, covered))
+}
+
+// failureCode returns the code that tells a caller why a shard has no answer.
+func failureCode(answer swbackend.Answer) swcode.Code {
+	if answer.Code != 0 {
+		return answer.Code
+	}
+	switch answer.Outcome {
+	case swbackend.Shed:
+		return swcode.QueueFull
+	case swbackend.Late:
+		return swcode.CannotMeet
+	case swbackend.Unreachable, swbackend.UnknownServer, swbackend.ServerLeaving:
+		return swcode.NoReplica
+	case swbackend.SnapshotNotHeld:
+		return swcode.SnapshotUnavailable
+	default:
+		return swcode.BackendFailed
+	}
+}
+
+// concludeRun tells the outcome of non-idempotent work: all ran, none ran, or it cannot be told for every shard.
+func concludeRun(execution *execution) error {
+	ran, notRun, unknown := execution.gather.tally()
+	if notRun == 0 && unknown == 0 {
+		return nil
+	}
+	if ran == 0 && unknown == 0 {
+		if execution.gather.NotHeld {
+			return &restartError{Snapshot: execution.snapshot.ID}
+		}
+		return runRefusal(execution, swcode.RanNo)
+	}
+	code := swcode.OutcomeUnknown
+	if ran > 0 {
+		code = swcode.PartialRun
+	}
+	return &swcode.Error{
+		Code:    code,
+		Ran:     swcode.RanUnknown,
+		Message: fmt.Sprintf("%d shards ran the work, %d did not, %d are unknown", ran, notRun, unknown),
+		Rule:    execution.decision.Line,
+	}
+}
+
+func runRefusal(execution *execution, ran swcode.Ran) error {
+	answer, shard, failed := execution.gather.Failure()
+	if !failed {
+		return &swcode.Error{Code: swcode.DeadlineExceeded, Ran: ran, Message: "the deadline passed before the work was sent"}
+	}
+	return &swcode.Error{
+		Code:    failureCode(answer),
+		Ran:     ran,
+		Message: fmt.Sprintf("shard %d: %s", shard, answer.Message),
+		Rule:    execution.decision.Line,
+	}
+}
+
+// gatherWait is the loop that feeds a gather with events.
+type gatherWait struct {
+	engine    *Engine
+	execution *execution
+	// canary is set until the first shard of a suspect query has answered.
+	canary bool
+	// aborted is set when the canary failed, so that the other shards are not tried.
+	aborted bool
+}
+
+func (gatherWait *gatherWait) run(ctx context.Context) {
+	execution := gatherWait.execution
+	gatherWait.canary = execution.verdict == swquarantine.Canary && len(execution.plan) > 1
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !gatherWait.over() {
+		timer.Reset(gatherWait.nextWake(time.Now()))
+		select {
+		case event := <-execution.scatter.events:
+			gatherWait.take(event)
+		case <-timer.C:
+			gatherWait.wake(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// over reports whether no further answer can change the outcome.
+func (gatherWait *gatherWait) over() bool {
+	gather := gatherWait.execution.gather
+	if gather.Done() || gather.NotHeld || gatherWait.aborted {
+		return true
+	}
+	if !gatherWait.execution.query.Idempotent() {
+		return false
+	}
+	return gather.Reachable() < gatherWait.execution.query.MinCoverage
+}
+
+func (gatherWait *gatherWait) take(event scatterEvent) {
+	now := time.Now()
+	event.link.heard = now
+	if event.broken {
+		gatherWait.lose(now, event.link, event.ran)
+		return
+	}
+	gatherWait.engine.config.Gate.Observe(event.link.owner.Name, event.reply.Report)
+	for i := range event.reply.Answers {
+		gatherWait.answer(now, event.link, &event.reply.Answers[i])
+	}
+}
+
+// answer takes one attempt's outcome. An answer that does not echo this query, snapshot and attempt is dropped.
+func (gatherWait *gatherWait) answer(now time.Time, link *link, item *ItemAnswer) {
+	execution := gatherWait.execution
+	if item.QueryID != execution.query.ID || item.Snapshot != execution.snapshot.ID || !link.answered(item.Attempt) {
+		gatherWait.engine.config.Recorder.Event("crossed_answers", 1)
+		return
+	}
+	orders, age, known := execution.gather.Answer(now, item.Attempt, item.Server, item.Answer)
+	if !known {
+		gatherWait.engine.config.Recorder.Event("duplicate_answers", 1)
+		return
+	}
+	gatherWait.observe(now, item, age)
+	gatherWait.engine.carryOut(now, execution, orders)
+	gatherWait.checkCanary(now)
+}
+
+// checkCanary sends the other shards once the first has answered, and gives up when it has failed.
+func (gatherWait *gatherWait) checkCanary(now time.Time) {
+	if !gatherWait.canary {
+		return
+	}
+	switch gatherWait.execution.gather.shards[0].state {
+	case shardAnswered:
+		gatherWait.release(now)
+	case shardFailed:
+		gatherWait.aborted = true
+	}
+}
+
+// release sends the shards that waited for the canary.
+func (gatherWait *gatherWait) release(now time.Time) {
+	gatherWait.canary = false
+	execution := gatherWait.execution
+	orders := execution.gather.Start(now, 1, len(execution.plan))
+	gatherWait.engine.carryOut(now, execution, orders)
+}
+
+func (gatherWait *gatherWait) observe(now time.Time, item *ItemAnswer, age time.Duration) {
+	latencies := gatherWait.engine.latencies
+	switch item.Answer.Outcome {
+	case swbackend.Answered:
+		latencies.Observe(now, gatherWait.execution.query.Index, item.Shard, item.Server, age)
+	case swbackend.Cancelled:
+		latencies.ObserveSlow(now, item.Server, age)
+	default:
+		latencies.ObserveFailure(now, item.Server)
+	}
+}
+
+// lose gives up the attempts of a link whose owner is gone.
+func (gatherWait *gatherWait) lose(now time.Time, link *link, ran swcode.Ran) {
+	if link.lost || len(link.attempts) == 0 {
+		return
+	}
+	link.lost = true
+	gatherWait.engine.config.Recorder.Event("lost_owners", 1)
+	gatherWait.engine.config.Members.ReportSuspect(link.owner.Name)
+	gatherWait.engine.config.Dialer.Forget(link.owner.Peer)
+	orders := gatherWait.execution.gather.Lose(now, ran, func(attempt uint64, _ Target) bool {
+		_, on := link.attempts[attempt]
+		return on
+	})
+	gatherWait.engine.carryOut(now, gatherWait.execution, orders)
+	gatherWait.checkCanary(now)
+}
+
+// nextWake returns how long to wait for the next hedge or the next owner that is due to be heard.
+func (gatherWait *gatherWait) nextWake(now time.Time) time.Duration {
+	next := gatherWait.execution.gather.NextTick()
+	for _, link := range gatherWait.execution.scatter.links {
+		if !gatherWait.mayLose(link) {
+			continue
+		}
+		due := link.heard.Add(gatherWait.silence())
+		if next.IsZero() || due.Before(next) {
+			next = due
+		}
+	}
+	if next.IsZero() {
+		return time.Hour
+	}
+	return max(0, next.Sub(now))
+}
+
+// mayLose reports whether silence on the link may move its attempts elsewhere. Non-idempotent work stays where it is.
+func (gatherWait *gatherWait) mayLose(link *link) bool {
+	return !link.lost && !link.local && len(link.attempts) > 0 && gatherWait.execution.query.Idempotent()
+}
+
+// silence is how long an owner that still has attempts may say nothing.
+func (gatherWait *gatherWait) silence() time.Duration {
+	return gatherWait.engine.config.AckTimeout
+}
+
+func (gatherWait *gatherWait) wake(now time.Time) {
+	execution := gatherWait.execution
+	for _, link := range execution.scatter.links {
+		if gatherWait.mayLose(link) && now.Sub(link.heard) >= gatherWait.silence() {
+			gatherWait.lose(now, link, swcode.RanUnknown)
+		}
+	}
+	orders := execution.gather.Tick(now)
+	gatherWait.engine.carryOut(now, execution, orders)
+}
--- /dev/null
+++ b/internal/swquery/step_match.go
@@ -0,0 +1,55 @@
+package swquery
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
+)
+
+// matchStep finds the rule that decides the query. One version of the rules holds for the whole query.
+type matchStep struct {
+	rules      Rules
+	quarantine Quarantine
+}
+
+func (*matchStep) String() string { return "match the rules" }
+
+// Run refuses what a rule refuses, what no rule matches, and what is quarantined.
+func (matchStep *matchStep) Run(_ context.Context, execution *execution) error {
+	ruleSet, version, ok := matchStep.rules.Current()
+	if !ok {
+		return execution.refuse(swcode.NotReady, "no rules are in force on this VM yet")
+	}
+	query := execution.query
+	execution.ruleVersion = version
+	execution.decision = ruleSet.Match(swrule.Request{
+		Caller:      query.Caller,
+		Kind:        query.Kind,
+		Index:       query.Index,
+		Fingerprint: FormatID(query.Fingerprint),
+	})
+	if execution.decision.Line == 0 {
+		return execution.refuse(swcode.NoRuleMatched, "no rule matches this caller, kind and index")
+	}
+	if execution.decision.Action == swrule.Refuse {
+		return execution.refuse(swcode.RefusedByRule, fmt.Sprintf("rule at line %d: %s", execution.decision.Line, execution.decision.Text))
+	}
+	return matchStep.checkQuarantine(execution)
+}
+
+func (matchStep *matchStep) checkQuarantine(execution *execution) error {
+	fingerprint := execution.query.Fingerprint
+	execution.verdict = matchStep.quarantine.Check(fingerprint, execution.decision.Release)
+	if execution.verdict == swquarantine.Refused {
+		return execution.refuse(swcode.Quarantined, "fingerprint "+FormatID(fingerprint)+" crashed backend servers")
+	}
+	return nil
+}
+
+// FormatID writes an ID or fingerprint as sixteen hexadecimal digits.
+func FormatID(id uint64) string {
+	return fmt.Sprintf("%016x", id)
+}
--- /dev/null
+++ b/internal/swquery/step_pin.go
@@ -0,0 +1,103 @@
+package swquery
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swindex"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+// absentFor is how long a snapshot that a shard's replicas did not hold is passed over.
+const absentFor = time.Second
+
+// pinStep chooses the one snapshot that the whole query runs on.
+type pinStep struct {
+	registry *swindex.Registry
+	absent   *absentSnapshots
+}
+
+func (*pinStep) String() string { return "pin a snapshot" }
+
+// Run pins the newest published snapshot that is not known to be absent. When all are, the newest one is tried, unless
+// this query has found it absent already.
+func (pinStep *pinStep) Run(ctx context.Context, execution *execution) error {
+	if ctx.Err() != nil {
+		return execution.refuse(swcode.DeadlineExceeded, "the deadline passed before a snapshot was found that every shard holds")
+	}
+	catalogue := pinStep.registry.Catalogue(execution.query.Index)
+	if catalogue == nil {
+		return &swcode.Error{
+			Code:    swcode.UnknownIndex,
+			Field:   "Index",
+			Message: "no catalogue names index " + execution.query.Index,
+			Fix:     "check the name",
+		}
+	}
+	snapshot := pinStep.choose(catalogue, int(execution.epoch))
+	if snapshot == nil {
+		return execution.refuse(swcode.SnapshotUnavailable, "no snapshot of index "+catalogue.Index+" is held by a replica of every shard")
+	}
+	execution.snapshot = snapshot
+	return nil
+}
+
+// maxRestarts bounds how often one query starts again on another snapshot.
+const maxRestarts = 4
+
+func (pinStep *pinStep) choose(catalogue *swindex.Catalogue, restarts int) *swindex.Snapshot {
+	if restarts > maxRestarts {
+		return nil
+	}
+	var newest *swindex.Snapshot
+	for i := len(catalogue.Snapshots) - 1; i >= 0; i-- {
+		snapshot := &catalogue.Snapshots[i]
+		if snapshot.Retired {
+			continue
+		}
+		if newest == nil {
+			newest = snapshot
+		}
+		if !pinStep.absent.has(catalogue.Index, snapshot.ID) {
+			return snapshot
+		}
+	}
+	if restarts == 0 {
+		return newest
+	}
+	return nil
+}
+
+// absentSnapshots remembers for a while which snapshots the replicas of some shard did not hold.
+type absentSnapshots struct {
+	mutex sync.Mutex
+	until map[snapshotKey]time.Time
+}
+
+type snapshotKey struct {
+	index    string
+	snapshot string
+}
+
+func newAbsentSnapshots() *absentSnapshots {
+	return &absentSnapshots{until: make(map[snapshotKey]time.Time)}
+}
+
+func (absentSnapshots *absentSnapshots) add(index, snapshot string) {
+	absentSnapshots.mutex.Lock()
+	defer absentSnapshots.mutex.Unlock()
+	now := time.Now()
+	for key, until := range absentSnapshots.until {
+		if until.Before(now) {
+			delete(absentSnapshots.until, key)
+		}
+	}
+	absentSnapshots.until[snapshotKey{index, snapshot}] = now.Add(absentFor)
+}
+
+func (absentSnapshots *absentSnapshots) has(index, snapshot string) bool {
+	absentSnapshots.mutex.Lock()
+	defer absentSnapshots.mutex.Unlock()
+	return time.Now().Before(absentSnapshots.until[snapshotKey{index, snapshot}])
+}
--- /dev/null
+++ b/internal/swquery/step_scatter.go
@@ -0,0 +1,94 @@
+package swquery
+
+import (
+	"context"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
+)
+
+// scatterStep sends the first attempts: to every shard, or to one when the query may crash the servers that run it.
+type scatterStep struct {
+	engine *Engine
+}
+
+func (*scatterStep) String() string { return "scatter to the owners" }
+
+// Run sends the first attempts.
+func (scatterStep *scatterStep) Run(ctx context.Context, execution *execution) error {
+	engine := scatterStep.engine
+	execution.gather = NewGather(GatherConfig{
+		Shards:     execution.plan,
+		Epoch:      execution.epoch,
+		Idempotent: execution.query.Idempotent(),
+		MayRetry:   func() bool { return engine.config.Quarantine.MayRetry(execution.query.Fingerprint) },
+		Budget:     engine.budget,
+		HedgeAfter: engine.hedgeAfter(execution.query.Index),
+	})
+	execution.scatter = newScatter(ctx, engine)
+	first := len(execution.plan)
+	if execution.verdict == swquarantine.Canary {
+		first = min(1, first)
+	}
+	now := time.Now()
+	orders := execution.gather.Start(now, 0, first)
+	engine.carryOut(now, execution, orders)
+	engine.budget.Earn(len(execution.plan))
+	return nil
+}
+
+// hedgeAfter returns the wait before a hedge of a shard of the index. While the target's queue sheds there is none.
+func (engine *Engine) hedgeAfter(index string) func(shard int, target Target) time.Duration {
+	if engine.config.HedgePercent == 0 {
+		return nil
+	}
+	return func(shard int, target Target) time.Duration {
+		if engine.config.Gate.Shedding(target.Server) {
+			return 0
+		}
+		return engine.latencies.HedgeAfter(index, shard)
+	}
+}
+
+// carryOut sends and withdraws what the gather ordered.
+func (engine *Engine) carryOut(now time.Time, execution *execution, orders Orders) {
+	if len(orders.Cancel) > 0 {
+		execution.scatter.withdraw(orders.Cancel)
+	}
+	if len(orders.Send) == 0 {
+		return
+	}
+	execution.scatter.send(now, execution.header(now), execution.view, orders.Send)
+}
+
+// header returns the batch that goes to every owner, without items.
+func (execution *execution) header(now time.Time) Batch {
+	query := execution.query
+	return Batch{
+		QueryID:     query.ID,
+		Caller:      query.Caller,
+		Kind:        query.Kind,
+		Index:       query.Index,
+		Snapshot:    execution.snapshot.ID,
+		Query:       query.Text,
+		Limit:       query.Limit,
+		Priority:    execution.decision.Priority,
+		Cohort:      query.Cohort(),
+		Fingerprint: query.Fingerprint,
+		RunKey:      query.RunKey,
+		Remaining:   execution.answerBy().Sub(now),
+	}
+}
+
+const (
+	// answerMargin is the part of the timeout kept for the way back to the caller.
+	answerMargin = 20
+	// maxAnswerMargin caps the time kept for the way back.
+	maxAnswerMargin = 5 * time.Millisecond
+)
+
+// answerBy returns the time at which the gather stops waiting.
+func (execution *execution) answerBy() time.Time {
+	margin := min(maxAnswerMargin, execution.deadline.Sub(execution.started)/answerMargin)
+	return execution.deadline.Add(-margin)
+}
--- /dev/null
+++ b/internal/swquery/wire.go
@@ -0,0 +1,63 @@
+package swquery
+
+import (
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swadmission"
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
+)
+
+// Batch carries the sub-requests of one query to the VM that owns their backend servers. It encodes as an array, since
+// an owner takes thousands a second.
+type Batch struct {
+	_           struct{} `cbor:",toarray"`
+	QueryID     uint64
+	Caller      string
+	Kind        string
+	Index       string
+	Snapshot    string
+	Query       string
+	Limit       int
+	Priority    swrule.Priority
+	Cohort      uint16
+	Fingerprint uint64
+	RunKey      string
+	// Remaining is the time left until the caller's deadline; clocks of VMs are not compared.
+	Remaining time.Duration
+	Items     []Item
+}
+
+// Item is one attempt inside a Batch.
+type Item struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt uint64
+	Shard   int
+	Server  string
+}
+
+// Control follows a Batch on its stream.
+type Control struct {
+	_ struct{} `cbor:",toarray"`
+	// Cancel lists attempts that are no longer wanted.
+	Cancel []uint64
+}
+
+// Reply flows from the owner to the root. The first reply acknowledges the batch and carries no answers.
+type Reply struct {
+	_       struct{} `cbor:",toarray"`
+	Answers []ItemAnswer
+	// Report tells how the owner sheds work.
+	Report swadmission.Report
+}
+
+// ItemAnswer is the outcome of one attempt. It repeats the attempt's identity, which the root checks.
+type ItemAnswer struct {
+	_        struct{} `cbor:",toarray"`
+	QueryID  uint64
+	Attempt  uint64
+	Shard    int
+	Server   string
+	Snapshot string
+	Answer   swbackend.Answer
+}
