--- a/internal/swkey/fake_test.go
+++ b/internal/swkey/fake_test.go
@@ -26,7 +26,9 @@
 
 	mutex sync.Mutex
 	vms   map[string]*fakeVM
-	cut   map[[2]string]bool
+	// all holds every VM that was started, also those that were replaced.
+	all []*fakeVM
+	cut map[[2]string]bool
 	// loseRequest and loseAnswer decide by the number of the message; nil loses none.
 	loseRequest func(number int) bool
 	loseAnswer  func(number int) bool
@@ -46,13 +48,15 @@
 	dead    bool
 }
 
-// fakeBackend counts the runs of each body.
+// fakeBackend counts the runs of each body, and notes when each began.
 type fakeBackend struct {
 	mutex sync.Mutex
 	runs  map[string]int
+	began map[string]time.Time
 	takes time.Duration
-	// refuse makes the backend refuse without running.
+	// refuse makes the backend refuse without running, broken makes it run and lose its answer.
 	refuse bool
+	broken bool
 }
 
 func newFakeNetwork(t *testing.T, names ...string) *fakeNetwork {
@@ -61,7 +65,7 @@
 		group:   swgroup.New(t.Context()),
 		vms:     make(map[string]*fakeVM),
 		cut:     make(map[[2]string]bool),
-		backend: fakeBackend{runs: make(map[string]int)},
+		backend: fakeBackend{runs: make(map[string]int), began: make(map[string]time.Time)},
 		claims:  fakeClaims{values: make(map[string][]byte)},
 		board:   fakeBoard{records: make(map[string]swmember.Record)},
 	}
@@ -73,8 +77,10 @@
 }
 
 func (network *fakeNetwork) stop() {
-	for _, vm := range network.vms {
-		network.wake(vm.name)
+	for _, vm := range network.all {
+		network.resume(vm)
+	}
+	for _, vm := range network.all {
 		vm.group.Stop()
 	}
 	network.group.Stop()
@@ -103,6 +109,7 @@
 	})
 	vm.service = service
 	network.vms[name] = vm
+	network.all = append(network.all, vm)
 	return vm
 }
 
@@ -115,20 +122,25 @@
 }
 
 // execute runs a body at the backend on behalf of a VM, which may be paused or dead by the time of the answer.
-func (network *fakeNetwork) execute(_ context.Context, vm *fakeVM, body string) Outcome {
+func (network *fakeNetwork) execute(ctx context.Context, vm *fakeVM, body string) Outcome {
 	<-network.awakening(vm)
 	backend := &network.backend
 	backend.mutex.Lock()
-	refuse := backend.refuse || network.isDead(vm)
+	refuse := backend.refuse || network.isDead(vm) || ctx.Err() != nil
 	if !refuse {
 		backend.runs[body]++
+		backend.began[body] = time.Now()
 	}
+	broken := backend.broken
 	backend.mutex.Unlock()
 	if refuse {
 		return Outcome{Code: swcode.ShedByPriority, Ran: swcode.RanNo}
 	}
 	time.Sleep(backend.takes)
 	<-network.awakening(vm)
+	if broken {
+		return Outcome{Code: swcode.OutcomeUnknown, Ran: swcode.RanUnknown}
+	}
 	return Outcome{Code: swcode.OK, Ran: swcode.RanYes, Reply: []byte("ran " + body)}
 }
 
@@ -140,6 +152,11 @@
 
 // send is a caller's request to a VM. It gives up at the timeout.
 func (network *fakeNetwork) send(vm *fakeVM, key, body string, timeout time.Duration) Outcome {
+	request := RunRequest{Key: key, Caller: "desk", Fingerprint: uint64(len(body)), Body: []byte(body)}
+	return network.sendRequest(vm, request, timeout)
+}
+
+func (network *fakeNetwork) sendRequest(vm *fakeVM, request RunRequest, timeout time.Duration) Outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	reply := make(chan Outcome, 1)
@@ -148,8 +165,9 @@
 		if network.isDead(vm) {
 			return
 		}
-		request := RunRequest{Key: key, Caller: "desk", Fingerprint: uint64(len(body)), Body: []byte(body)}
-		reply <- vm.service.Run(ctx, request, func(ctx context.Context) Outcome { return network.execute(ctx, vm, body) })
+		reply <- vm.service.Run(ctx, request, func(ctx context.Context) Outcome {
+			return network.execute(ctx, vm, string(request.Body))
+		})
 	})
 	timer := time.NewTimer(timeout + time.Millisecond)
 	defer timer.Stop()
@@ -182,8 +200,15 @@
 
 func (network *fakeNetwork) wake(name string) {
 	network.mutex.Lock()
-	defer network.mutex.Unlock()
 	vm := network.vms[name]
+	network.mutex.Unlock()
+	network.resume(vm)
+}
+
+// resume wakes a VM, also one that was replaced.
+func (network *fakeNetwork) resume(vm *fakeVM) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
 	select {
 	case <-vm.awake:
 	default:
--- /dev/null
+++ b/internal/swkey/property_test.go
@@ -0,0 +1,224 @@
+package swkey
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+const propertySeed = "20261204"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		if err := flag.Set("rapid.seed", propertySeed); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// action is one event of a random history.
+type action struct {
+	Kind    string
+	VM      int
+	Other   int
+	Key     int
+	Percent int
+	Wait    time.Duration
+}
+
+var (
+	vmNames     = []string{"a", "b", "c", "d"}
+	actionKinds = []string{
+		"issue", "issue", "issue", "send", "send", "send", "send", "send", "send", "send", "send", "send", "send",
+		"pause", "wake", "wake", "kill", "replace", "replace", "handover", "cut", "join", "join", "lose", "deliver",
+		"deliver", "refuse", "accept", "accept", "break", "platform down", "platform up", "platform up", "platform loses",
+	}
+)
+
+func drawAction(t *rapid.T) action {
+	return action{
+		Kind:    rapid.SampledFrom(actionKinds).Draw(t, "kind"),
+		VM:      rapid.IntRange(0, len(vmNames)-1).Draw(t, "vm"),
+		Other:   rapid.IntRange(0, len(vmNames)-1).Draw(t, "other"),
+		Key:     rapid.IntRange(0, 5).Draw(t, "key"),
+		Percent: rapid.IntRange(10, 60).Draw(t, "percent"),
+		Wait:    time.Duration(rapid.SampledFrom([]int{0, 1, 20, 120, 700, 3000}).Draw(t, "wait")) * time.Millisecond,
+	}
+}
+
+// history plays actions and gathers what was sent and answered.
+type history struct {
+	network *fakeNetwork
+	// keys are issued keys and, first, two of the caller's own.
+	keys []string
+
+	mutex   sync.Mutex
+	answers []answer
+}
+
+// answer is what a caller got for one send.
+type answer struct {
+	key      string
+	body     string
+	deadline time.Time
+	outcome  Outcome
+}
+
+func (history *history) play(action action) {
+	network := history.network
+	name, other := vmNames[action.VM], vmNames[action.Other]
+	switch action.Kind {
+	case "issue":
+		batch, err := network.vms[name].service.Issue(context.Background(), 1)
+		if err == nil && !network.isDead(network.vms[name]) {
+			history.keys = append(history.keys, batch.Keys...)
+		}
+	case "send":
+		history.send(network.vms[name], history.keys[len(history.keys)-1-action.Key%len(history.keys)])
+	case "pause":
+		network.pause(name)
+	case "wake":
+		network.wake(name)
+	case "kill":
+		network.kill(name)
+	case "replace":
+		network.start(name)
+	case "handover":
+		service := network.vms[name].service
+		network.group.Go(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, testTimeout)
+			defer cancel()
+			_ = service.Handover(ctx)
+		})
+	case "cut", "join":
+		network.partition(name, other, action.Kind == "cut")
+	case "lose":
+		network.loseAtRandom(action.Percent)
+	case "deliver":
+		network.deliverAll()
+	case "refuse", "accept", "break":
+		network.backend.mutex.Lock()
+		network.backend.refuse = action.Kind == "refuse"
+		network.backend.broken = action.Kind == "break"
+		network.backend.mutex.Unlock()
+	case "platform down", "platform up", "platform loses":
+		network.claims.mutex.Lock()
+		network.claims.down = action.Kind == "platform down"
+		if action.Kind == "platform loses" {
+			network.claims.loseAnswers = action.Key
+		}
+		network.claims.mutex.Unlock()
+	}
+	time.Sleep(action.Wait)
+}
+
+// send sends the work of a key. The body differs by send, so that the backend tells which one ran.
+func (history *history) send(vm *fakeVM, key string) {
+	history.mutex.Lock()
+	number := len(history.answers)
+	body := fmt.Sprintf("%s#%d", key, number)
+	deadline := time.Now().Add(testTimeout)
+	history.answers = append(history.answers, answer{key: key, body: body, deadline: deadline})
+	history.mutex.Unlock()
+	request := RunRequest{Key: key, Caller: "desk", Fingerprint: xxhash.Sum64String(key), Body: []byte(body)}
+	history.network.group.Go(func(context.Context) {
+		outcome := history.network.sendRequest(vm, request, testTimeout)
+		history.mutex.Lock()
+		defer history.mutex.Unlock()
+		history.answers[number].outcome = outcome
+	})
+}
+
+// faults lists how the history broke the promises.
+func (history *history) faults() []string {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+	backend := &history.network.backend
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	var faults []string
+	ranByKey := make(map[string]int)
+	for body, count := range backend.runs {
+		key, _, _ := strings.Cut(body, "#")
+		ranByKey[key] += count
+		if ranByKey[key] > 1 {
+			faults = append(faults, fmt.Sprintf("key %s ran %d times", key, ranByKey[key]))
+		}
+	}
+	for _, answer := range history.answers {
+		ran := backend.runs[answer.body] > 0
+		if ran && answer.outcome.Ran == swcode.RanNo {
+			faults = append(faults, fmt.Sprintf("%s ran and was answered %v", answer.body, answer.outcome))
+		}
+		if ran && backend.began[answer.body].After(answer.deadline) {
+			faults = append(faults, fmt.Sprintf("%s began after its deadline", answer.body))
+		}
+		if answer.outcome.Ran == swcode.RanYes && ranByKey[answer.key] == 0 {
+			faults = append(faults, fmt.Sprintf("%s was answered %v and did not run", answer.body, answer.outcome))
+		}
+	}
+	return faults
+}
+
+func (network *fakeNetwork) loseAtRandom(percent int) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	lose := func(salt string) func(int) bool {
+		return func(number int) bool {
+			return xxhash.Sum64String(fmt.Sprint(salt, number))%100 < uint64(percent)
+		}
+	}
+	network.loseRequest = lose("request")
+	network.loseAnswer = lose("answer")
+}
+
+// settle wakes every VM and waits until every send is answered.
+func (network *fakeNetwork) settle() {
+	for _, vm := range network.all {
+		network.resume(vm)
+	}
+	time.Sleep(time.Hour)
+}
+
+func TestRandomHistoriesRunEachKeyAtMostOnce(t *testing.T) {
+	runs, passedOn := 0, 0
+	rapid.Check(t, func(rapidT *rapid.T) {
+		actions := rapid.SliceOfN(rapid.Custom(drawAction), 20, 120).Draw(rapidT, "actions")
+		takes := time.Duration(rapid.SampledFrom([]int{0, 50, 900}).Draw(rapidT, "takes")) * time.Millisecond
+		var faults []string
+		synctest.Test(t, func(t *testing.T) {
+			network := newFakeNetwork(t, vmNames...)
+			network.backend.takes = takes
+			history := &history{network: network, keys: []string{"invoice 1", "invoice 2"}}
+			for _, action := range actions {
+				history.play(action)
+			}
+			network.settle()
+			faults = history.faults()
+			network.mutex.Lock()
+			defer network.mutex.Unlock()
+			runs += len(network.backend.runs)
+			passedOn += network.messages
+		})
+		if len(faults) > 0 {
+			rapidT.Fatalf("promises broken:\n%s", strings.Join(faults, "\n"))
+		}
+	})
+	if runs == 0 || passedOn == 0 {
+		t.Error("the histories ran nothing or passed nothing on")
+	}
+	t.Logf("%d runs, %d messages between VMs", runs, passedOn)
+}
