Cause a crashing request 50 times over 9 VMs, and retry no unproven crash victim

Cause: a request that crashed a server beside a healthy one was sent again before the evidence had spread.

The bound of two canaries holds where nothing else runs; beside requests that were never answered either the blame is shared and a third may be needed.

--- a/internal/swquarantine/register.go
+++ b/internal/swquarantine/register.go
@@ -174,8 +174,7 @@
 	return time.Duration(hash % uint64(register.config.QuarantineFor))
 }
 
-// MayRetry reports whether a request may be hedged or sent again after a failure: not when it is refused, and not when a
-// server died of it for all that can be told.
+// MayRetry reports whether a request may be hedged or sent again: not when a server died of it for all that can be told.
 func (register *Register) MayRetry(fingerprint uint64) bool {
 	register.mutex.Lock()
 	defer register.mutex.Unlock()
@@ -183,6 +182,12 @@
 	return !ok || subject.score() < uint32(clearShare*fullBlame)
 }
 
+// MayRetryCrashed reports whether a request may be sent again after a server died with it in flight. It decides before
+// the evidence has spread: a request that no server has answered yet may not.
+func (register *Register) MayRetryCrashed(fingerprint uint64) bool {
+	return register.known.has(fingerprint) && register.MayRetry(fingerprint)
+}
+
 // Quarantined reports whether a fingerprint is quarantined, so that what waits in queues can be refused. It spends no
 // trial.
 func (register *Register) Quarantined(fingerprint uint64) bool {
--- /dev/null
+++ b/internal/swquarantine/storm_test.go
@@ -0,0 +1,336 @@
+package swquarantine
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+)
+
+const (
+	stormSeed     = 20261204
+	stormVMs      = 9
+	stormReplicas = 3
+	stormSlots    = 2
+	stormSends    = 50
+	sendEvery     = 200 * time.Millisecond
+	serviceTime   = 20 * time.Millisecond
+	crashAfter    = 5 * time.Millisecond
+	restartTime   = 5 * time.Second
+	gossipDelay   = 100 * time.Millisecond
+	retries       = 2
+)
+
+// policy is how much of the register the VMs use.
+type policy int
+
+const (
+	unprotected    policy = 0
+	quarantineOnly policy = 1
+	withCanary     policy = 2
+)
+
+func (policy policy) String() string {
+	return [...]string{"unprotected", "quarantine", "quarantine+canary"}[policy]
+}
+
+// storm is a crashing request that is sent again and again over all VMs among healthy load.
+type storm struct {
+	policy    policy
+	shards    int
+	group     *swgroup.Group
+	registers []*Register
+	servers   []*stormServer
+
+	mutex  sync.Mutex
+	random *rand.Rand
+	result stormResult
+}
+
+// stormResult counts what came of it.
+type stormResult struct {
+	Deaths         int
+	BadRefused     int
+	Healthy        int
+	HealthyLost    int
+	HealthyRefused int
+	// Accused is the number of healthy fingerprints in quarantine at the end.
+	Accused int
+}
+
+type stormServer struct {
+	name  string
+	owner *Register
+	slots chan struct{}
+
+	mutex    sync.Mutex
+	up       bool
+	inFlight map[*uint64]struct{}
+	crashed  chan struct{}
+}
+
+func newStorm(policy policy, shards int, registers []*Register) *storm {
+	storm := &storm{
+		policy:    policy,
+		shards:    shards,
+		group:     swgroup.New(context.Background()),
+		registers: registers,
+		random:    rand.New(rand.NewPCG(stormSeed, 0)),
+	}
+	for i := range shards * stormReplicas {
+		storm.servers = append(storm.servers, &stormServer{
+			name:     fmt.Sprint("s", i),
+			owner:    registers[i%len(registers)],
+			slots:    make(chan struct{}, stormSlots),
+			up:       true,
+			inFlight: make(map[*uint64]struct{}),
+			crashed:  make(chan struct{}),
+		})
+	}
+	return storm
+}
+
+func (storm *storm) draw(bound int) int {
+	storm.mutex.Lock()
+	defer storm.mutex.Unlock()
+	return storm.random.IntN(bound)
+}
+
+func (storm *storm) count(change func(result *stormResult)) {
+	storm.mutex.Lock()
+	defer storm.mutex.Unlock()
+	change(&storm.result)
+}
+
+// run sends healthy load, and after a time the crashing request as well.
+func (storm *storm) run(healthyPerSecond int) stormResult {
+	const before = 2 * time.Second
+	storm.group.Go(func(context.Context) {
+		for i := range healthyPerSecond * int((before+stormSends*sendEvery)/time.Second) {
+			// Four of five healthy requests are one of fifty popular ones.
+			fingerprint := uint64(1<<32 + i)
+			if storm.draw(5) > 0 {
+				fingerprint = uint64(1<<40 + storm.draw(50))
+			}
+			storm.group.Go(func(context.Context) { storm.healthy(fingerprint) })
+			time.Sleep(time.Second / time.Duration(max(1, healthyPerSecond)))
+		}
+	})
+	time.Sleep(before)
+	for i := range stormSends {
+		storm.group.Go(func(context.Context) {
+			_, refused := storm.query(storm.registers[i%stormVMs], bad)
+			storm.count(func(result *stormResult) {
+				if refused {
+					result.BadRefused++
+				}
+			})
+		})
+		time.Sleep(sendEvery)
+	}
+	storm.group.Wait()
+	for _, suspect := range storm.registers[0].Suspects() {
+		if suspect.Quarantined && suspect.Fingerprint != Format(bad) {
+			storm.result.Accused++
+		}
+	}
+	return storm.result
+}
+
+func (storm *storm) healthy(fingerprint uint64) {
+	whole, refused := storm.query(storm.registers[storm.draw(stormVMs)], fingerprint)
+	storm.count(func(result *stormResult) {
+		result.Healthy++
+		if refused {
+			result.HealthyRefused++
+		}
+		if !whole && !refused {
+			result.HealthyLost++
+		}
+	})
+}
+
+// query runs one query as a root does.
+func (storm *storm) query(root *Register, fingerprint uint64) (whole, refused bool) {
+	verdict := Allowed
+	if storm.policy != unprotected {
+		verdict = root.Check(fingerprint, false)
+	}
+	if verdict == Refused {
+		return false, true
+	}
+	if verdict == Canary && storm.policy == withCanary && !storm.shard(root, fingerprint, storm.draw(storm.shards)) {
+		return false, false
+	}
+	answers := make(chan bool, storm.shards)
+	for shard := range storm.shards {
+		storm.group.Go(func(context.Context) { answers <- storm.shard(root, fingerprint, shard) })
+	}
+	whole = true
+	for range storm.shards {
+		whole = <-answers && whole
+	}
+	if whole {
+		root.Completed(fingerprint)
+	}
+	return whole, false
+}
+
+// shard runs a query's part on live replicas of one shard, sending it again after a crash where that is allowed.
+func (storm *storm) shard(root *Register, fingerprint uint64, shard int) bool {
+	for range 1 + retries {
+		server := storm.replica(shard)
+		if server == nil {
+			return false
+		}
+		if server.serve(storm, fingerprint) {
+			root.Answered(fingerprint)
+			return true
+		}
+		if storm.policy != unprotected && !root.MayRetryCrashed(fingerprint) {
+			return false
+		}
+	}
+	return false
+}
+
+func (storm *storm) replica(shard int) *stormServer {
+	first := storm.draw(stormReplicas)
+	for i := range stormReplicas {
+		server := storm.servers[shard*stormReplicas+(first+i)%stormReplicas]
+		if server.isUp() {
+			return server
+		}
+	}
+	return nil
+}
+
+func (server *stormServer) isUp() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.up
+}
+
+// serve runs a request and reports whether the server lived to answer it.
+func (server *stormServer) serve(storm *storm, fingerprint uint64) bool {
+	server.slots <- struct{}{}
+	defer func() { <-server.slots }()
+	request := &fingerprint
+	server.mutex.Lock()
+	if !server.up {
+		server.mutex.Unlock()
+		return false
+	}
+	server.inFlight[request] = struct{}{}
+	crashed := server.crashed
+	server.mutex.Unlock()
+	if fingerprint == bad {
+		time.Sleep(crashAfter)
+		server.crash(storm, request)
+		return false
+	}
+	timer := time.NewTimer(serviceTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		server.mutex.Lock()
+		delete(server.inFlight, request)
+		server.mutex.Unlock()
+		server.owner.Answered(fingerprint)
+		return true
+	case <-crashed:
+		return false
+	}
+}
+
+// crash ends everything in flight and restarts the server after a time.
+func (server *stormServer) crash(storm *storm, request *uint64) {
+	server.mutex.Lock()
+	if _, ok := server.inFlight[request]; !ok {
+		server.mutex.Unlock()
+		return
+	}
+	var fingerprints []uint64
+	for other := range server.inFlight {
+		fingerprints = append(fingerprints, *other)
+	}
+	server.inFlight = make(map[*uint64]struct{})
+	server.up = false
+	close(server.crashed)
+	server.crashed = make(chan struct{})
+	server.mutex.Unlock()
+	storm.count(func(result *stormResult) { result.Deaths++ })
+	server.owner.Death(server.name, fingerprints)
+	time.AfterFunc(restartTime, func() {
+		server.mutex.Lock()
+		defer server.mutex.Unlock()
+		server.up = true
+	})
+}
+
+func TestCrashingRequestSentOverAllVMsAmongHealthyLoad(t *testing.T) {
+	const shards = 10
+	synctest.Test(t, func(t *testing.T) {
+		registers := newRegisters(&fakeBoards{delay: gossipDelay}, stormVMs)
+		result := newStorm(withCanary, shards, registers).run(100)
+		check(t, "no server dies after the first fan-out", true, result.Deaths <= shards)
+		check(t, "every resend is refused", stormSends-1, result.BadRefused)
+		check(t, "healthy requests refused", 0, result.HealthyRefused)
+		check(t, "healthy fingerprints in quarantine", 0, result.Accused)
+	})
+}
+
+func TestCrashingRequestWhileACrashIsRecentReachesNoFanOut(t *testing.T) {
+	const shards = 10
+	result := measure(t, withCanary, shards, 100, true)
+	check(t, "one server a send at most", true, result.Deaths <= stormSends-result.BadRefused)
+	check(t, "fewer servers than one fan-out", true, result.Deaths < shards)
+	check(t, "healthy fingerprints in quarantine", 0, result.Accused)
+}
+
+func TestTwoCanariesDieWhereNothingElseRuns(t *testing.T) {
+	result := measure(t, withCanary, 10, 0, true)
+	check(t, "servers that died", 2, result.Deaths)
+	check(t, "sends refused", stormSends-2, result.BadRefused)
+}
+
+// TestLossesByPolicy logs the losses to a crashing request that is sent 50 times; docs/measurements/keys.md has them.
+func TestLossesByPolicy(t *testing.T) {
+	cases := []struct {
+		shards  int
+		healthy int
+		recent  bool
+	}{{10, 100, false}, {10, 100, true}, {450, 5, false}, {450, 5, true}}
+	for _, size := range cases {
+		if testing.Short() && size.shards > 10 {
+			continue
+		}
+		var deaths [3]int
+		for _, policy := range []policy{unprotected, quarantineOnly, withCanary} {
+			result := measure(t, policy, size.shards, size.healthy, size.recent)
+			deaths[policy] = result.Deaths
+			t.Logf("shards=%d recent=%t %s: %+v", size.shards, size.recent, policy, result)
+			check(t, "healthy fingerprints in quarantine", 0, result.Accused)
+		}
+		check(t, "quarantine loses fewer servers", true, deaths[quarantineOnly] < deaths[unprotected])
+		check(t, "a canary loses no more", true, deaths[withCanary] <= deaths[quarantineOnly])
+	}
+}
+
+func measure(t *testing.T, policy policy, shards, healthy int, recent bool) stormResult {
+	var result stormResult
+	synctest.Test(t, func(*testing.T) {
+		registers := newRegisters(&fakeBoards{delay: gossipDelay}, stormVMs)
+		if recent {
+			registers[0].Death("another", []uint64{1})
+			time.Sleep(time.Second)
+		}
+		result = newStorm(policy, shards, registers).run(healthy)
+	})
+	return result
+}
