--- /dev/null
+++ b/cmd/exit.go
@@ -0,0 +1,17 @@
+package cmd
+
+// Exit codes of the rules commands besides exitOK and exitFailed. docs/operate/rules.md lists them.
+const (
+	// exitProblems means that a rule file has errors.
+	exitProblems = 2
+	// exitRace means that another edit came first; nothing was written.
+	exitRace = 3
+	// exitUnknown means that it is not known whether the edit was written.
+	exitUnknown = 4
+	// exitUnavailable means that the platform could not be reached; nothing was written.
+	exitUnavailable = 5
+	// exitNotInForce means that a version is not in force in every data centre.
+	exitNotInForce = 6
+	// exitDifferent means that files or rules differ.
+	exitDifferent = 7
+)
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -55,5 +55,6 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newServeCommand(), newSettingsCommand(), newSearchCommand(), newStatusCommand(), newVersionCommand())
+	root.AddCommand(newRulesCommand())
 	return root
 }
--- /dev/null
+++ b/cmd/rules_apply.go
@@ -0,0 +1,214 @@
+package cmd
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sycamorewall/sycamorewall/internal/swedit"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+)
+
+// rulesApplyCommand makes a rule file the rules at the platform.
+type rulesApplyCommand struct {
+	command     *cobra.Command
+	platform    platformOptions
+	output      outputOptions
+	base        uint64
+	by          string
+	wait        bool
+	waitTimeout time.Duration
+}
+
+// The outcomes of an apply.
+const (
+	outcomeAccepted    = "Accepted"
+	outcomeUnchanged   = "Unchanged"
+	outcomeRace        = "Race"
+	outcomeUnknown     = "Unknown"
+	outcomeUnavailable = "Unavailable"
+)
+
+// rulesApplied is what the apply command prints.
+type rulesApplied struct {
+	Outcome string
+	EditID  string `json:",omitempty"`
+	// Base is the version that the operator edited.
+	Base uint64
+	// Version is the version that the edit made, or the one at the platform in a race.
+	Version uint64
+	// Current is the version at the platform when the outcome was known.
+	Current uint64 `json:",omitempty"`
+	// Settled means that the edit was found by its ID.
+	Settled bool `json:",omitempty"`
+	// Diff leads from the rules at the platform to the file, in a race.
+	Diff string `json:",omitempty"`
+	// Edits are the rival edits, in a race.
+	Edits []swedit.Edit `json:",omitempty"`
+	// DataCentres tells how far the version has come, after a wait.
+	DataCentres []swedit.DataCentre `json:",omitempty"`
+}
+
+func newRulesApplyCommand() *rulesApplyCommand {
+	apply := &rulesApplyCommand{}
+	apply.command = &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Make a rule file the rules, if they are still at the version that was edited",
+		Long: `Make a rule file the rules, if they are still at the version that was edited.
+
+The first line of the file names that version, as in "# Version: 41"; --base overrides it. Version 0 makes the first
+rules. Once the edit is accepted, the first line of the file is changed to name the new version. An apply that ended
+without a known outcome can be repeated with the same file: it finds its own edit.`,
+		Args: cobra.ExactArgs(1),
+		RunE: apply.run,
+	}
+	apply.platform.register(apply.command)
+	apply.output.register(apply.command)
+	flags := apply.command.Flags()
+	flags.Uint64Var(&apply.base, "base", 0, "version that was edited, instead of the one in the file's first line")
+	flags.StringVar(&apply.by, "by", os.Getenv("USER"), "name of the operator for the history")
+	flags.BoolVar(&apply.wait, "wait", false, "wait until the rules are in force in every data centre")
+	flags.DurationVar(&apply.waitTimeout, "wait-timeout", defaultTimeout, "how long to wait with --wait")
+	return apply
+}
+
+func (apply *rulesApplyCommand) run(command *cobra.Command, args []string) error {
+	path := args[0]
+	request, err := apply.request(command, path)
+	if err != nil {
+		return err
+	}
+	client, err := apply.platform.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	result, err := apply.edit(command.Context(), client, request)
+	if err != nil {
+		return apply.explain(command, path, request, err)
+	}
+	if err := updateFileHeader(path, request.Text, result.Version); err != nil {
+		fmt.Fprintf(command.ErrOrStderr(), "%s: version %d is accepted, but the first line does not name it: %v\n", path, result.Version, err)
+	}
+	applied := rulesApplied{
+		Outcome: outcomeAccepted, EditID: result.EditID, Base: request.Base, Version: result.Version, Current: result.Current,
+		Settled: result.Settled,
+	}
+	if result.Unchanged {
+		applied.Outcome = outcomeUnchanged
+	}
+	if !apply.wait {
+		return apply.print(command, applied)
+	}
+	return apply.await(command, client, applied)
+}
+
+func (apply *rulesApplyCommand) request(command *cobra.Command, path string) (swedit.Request, error) {
+	ruleSet, err := parseFile(command, path)
+	if err != nil {
+		return swedit.Request{}, err
+	}
+	request := swedit.Request{Text: ruleSet.String(), Base: apply.base, By: apply.by}
+	if request.By == "" {
+		return swedit.Request{}, errors.New("say who you are with --by")
+	}
+	if command.Flags().Changed("base") {
+		return request, nil
+	}
+	base, ok := swedit.HeaderVersion(request.Text)
+	if !ok {
+		return swedit.Request{}, errors.Errorf("%s does not name the version that was edited: begin it with a line such as # Version: 41, or give --base", path)
+	}
+	request.Base = base
+	return request, nil
+}
+
+func (apply *rulesApplyCommand) edit(ctx context.Context, client *swplatform.Client, request swedit.Request) (swedit.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, apply.platform.timeout)
+	defer cancel()
+	return swedit.New(swedit.Config{Store: client}).Apply(ctx, request)
+}
+
+// explain prints an outcome that is no success and returns the error that ends the command.
+func (apply *rulesApplyCommand) explain(command *cobra.Command, path string, request swedit.Request, err error) error {
+	applied := rulesApplied{Base: request.Base}
+	var code int
+	var race *swedit.RaceError
+	var unknown *swedit.UnknownError
+	var unavailable *swedit.UnavailableError
+	switch {
+	case errors.As(err, &race):
+		code = exitRace
+		applied.Outcome, applied.Version, applied.Edits = outcomeRace, race.Version, race.Edits
+		applied.Diff = diffRules(versionName(race.Version), race.Text, path, request.Text)
+	case errors.As(err, &unknown):
+		code = exitUnknown
+		applied.Outcome, applied.EditID, applied.Current = outcomeUnknown, unknown.EditID, unknown.Version
+	case errors.As(err, &unavailable):
+		code = exitUnavailable
+		applied.Outcome = outcomeUnavailable
+	default:
+		return err
+	}
+	if printErr := apply.print(command, applied); printErr != nil {
+		return printErr
+	}
+	return &exitError{code: code, err: err}
+}
+
+// await follows the version into force and prints how far it has come.
+func (apply *rulesApplyCommand) await(command *cobra.Command, client *swplatform.Client, applied rulesApplied) error {
+	ctx, cancel := context.WithTimeout(command.Context(), apply.waitTimeout)
+	defer cancel()
+	tracker := swedit.NewTracker(swedit.TrackerConfig{Store: client, Version: applied.Version})
+	report, waitErr := tracker.Wait(ctx)
+	applied.DataCentres = report.DataCentres
+	if err := apply.print(command, applied); err != nil {
+		return err
+	}
+	if waitErr != nil && !errors.Is(waitErr, context.DeadlineExceeded) {
+		return &exitError{code: exitNotInForce, err: waitErr}
+	}
+	return inForce(report)
+}
+
+func (apply *rulesApplyCommand) print(command *cobra.Command, applied rulesApplied) error {
+	return apply.output.print(command, applied, func(out io.Writer) {
+		switch applied.Outcome {
+		case outcomeAccepted:
+			fmt.Fprintf(out, "Version %d is accepted (edit %s).\n", applied.Version, applied.EditID)
+		case outcomeUnchanged:
+			fmt.Fprintf(out, "Version %d already has these rules; nothing was written.\n", applied.Version)
+		case outcomeRace:
+			printRace(out, applied)
+		}
+		if applied.Current > applied.Version && applied.Outcome == outcomeAccepted {
+			fmt.Fprintf(out, "Another edit has followed: the rules are at version %d.\n", applied.Current)
+		}
+		if applied.DataCentres != nil {
+			printReport(out, swedit.Report{Version: applied.Version, DataCentres: applied.DataCentres})
+		}
+	})
+}
+
+func printRace(out io.Writer, applied rulesApplied) {
+	for _, edit := range applied.Edits {
+		by := cmp.Or(edit.By, "an unnamed operator")
+		fmt.Fprintf(out, "Edited by %s at %s (edit %s).\n", by, edit.At.UTC().Format(time.RFC3339), edit.ID)
+	}
+	fmt.Fprint(out, applied.Diff)
+}
+
+// updateFileHeader names the accepted version in the first line of a file that names one.
+func updateFileHeader(path, text string, version uint64) error {
+	if _, ok := swedit.HeaderVersion(text); !ok || path == standardInput {
+		return nil
+	}
+	return rewriteFile(path, swedit.SetHeader(text, version))
+}
--- /dev/null
+++ b/cmd/rules_match.go
@@ -0,0 +1,101 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
+)
+
+// rulesTestCommand tells which rule a request would meet.
+type rulesTestCommand struct {
+	command  *cobra.Command
+	platform platformOptions
+	output   outputOptions
+	request  swrule.Request
+}
+
+// rulesTest is the rule that a request meets.
+type rulesTest struct {
+	// Version is the version at the platform, or zero for a file.
+	Version  uint64
+	Action   string
+	Priority swrule.Priority
+	// Line is zero when no rule matches.
+	Line int
+	Rule string
+	// Code is the result code of a refusal, or OK.
+	Code string
+}
+
+func newRulesTestCommand() *rulesTestCommand {
+	test := &rulesTestCommand{}
+	test.command = &cobra.Command{
+		Use:   "test [FILE]",
+		Short: "Tell which rule of a file, or of the rules at the platform, a request would meet",
+		Args:  cobra.MaximumNArgs(1),
+		RunE:  test.run,
+	}
+	test.platform.register(test.command)
+	test.output.register(test.command)
+	flags := test.command.Flags()
+	flags.StringVar(&test.request.Caller, "caller", "", "caller of the request")
+	flags.StringVar(&test.request.Kind, "kind", "", "kind of the request")
+	flags.StringVar(&test.request.Index, "index", "", "index of the request")
+	flags.StringVar(&test.request.Fingerprint, "fingerprint", "", "fingerprint of the request")
+	return test
+}
+
+func (test *rulesTestCommand) run(command *cobra.Command, args []string) error {
+	ruleSet, version, err := test.ruleSet(command, args)
+	if err != nil {
+		return err
+	}
+	decision := ruleSet.Match(test.request)
+	result := rulesTest{
+		Version: version, Action: decision.Action.String(), Priority: decision.Priority, Line: decision.Line,
+		Rule: decision.Text, Code: refusalCode(decision).String(),
+	}
+	return test.output.print(command, result, func(out io.Writer) {
+		if result.Line == 0 {
+			fmt.Fprintf(out, "no rule matches: %s with %s\n", result.Action, result.Code)
+			return
+		}
+		fmt.Fprintf(out, "line %d: %s\n", result.Line, result.Rule)
+	})
+}
+
+func (test *rulesTestCommand) ruleSet(command *cobra.Command, args []string) (*swrule.RuleSet, uint64, error) {
+	if len(args) > 0 {
+		ruleSet, err := parseFile(command, args[0])
+		return ruleSet, 0, err
+	}
+	rules, err := readRules(command.Context(), &test.platform)
+	if err != nil {
+		return nil, 0, err
+	}
+	if rules.bad != nil {
+		return nil, 0, rules.bad
+	}
+	ruleSet, problems := swrule.Parse([]byte(rules.document.Text))
+	if ruleSet == nil {
+		printProblems(command.ErrOrStderr(), versionName(rules.version), problems)
+		return nil, 0, &exitError{code: exitProblems, err: errors.Errorf("the rules at version %d have errors", rules.version)}
+	}
+	return ruleSet, rules.version, nil
+}
+
+// refusalCode returns the result code with which a caller would see the decision.
+func refusalCode(decision swrule.Decision) swcode.Code {
+	switch {
+	case decision.Action != swrule.Refuse:
+		return swcode.OK
+	case decision.Line == 0:
+		return swcode.NoRuleMatched
+	}
+	return swcode.RefusedByRule
+}
