Tell a data centre whose watcher misses a version from one that lags

Watchers write an unchanged status once a minute, so age alone took more than 60 s to show a cut. During a wait a data centre whose watcher does not know the version after 10 s is out of reach; one that rejected it is behind.

--- a/internal/swedit/tracker.go
+++ b/internal/swedit/tracker.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// defaultStaleAfter is the age at which a status tells that its data centre is out of reach.
-	defaultStaleAfter = 30 * time.Second
+	// defaultStaleAfter is the age at which a status tells that its data centre is out of reach. Watchers write a status
+	// that does not change once a minute.
+	defaultStaleAfter = 90 * time.Second
+	// defaultReachAfter is how long a data centre's watcher may take to learn of a version.
+	defaultReachAfter = 10 * time.Second
 	// defaultInterval is the time between two looks at the status objects.
 	defaultInterval = 500 * time.Millisecond
 )
@@ -32,8 +35,11 @@
 	Store StatusStore
 	// Version is the rules version to look for.
 	Version uint64
-	// StaleAfter is the age at which a status tells that its data centre is out of reach. The default is 30 s.
+	// StaleAfter is the age at which a status tells that its data centre is out of reach. The default is 90 s.
 	StaleAfter time.Duration
+	// ReachAfter is how long a data centre's watcher may go on without the version, from the first look, before the data
+	// centre counts as out of reach. The default is 10 s.
+	ReachAfter time.Duration
 	// Interval is the time between two looks. The default is 500 ms.
 	Interval time.Duration
 }
@@ -47,7 +53,8 @@
 	InForce Spread = "InForce"
 	// Behind means that some VM has not reported the version yet.
 	Behind Spread = "Behind"
-	// OutOfReach means that the version is not known to be in force and the data centre's status is missing or old.
+	// OutOfReach means that the version is not known to be in force and that the data centre's status is missing or old,
+	// or that its watcher does not learn of the version.
 	OutOfReach Spread = "OutOfReach"
 )
 
@@ -90,6 +97,8 @@
 	seen map[string]seenStatus
 	// listed holds the data centres that have entry VMs at the platform, once the list is known.
 	listed map[string]bool
+	// started is the time of the first look.
+	started time.Time
 }
 
 type seenStatus struct {
@@ -103,6 +112,9 @@
 	if config.StaleAfter <= 0 {
 		config.StaleAfter = defaultStaleAfter
 	}
+	if config.ReachAfter <= 0 {
+		config.ReachAfter = defaultReachAfter
+	}
 	if config.Interval <= 0 {
 		config.Interval = defaultInterval
 	}
@@ -133,6 +145,9 @@
 
 // Look reads the status objects once.
 func (tracker *Tracker) Look(ctx context.Context) (Report, error) {
+	if tracker.started.IsZero() {
+		tracker.started = time.Now()
+	}
 	if err := tracker.listDataCentres(ctx); err != nil {
 		return Report{}, err
 	}
@@ -210,8 +225,20 @@
 		return result
 	}
 	result.Spread = Behind
-	if time.Since(seen.status.At) > tracker.config.StaleAfter {
+	stale := time.Since(seen.status.At) > tracker.config.StaleAfter
+	if stale || tracker.unaware(&seen.status) {
 		result.Spread = OutOfReach
 	}
 	return result
 }
+
+// unaware reports whether the watcher that wrote the status had the time to learn of the version and did not. One that
+// rejected the version knows of it.
+func (tracker *Tracker) unaware(status *swrollout.Status) bool {
+	for _, vm := range status.VMs {
+		if vm.Rejected != "" {
+			return false
+		}
+	}
+	return status.Rules.Version < tracker.config.Version && time.Since(tracker.started) >= tracker.config.ReachAfter
+}
