--- a/internal/swadmission/queue_test.go
+++ b/internal/swadmission/queue_test.go
@@ -68,7 +68,7 @@
 	for id, waiter := range run.waiting {
 		delete(run.waiting, id)
 		run.refused[id] = true
-		run.queue.withdraw(ctx, waiter)
+		_ = run.queue.withdraw(ctx, waiter)
 		return
 	}
 }
