Shed by the load that callers offer, not by repeated cuts of fractions

Cause: fractions were cut and grown step by step from intervals of 50 ms with about four arrivals, while the roots thinned the load by another queue's threshold; every noisy interval halved a fraction and growth took seconds. Now each queue reads the offered load from the cohorts that still arrive and sets the fraction to level over load.

--- a/internal/swadmission/floods_test.go
+++ b/internal/swadmission/floods_test.go
@@ -86,20 +86,18 @@
 	}
 	fmt.Println("| flood | shedding | priority | offered/s | whole/s | refused/s | cut/s | wasted | p99 | most at once |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-	for _, cohorts := range []bool{false, true} {
+	for _, shedding := range []string{"queue alone", "cohort"} {
 		for _, test := range floodCases(1) {
-			test.scenario.cohorts = cohorts
-			tallies, peak := runModel(t, test.scenario)
-			printRows(test.name, cohorts, tallies, peak)
+			t.Run(shedding+"/"+test.name, func(t *testing.T) {
+				test.scenario.cohorts = shedding == "cohort"
+				tallies, peak := runModel(t, test.scenario)
+				printRows(test.name, shedding, tallies, peak)
+			})
 		}
 	}
 }
 
-func printRows(name string, cohorts bool, tallies map[string]*tally, peak int) {
-	shedding := "queue alone"
-	if cohorts {
-		shedding = "cohort"
-	}
+func printRows(name, shedding string, tallies map[string]*tally, peak int) {
 	seconds := (floodTotal - floodCounted).Seconds()
 	for priority := range swrule.Priority(swrule.Priorities) {
 		tally := tallies[priority.String()]
--- a/internal/swadmission/queue.go
+++ b/internal/swadmission/queue.go
@@ -360,19 +360,10 @@
 	elapsed := now.Sub(queue.ticked)
 	queue.ticked = now
 	for i := range queue.shedders {
-		queue.shedders[i].adjust(elapsed, queue.capacity(swrule.Priority(i)))
+		queue.shedders[i].adjust(elapsed)
 	}
 }
 
-// capacity returns how many sub-requests of the priority the slots could run in a second, or zero when unknown.
-func (queue *Queue) capacity(priority swrule.Priority) float64 {
-	service := queue.service.mean(priority)
-	if service <= 0 {
-		return 0
-	}
-	return float64(queue.slots.whole()) / service.Seconds()
-}
-
 // Release gives a slot back. service is the time that the backend server took; result tells what came of the work.
 func (queue *Queue) Release(lease Lease, result Result) {
 	now := time.Now()
--- a/internal/swadmission/shedder.go
+++ b/internal/swadmission/shedder.go
@@ -10,49 +10,69 @@
 
 const (
 	// shedInterval is the time between two adjustments of thresholds.
-	shedInterval = 50 * time.Millisecond
-	// shedSamples is the number of arrivals without which a threshold is not lowered.
+	shedInterval = 100 * time.Millisecond
+	// shedSamples is the number of arrivals without which a level is not lowered.
 	shedSamples = 4
 	// leastFraction is the fraction that is always admitted, so that the load stays observable.
 	leastFraction = 0.004
-	// steepestCut is the largest reduction of a fraction in one adjustment.
-	steepestCut = 0.5
+	// lossTolerated is the share of arrivals that may be lost before the level is lowered.
+	lossTolerated = 0.02
+	// cutTo is the part of the load served to which an overload lowers the level.
+	cutTo = 0.95
+	// steepestCut is the largest reduction of a level in one adjustment after the first.
+	steepestCut = 0.7
 	// growthBase is the growth of the level in an adjustment soon after a cut.
-	growthBase = 0.005
+	growthBase = 0.01
 	// growthSlope is the additional growth for each second since the last cut.
-	growthSlope = 0.02
-	// growthMost bounds the growth of a level or fraction in one adjustment.
-	growthMost = 0.05
+	growthSlope = 0.04
+	// growthMost bounds the growth of a level in one adjustment.
+	growthMost = 0.10
+	// bindingPart is the part of a fraction that must be in use for the level to count as binding.
+	bindingPart = 0.8
+	// unboundAfter is the time after which a level that does not bind is dropped.
+	unboundAfter = 5 * time.Second
+	// recoveryMost bounds the growth of a fraction in one adjustment.
+	recoveryMost = 0.20
 	// reportedCallers is the number of heavy callers that a report names for a priority.
 	reportedCallers = 4
 	// trackedCallers is the number of callers whose load is known apart; others are taken together.
 	trackedCallers = 64
 	// demandGain is the weight of the latest interval in a caller's load.
-	demandGain = 0.3
+	demandGain = 0.2
+	// demandJump is the factor above which the latest interval replaces a caller's load.
+	demandJump = 2
+	// servedGain is the weight of the latest interval in the load served.
+	servedGain = 0.3
 )
 
 // shedder controls which cohorts of one priority a queue admits. Its level is the load of one caller, in sub-requests a
-// second, that the queue takes; each caller's admitted fraction follows from its load and the level, so that a caller
-// above its fair share is cut and its peers are not.
+// second, that the queue takes; each caller's admitted fraction is the level over the load that the caller offers, so
+// that a caller above its fair share is cut and its peers are not. Roots thin the load before it arrives, by this
+// queue's thresholds or another's; the cohorts that still arrive tell how much, since cohorts are spread evenly.
 type shedder struct {
-	target   time.Duration
+	target time.Duration
+	// level is zero when nothing is bounded.
 	level    float64
 	callers  map[string]*callerDemand
+	served   float64
 	arrivals int
 	starts   int
 	lost     int
 	waited   time.Duration
 	sinceCut time.Duration
+	unbound  time.Duration
 }
 
 // callerDemand is the load of one caller.
 type callerDemand struct {
 	// fraction is the share of the caller's cohorts that is admitted.
 	fraction float64
-	// eligible counts the arrivals of admitted cohorts in this interval.
-	eligible int
-	// rate is the smoothed load of admitted cohorts a second.
-	rate float64
+	// arrivals and cohorts are the number and the sum of the cohorts of arrivals in this interval.
+	arrivals int
+	cohorts  float64
+	// rate and cohortRate are the smoothed arrivals and cohorts a second.
+	rate       float64
+	cohortRate float64
 }
 
 func newShedder(target time.Duration) shedder {
@@ -62,10 +82,11 @@
 // arrive counts work and reports whether its cohort is admitted.
 func (shedder *shedder) arrive(caller string, cohort uint16) bool {
 	demand := shedder.demand(caller)
+	demand.arrivals++
+	demand.cohorts += float64(cohort)
 	if demand.fraction < 1 && cohort >= asCohort(demand.fraction) {
 		return false
 	}
-	demand.eligible++
 	shedder.arrivals++
 	return true
 }
@@ -89,14 +110,12 @@
 }
 
 // adjust moves the level and the callers' fractions by what the last interval showed.
-func (shedder *shedder) adjust(elapsed time.Duration, capacity float64) {
+func (shedder *shedder) adjust(elapsed time.Duration) {
 	shedder.measure(elapsed)
 	if shedder.overloaded() {
-		shedder.cut(capacity)
-		shedder.sinceCut = 0
+		shedder.cut(elapsed)
 	} else {
-		shedder.sinceCut += elapsed
-		shedder.grow(capacity)
+		shedder.grow(elapsed)
 	}
 	for caller, demand := range shedder.callers {
 		demand.follow(shedder.level)
@@ -109,56 +128,111 @@
 
 func (shedder *shedder) measure(elapsed time.Duration) {
 	for _, demand := range shedder.callers {
-		rate := float64(demand.eligible) / elapsed.Seconds()
-		demand.rate += demandGain * (rate - demand.rate)
-		demand.eligible = 0
+		demand.measure(elapsed)
+	}
+	shedder.served += servedGain * (float64(shedder.starts)/elapsed.Seconds() - shedder.served)
+}
+
+func (demand *callerDemand) measure(elapsed time.Duration) {
+	rate := float64(demand.arrivals) / elapsed.Seconds()
+	cohorts := demand.cohorts / elapsed.Seconds()
+	gain := demandGain
+	if demand.arrivals >= shedSamples && rate > demandJump*demand.rate {
+		gain = 1
+	}
+	demand.rate += gain * (rate - demand.rate)
+	demand.cohortRate += gain * (cohorts - demand.cohortRate)
+	demand.arrivals, demand.cohorts = 0, 0
+}
+
+// arriving returns the share of the caller's cohorts that roots let through: twice the mean cohort.
+func (demand *callerDemand) arriving() float64 {
+	if demand.rate == 0 {
+		return 1
 	}
+	return max(leastFraction, min(1, 2*demand.cohortRate/demand.rate/AllCohorts))
+}
+
+// offered returns the load in sub-requests a second that would arrive if nothing were shed at the roots.
+func (demand *callerDemand) offered() float64 {
+	return demand.rate / demand.arriving()
 }
 
 func (shedder *shedder) overloaded() bool {
 	if shedder.arrivals < shedSamples {
 		return false
 	}
-	if shedder.lost > 0 {
+	if float64(shedder.lost) > lossTolerated*float64(shedder.arrivals) {
 		return true
 	}
 	return shedder.starts > 0 && shedder.waited/time.Duration(shedder.starts) > shedder.target
 }
 
-// cut lowers the level below the heaviest caller's load by the part that was not served.
-func (shedder *shedder) cut(capacity float64) {
-	served := float64(shedder.starts) / float64(shedder.arrivals)
-	if capacity > 0 && (shedder.level == 0 || shedder.level > capacity) {
-		shedder.level = capacity
+// cut lowers the level to what was served.
+func (shedder *shedder) cut(elapsed time.Duration) {
+	served := max(shedder.served, float64(shedder.starts)/elapsed.Seconds())
+	level := cutTo * shedder.waterLevel(served)
+	if shedder.level > 0 {
+		level = max(steepestCut*shedder.level, min(cutTo*shedder.level, level))
 	}
-	heaviest := 0.0
+	shedder.level = level
+	shedder.sinceCut, shedder.unbound = 0, 0
+}
+
+// waterLevel returns the load of one caller at which the callers' loads, none above it, add up to total.
+func (shedder *shedder) waterLevel(total float64) float64 {
+	loads := make([]float64, 0, len(shedder.callers))
 	for _, demand := range shedder.callers {
-		heaviest = max(heaviest, demand.rate)
+		loads = append(loads, demand.offered())
+	}
+	slices.Sort(loads)
+	for i, load := range loads {
+		share := total / float64(len(loads)-i)
+		if load >= share {
+			return share
+		}
+		total -= load
 	}
-	if shedder.level == 0 || shedder.level > heaviest {
-		shedder.level = heaviest
+	if len(loads) == 0 {
+		return total
 	}
-	shedder.level *= min(1-growthBase, max(steepestCut, served))
+	return loads[len(loads)-1]
 }
 
-func (shedder *shedder) grow(capacity float64) {
+// grow raises a level that binds, and drops one that has not bound for a while.
+func (shedder *shedder) grow(elapsed time.Duration) {
 	if shedder.level == 0 {
 		return
 	}
-	step := min(growthMost, growthBase+growthSlope*shedder.sinceCut.Seconds())
-	shedder.level *= 1 + step
-	if capacity > 0 && shedder.level > 2*capacity {
-		shedder.level = 0
+	shedder.sinceCut += elapsed
+	if !shedder.binding() {
+		shedder.unbound += elapsed
+		if shedder.unbound > unboundAfter {
+			shedder.level = 0
+		}
+		return
+	}
+	shedder.unbound = 0
+	shedder.level *= 1 + min(growthMost, growthBase+growthSlope*shedder.sinceCut.Seconds())
+}
+
+// binding reports whether the level is what holds some caller's load down.
+func (shedder *shedder) binding() bool {
+	for _, demand := range shedder.callers {
+		if demand.fraction < 1 && demand.arriving() > bindingPart*demand.fraction {
+			return true
+		}
 	}
+	return false
 }
 
-// follow moves the fraction towards the level. A level of zero bounds nothing.
+// follow moves the fraction to the level. A level of zero bounds nothing.
 func (demand *callerDemand) follow(level float64) {
-	factor := 1 + growthMost
-	if level > 0 && demand.rate > 0 {
-		factor = max(steepestCut, min(factor, level/demand.rate))
+	wanted := 1.0
+	if offered := demand.offered(); level > 0 && offered > level {
+		wanted = level / offered
 	}
-	demand.fraction = max(leastFraction, min(1, demand.fraction*factor))
+	demand.fraction = max(leastFraction, min(wanted, demand.fraction*(1+recoveryMost)))
 }
 
 func asCohort(fraction float64) uint16 {
