Count only admitted cohorts when reading the load that callers offer

Cause: cohorts from before the thresholds spread stood in the smoothed load for seconds, so levels stayed too high and admitted queries were cut; then levels grew too slowly. The smoothed load is now cut down to the admitted cohorts with each change of a fraction, and levels that bind grow by 3 to 15 % an interval.

--- a/internal/swadmission/floods_test.go
+++ b/internal/swadmission/floods_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,8 +85,8 @@
 	if !*floodTable {
 		t.Skip("run with -flood.table to print the table")
 	}
-	fmt.Println("| flood | shedding | priority | offered/s | whole/s | refused/s | cut/s | wasted | p99 | most at once |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Fprintln(os.Stdout, "| flood | shedding | priority | offered/s | whole/s | refused/s | cut/s | wasted | p99 | most at once |")
+	fmt.Fprintln(os.Stdout, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, shedding := range []string{"queue alone", "cohort"} {
 		for _, test := range floodCases(1) {
 			t.Run(shedding+"/"+test.name, func(t *testing.T) {
@@ -101,7 +102,7 @@
 	seconds := (floodTotal - floodCounted).Seconds()
 	for priority := range swrule.Priority(swrule.Priorities) {
 		tally := tallies[priority.String()]
-		fmt.Printf("| %s | %s | %s | %.0f | %.0f | %.0f | %.0f | %.1f %% | %.1f ms | %d |\n", name, shedding, priority,
+		fmt.Fprintf(os.Stdout, "| %s | %s | %s | %.0f | %.0f | %.0f | %.0f | %.1f %% | %.1f ms | %d |\n", name, shedding, priority,
 			float64(tally.offered)/seconds, float64(tally.whole)/seconds, float64(tally.refused)/seconds,
 			float64(tally.cut)/seconds, 100*float64(tally.wasted)/float64(max(1, tally.ran)),
 			float64(tally.p99().Microseconds())/1000, peak)
--- a/internal/swadmission/shedder.go
+++ b/internal/swadmission/shedder.go
@@ -22,11 +22,11 @@
 	// steepestCut is the largest reduction of a level in one adjustment after the first.
 	steepestCut = 0.7
 	// growthBase is the growth of the level in an adjustment soon after a cut.
-	growthBase = 0.01
+	growthBase = 0.03
 	// growthSlope is the additional growth for each second since the last cut.
-	growthSlope = 0.04
+	growthSlope = 0.10
 	// growthMost bounds the growth of a level in one adjustment.
-	growthMost = 0.10
+	growthMost = 0.15
 	// bindingPart is the part of a fraction that must be in use for the level to count as binding.
 	bindingPart = 0.8
 	// unboundAfter is the time after which a level that does not bind is dropped.
@@ -67,10 +67,10 @@
 type callerDemand struct {
 	// fraction is the share of the caller's cohorts that is admitted.
 	fraction float64
-	// arrivals and cohorts are the number and the sum of the cohorts of arrivals in this interval.
+	// arrivals and cohorts are the number and the sum of the cohorts of admitted arrivals in this interval.
 	arrivals int
 	cohorts  float64
-	// rate and cohortRate are the smoothed arrivals and cohorts a second.
+	// rate and cohortRate are the smoothed admitted arrivals, and the sum of their cohorts, a second.
 	rate       float64
 	cohortRate float64
 }
@@ -82,11 +82,11 @@
 // arrive counts work and reports whether its cohort is admitted.
 func (shedder *shedder) arrive(caller string, cohort uint16) bool {
 	demand := shedder.demand(caller)
-	demand.arrivals++
-	demand.cohorts += float64(cohort)
 	if demand.fraction < 1 && cohort >= asCohort(demand.fraction) {
 		return false
 	}
+	demand.arrivals++
+	demand.cohorts += float64(cohort)
 	shedder.arrivals++
 	return true
 }
@@ -233,6 +233,16 @@
 		wanted = level / offered
 	}
 	demand.fraction = max(leastFraction, min(wanted, demand.fraction*(1+recoveryMost)))
+	demand.truncate()
+}
+
+// truncate takes what was smoothed down to the cohorts that are admitted from now on.
+func (demand *callerDemand) truncate() {
+	kept := demand.fraction / demand.arriving()
+	if kept < 1 {
+		demand.rate *= kept
+		demand.cohortRate *= kept * kept
+	}
 }
 
 func asCohort(fraction float64) uint16 {
