--- a/internal/swrollout/fleet_test.go
+++ b/internal/swrollout/fleet_test.go
@@ -35,6 +35,8 @@
 	// cutPeers and cutPlatform tell which VMs reach nobody outside their data centre, and not the platform.
 	cutPeers    func(vm *vm) bool
 	cutPlatform func(vm *vm) bool
+	// onCall is told of the encoded sizes of each answered call; it may be nil.
+	onCall func(from, to *vm, method swpeer.Method, request, reply int)
 }
 
 // vm is one VM of a fleet.
@@ -242,6 +244,9 @@
 	})
 	select {
 	case answer := <-result:
+		if vm.fleet.onCall != nil {
+			vm.fleet.onCall(vm, to, method, len(data), len(answer))
+		}
 		return swpeer.Unmarshal(answer, reply)
 	case <-ctx.Done():
 		return ctx.Err()
--- a/internal/swrollout/pull.go
+++ b/internal/swrollout/pull.go
@@ -40,7 +40,8 @@
 	_ struct{} `cbor:",toarray"`
 
 	Version uint64
-	Value   []byte
+	// Packed is the value, compressed.
+	Packed []byte
 }
 
 // HandleFetch gives a document to a peer. A VM that is pulling the document itself lets the peer wait for it, so that a
@@ -51,7 +52,8 @@
 	for {
 		document, changed := store.poll(request)
 		if document.Version >= request.Version && document.Version > 0 {
-			return FetchReply{Version: document.Version, Value: document.Value}, nil
+			packed, err := store.packed(document)
+			return FetchReply{Version: document.Version, Packed: packed}, err
 		}
 		if changed == nil {
 			return FetchReply{}, nil
@@ -64,6 +66,27 @@
 	}
 }
 
+// packed returns a document's compressed value, and keeps it while the document is in force.
+func (store *Store) packed(document Document) ([]byte, error) {
+	store.mutex.RLock()
+	present := store.documents[document.Key()]
+	current, packed := present.document.Version, present.packed
+	store.mutex.RUnlock()
+	if current == document.Version && packed != nil {
+		return packed, nil
+	}
+	packed, err := pack(document.Value)
+	if err != nil {
+		return nil, err
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if present.document.Version == document.Version {
+		present.packed = packed
+	}
+	return packed, nil
+}
+
 // poll returns the document in force, and while a pull is running the channel that is closed when the document changes.
 func (store *Store) poll(request FetchRequest) (Document, <-chan struct{}) {
 	store.mutex.RLock()
@@ -178,7 +201,12 @@
 	if err := store.config.Transport.Call(ctx, target.Peer, swpeer.MethodFetch, request, &reply); err != nil || reply.Version == 0 {
 		return false
 	}
-	document := Document{Kind: request.Kind, Name: request.Name, Version: reply.Version, Value: reply.Value}
+	value, err := unpack(reply.Packed)
+	if err != nil {
+		store.config.Log.Warn().Err(err).Str("From", target.Name).Msg("document cannot be read")
+		return false
+	}
+	document := Document{Kind: request.Kind, Name: request.Name, Version: reply.Version, Value: value}
 	if !store.genuine(document) {
 		store.config.Log.Warn().Str("Document", document.Key()).Str("From", target.Name).Msg("document differs from its announcement")
 		return false
--- a/internal/swrollout/report.go
+++ b/internal/swrollout/report.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 )
 
 const (
-	// reportEvery is the time after which a VM reports again without news.
-	reportEvery = 30 * time.Second
+	// reportEvery is the time after which a VM reports again without news. It keeps the connection to the watcher open.
+	reportEvery = 45 * time.Second
 	// reportJitter bounds the wait before a report with news.
 	reportJitter = 100 * time.Millisecond
 	// reportTimeout bounds one report.
@@ -51,28 +52,28 @@
 	watcher.reports[request.Name] = request
 }
 
-// reportLoop reports to the watchers at every change of the rules in force or of the watchers, and now and then.
+// reportLoop reports to the first watcher at every change of the rules in force or of that watcher, and now and then.
 func (watcher *Watcher) reportLoop(ctx context.Context) {
 	group := swgroup.New(ctx)
 	defer group.Stop()
 	var last ReportRequest
-	var lastTo [2]string
+	var lastTo string
 	var lastAt time.Time
 	for ctx.Err() == nil {
 		report := watcher.ownReport()
-		to := watcher.watcherNames()
-		if report != last || to != lastTo || time.Since(lastAt) >= reportEvery {
+		to := watcher.firstWatcher()
+		if report != last || to.Name != lastTo || time.Since(lastAt) >= reportEvery {
 			watcher.takeReport(report)
-			watcher.sendReport(group, report)
-			last, lastTo, lastAt = report, to, time.Now()
+			group.Go(func(ctx context.Context) { watcher.sendReport(ctx, to, report) })
+			last, lastTo, lastAt = report, to.Name, time.Now()
 		}
-		watcher.awaitNews(ctx)
+		watcher.awaitNews(ctx, reportEvery-time.Since(lastAt))
 	}
 }
 
-// awaitNews waits for news or the next regular report.
-func (watcher *Watcher) awaitNews(ctx context.Context) {
-	timer := time.NewTimer(reportEvery)
+// awaitNews waits for news, or until the next regular report is due.
+func (watcher *Watcher) awaitNews(ctx context.Context, due time.Duration) {
+	timer := time.NewTimer(due)
 	defer timer.Stop()
 	select {
 	case <-watcher.reportDue:
@@ -96,29 +97,23 @@
 	return report
 }
 
-func (watcher *Watcher) watcherNames() [2]string {
+// firstWatcher returns the watcher that writes the data centre's status.
+func (watcher *Watcher) firstWatcher() swmember.Member {
 	view := watcher.config.Directory.View()
-	var names [2]string
-	for rank, member := range view.Watchers(view.Self.DataCentre) {
-		names[rank] = member.Name
+	for _, member := range view.Watchers(view.Self.DataCentre) {
+		return member
 	}
-	return names
+	return view.Self
 }
 
-func (watcher *Watcher) sendReport(group *swgroup.Group, report ReportRequest) {
-	view := watcher.config.Directory.View()
-	for _, member := range view.Watchers(view.Self.DataCentre) {
-		if member.Name == view.Self.Name {
-			continue
-		}
-		group.Go(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-			defer cancel()
-			var reply ReportReply
-			err := watcher.config.Transport.Call(ctx, member.Peer, swpeer.MethodReport, report, &reply)
-			if err != nil && ctx.Err() == nil {
-				watcher.config.Log.Debug().Err(err).Str("To", member.Name).Msg("report failed")
-			}
-		})
+func (watcher *Watcher) sendReport(ctx context.Context, to swmember.Member, report ReportRequest) {
+	if to.Name == report.Name {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var reply ReportReply
+	if err := watcher.config.Transport.Call(ctx, to.Peer, swpeer.MethodReport, report, &reply); err != nil {
+		watcher.config.Log.Debug().Err(err).Str("To", to.Name).Msg("report failed")
 	}
 }
--- a/internal/swrollout/store.go
+++ b/internal/swrollout/store.go
@@ -62,6 +62,8 @@
 	offering sync.Mutex
 
 	document Document
+	// packed is the document's compressed value, once a peer has asked for it.
+	packed   []byte
 	since    time.Time
 	rejected *Rejection
 	// announced is the highest version that gossip told of.
@@ -187,6 +189,7 @@
 func (store *Store) accept(holding *holding, document Document) {
 	store.mutex.Lock()
 	holding.document = document
+	holding.packed = nil
 	holding.since = time.Now()
 	holding.announced = max(holding.announced, document.Version)
 	if holding.rejected != nil && holding.rejected.Version <= document.Version {
