--- a/internal/swquery/world_test.go
+++ b/internal/swquery/world_test.go
@@ -160,12 +160,6 @@
 	return world.engines["a"].Run(ctx, query)
 }
 
-func (world *world) set(server string, change func(server *fakeServer)) {
-	world.mutex.Lock()
-	defer world.mutex.Unlock()
-	change(world.servers[server])
-}
-
 type passAll struct{}
 
 func (passAll) Current() (Matcher, uint64, bool) { return passAll{}, 5, true }
