Carry the batches of many queries on one stream to each owner

Cause: a stream a batch cost four goroutines, a stream object and its closing frames a batch; with 67 owners that was more than the batch itself. Ruled out: encoding. Change: the root keeps one stream to each owner; envelopes and answers that are ready together travel in one write; events reach the gather through a queue that never blocks the stream's reader.

--- a/internal/swbackend/request.go
+++ b/internal/swbackend/request.go
@@ -37,10 +37,10 @@
 
 // Hit is one matching document.
 type Hit struct {
-	ID    string
-	Score float64
-	Shard int
-	Text  string `json:",omitempty" cbor:",omitempty"`
+	ID    string  `cbor:"1,keyasint"`
+	Score float64 `cbor:"2,keyasint,omitempty"`
+	Shard int     `cbor:"3,keyasint,omitempty"`
+	Text  string  `json:",omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // Outcome classifies an answer of a backend server or of its owner.
@@ -72,20 +72,20 @@
 
 // Answer is what came of a SubRequest.
 type Answer struct {
-	Outcome Outcome
+	Outcome Outcome `cbor:"1,keyasint,omitempty"`
 	// Ran tells whether the backend server may have run the request.
-	Ran  swcode.Ran
-	Code swcode.Code
+	Ran  swcode.Ran  `cbor:"2,keyasint,omitempty"`
+	Code swcode.Code `cbor:"3,keyasint,omitempty"`
 	// Message names the fault for logs and refusals.
-	Message string
-	Hits    []Hit
-	Counts  map[string]int64
+	Message string           `cbor:"4,keyasint,omitempty"`
+	Hits    []Hit            `cbor:"5,keyasint,omitempty"`
+	Counts  map[string]int64 `cbor:"6,keyasint,omitempty"`
 	// QueueWait is the time spent in the owner's queue.
-	QueueWait time.Duration
+	QueueWait time.Duration `cbor:"7,keyasint,omitempty"`
 	// Service is the time between the first byte sent and the last read.
-	Service time.Duration
+	Service time.Duration `cbor:"8,keyasint,omitempty"`
 	// Crash marks a connection that died while the request was in flight: evidence for quarantine.
-	Crash bool
+	Crash bool `cbor:"9,keyasint,omitempty"`
 	// InFlight is the number of requests that were in flight at the server when it crashed.
-	InFlight int
+	InFlight int `cbor:"10,keyasint,omitempty"`
 }
--- a/internal/swquery/engine.go
+++ b/internal/swquery/engine.go
@@ -92,6 +92,7 @@
 type Engine struct {
 	config    Config
 	owner     *Owner
+	lines     *lines
 	latencies *Latencies
 	planner   *Planner
 	budget    *AttemptBudget
@@ -108,6 +109,7 @@
 	engine := &Engine{
 		config:    config,
 		owner:     NewOwner(config.Backends, config.Group, config.AckTimeout/heartbeats),
+		lines:     newLines(config.Dialer, config.Group),
 		latencies: latencies,
 		planner:   NewPlanner(config.Registry, config.Placement, latencies),
 		budget:    NewAttemptBudget(config.HedgePercent),
--- /dev/null
+++ b/internal/swquery/line.go
@@ -0,0 +1,251 @@
+package swquery
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+// maxLineQueue bounds the envelopes that wait to be written to one owner.
+const maxLineQueue = 4096
+
+// Dialer opens exchanges with peers.
+type Dialer interface {
+	Open(ctx context.Context, target netip.AddrPort, method swpeer.Method) (Exchange, error)
+	// Forget makes the next exchange use a fresh connection.
+	Forget(target netip.AddrPort)
+}
+
+// PeerDialer adapts a node of the peer transport.
+type PeerDialer struct {
+	Node *swpeer.Node
+}
+
+// Open starts an exchange.
+func (peerDialer PeerDialer) Open(ctx context.Context, target netip.AddrPort, method swpeer.Method) (Exchange, error) {
+	stream, err := peerDialer.Node.Open(ctx, target, method)
+	if err != nil {
+		return nil, err
+	}
+	return stream, nil
+}
+
+// Forget drops the present connection.
+func (peerDialer PeerDialer) Forget(target netip.AddrPort) {
+	peerDialer.Node.Forget(target)
+}
+
+// lines holds the stream to each owner. A stream carries the batches of many queries, since a stream for each batch costs
+// more than the batch.
+type lines struct {
+	dialer Dialer
+	group  *swgroup.Group
+
+	mutex  sync.Mutex
+	byPeer map[netip.AddrPort]*line
+}
+
+func newLines(dialer Dialer, group *swgroup.Group) *lines {
+	return &lines{dialer: dialer, group: group, byPeer: make(map[netip.AddrPort]*line)}
+}
+
+// line is the root's end of the stream to one owner.
+type line struct {
+	lines *lines
+	peer  netip.AddrPort
+	// wake has an element when queue has one.
+	wake chan struct{}
+
+	mutex  sync.Mutex
+	nextID uint64
+	links  map[uint64]*link
+	queue  []any
+	// opened tells that the stream exists, so that what was queued may have been sent.
+	opened bool
+	ended  bool
+	// retired lines take no new batches and end with their last link.
+	retired bool
+	cancel  context.CancelFunc
+}
+
+// send puts the link's batch on the stream to its owner. It reports false, with nothing sent, when the stream's queue is
+// full.
+func (lines *lines) send(link *link) bool {
+	for {
+		line := lines.line(link.owner.Peer)
+		accepted, ended := line.add(link)
+		if !ended {
+			return accepted
+		}
+		lines.drop(line)
+	}
+}
+
+func (lines *lines) line(peer netip.AddrPort) *line {
+	lines.mutex.Lock()
+	defer lines.mutex.Unlock()
+	present := lines.byPeer[peer]
+	if present != nil {
+		return present
+	}
+	present = &line{lines: lines, peer: peer, wake: make(chan struct{}, 1), links: make(map[uint64]*link)}
+	lines.byPeer[peer] = present
+	lines.group.Go(present.run)
+	return present
+}
+
+func (lines *lines) drop(dropped *line) {
+	lines.mutex.Lock()
+	defer lines.mutex.Unlock()
+	if lines.byPeer[dropped.peer] == dropped {
+		delete(lines.byPeer, dropped.peer)
+	}
+}
+
+// forget makes the next batch to the peer go over a fresh connection. Batches on the present one may still be answered.
+func (lines *lines) forget(peer netip.AddrPort) {
+	lines.mutex.Lock()
+	present := lines.byPeer[peer]
+	delete(lines.byPeer, peer)
+	lines.mutex.Unlock()
+	lines.dialer.Forget(peer)
+	if present != nil {
+		present.retire()
+	}
+}
+
+// add registers a link and queues its batch.
+func (line *line) add(link *link) (accepted, ended bool) {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	if line.ended || line.retired {
+		return false, true
+	}
+	if len(line.queue) >= maxLineQueue {
+		return false, false
+	}
+	line.nextID++
+	link.line, link.id = line, line.nextID
+	line.links[link.id] = link
+	line.push(Envelope{ID: link.id, Batch: link.batch})
+	return true, false
+}
+
+// push queues an envelope. The caller holds the mutex.
+func (line *line) push(envelope Envelope) {
+	line.queue = append(line.queue, envelope)
+	select {
+	case line.wake <- struct{}{}:
+	default:
+	}
+}
+
+// withdraw tells the owner that attempts of the link, or all when none are listed, are no longer wanted.
+func (line *line) withdraw(link *link, attempts []uint64) {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	if line.links[link.id] == link && !line.ended {
+		line.push(Envelope{ID: link.id, Cancel: attempts, CancelAll: len(attempts) == 0})
+	}
+}
+
+// remove ends the line's interest in a link.
+func (line *line) remove(link *link) {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	delete(line.links, link.id)
+	line.endIfIdle()
+}
+
+func (line *line) retire() {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	line.retired = true
+	line.endIfIdle()
+}
+
+// endIfIdle ends a retired line that waits for nothing. The caller holds the mutex.
+func (line *line) endIfIdle() {
+	if line.retired && len(line.links) == 0 && line.cancel != nil {
+		line.cancel()
+	}
+}
+
+// run opens the stream and carries messages until it breaks.
+func (line *line) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	line.mutex.Lock()
+	line.cancel = cancel
+	line.mutex.Unlock()
+	exchange, err := line.lines.dialer.Open(ctx, line.peer, swpeer.MethodBatch)
+	if err != nil {
+		line.end()
+		return
+	}
+	stop := context.AfterFunc(ctx, exchange.Cancel)
+	defer stop()
+	line.mutex.Lock()
+	line.opened = true
+	line.mutex.Unlock()
+	line.lines.group.Go(func(context.Context) { line.sendLoop(ctx, exchange) })
+	line.receiveLoop(exchange)
+	line.end()
+}
+
+func (line *line) sendLoop(ctx context.Context, exchange Exchange) {
+	for {
+		select {
+		case <-line.wake:
+		case <-ctx.Done():
+			return
+		}
+		line.mutex.Lock()
+		queue := line.queue
+		line.queue = nil
+		line.mutex.Unlock()
+		if len(queue) == 0 {
+			continue
+		}
+		if err := exchange.Send(queue...); err != nil {
+			exchange.Cancel()
+			return
+		}
+	}
+}
+
+func (line *line) receiveLoop(exchange Exchange) {
+	for {
+		var reply Reply
+		if err := exchange.Receive(&reply); err != nil {
+			return
+		}
+		line.mutex.Lock()
+		link := line.links[reply.ID]
+		line.mutex.Unlock()
+		if link != nil {
+			link.events.put(scatterEvent{link: link, reply: reply})
+		}
+	}
+}
+
+// end tells every link that the stream is gone.
+func (line *line) end() {
+	line.lines.drop(line)
+	line.mutex.Lock()
+	line.ended = true
+	links := line.links
+	line.links = nil
+	ran := swcode.RanNo
+	if line.opened {
+		ran = swcode.RanUnknown
+	}
+	line.mutex.Unlock()
+	for _, link := range links {
+		link.events.put(scatterEvent{link: link, broken: true, ran: ran})
+	}
+}
--- /dev/null
+++ b/internal/swquery/ownerline.go
@@ -0,0 +1,184 @@
+package swquery
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Exchange is one stream of messages with a peer.
+type Exchange interface {
+	Send(messages ...any) error
+	Receive(message any) error
+	CloseSend() error
+	Cancel()
+}
+
+// ownerLine serves the batches that one root sends on one stream. Answers that become ready together travel in one write.
+type ownerLine struct {
+	owner    *Owner
+	exchange Exchange
+
+	mutex   sync.Mutex
+	batches map[uint64]*ownerBatch
+	// ready lists batches with answers that are to be sent, in the order in which they came.
+	ready []*ownerBatch
+	// wake has an element when ready has one.
+	wake chan struct{}
+}
+
+// ownerBatch is a batch with the answers that wait to be sent.
+type ownerBatch struct {
+	id      uint64
+	work    *batchWork
+	answers []ItemAnswer
+	// spoke is the time of the last reply for the batch, or of its coming.
+	spoke time.Time
+	left  int
+}
+
+// Serve takes the batches of one root until the stream ends, and withdraws what is then in flight: a root that is gone
+// waits for nothing.
+func (owner *Owner) Serve(ctx context.Context, exchange Exchange) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	line := &ownerLine{owner: owner, exchange: exchange, batches: make(map[uint64]*ownerBatch), wake: make(chan struct{}, 1)}
+	defer line.abandon()
+	owner.group.Go(func(context.Context) { line.sendLoop(ctx) })
+	for {
+		var envelope Envelope
+		err := exchange.Receive(&envelope)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "receive from the root")
+		}
+		if err := line.take(ctx, &envelope); err != nil {
+			return err
+		}
+	}
+}
+
+func (line *ownerLine) take(ctx context.Context, envelope *Envelope) error {
+	if envelope.Batch != nil {
+		return line.begin(ctx, envelope.ID, envelope.Batch)
+	}
+	line.mutex.Lock()
+	batch := line.batches[envelope.ID]
+	line.mutex.Unlock()
+	if batch == nil {
+		return nil
+	}
+	if envelope.CancelAll {
+		batch.work.cancelAll()
+		return nil
+	}
+	batch.work.withdraw(envelope.Cancel)
+	return nil
+}
+
+func (line *ownerLine) begin(ctx context.Context, id uint64, batch *Batch) error {
+	if len(batch.Items) == 0 || len(batch.Items) > maxBatchItems {
+		return errors.Errorf("a batch of %d items is outside 1 to %d", len(batch.Items), maxBatchItems)
+	}
+	served := &ownerBatch{id: id, left: len(batch.Items), spoke: time.Now()}
+	line.owner.served.Add(1)
+	line.owner.busy.Add(1)
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	line.batches[id] = served
+	served.work = line.owner.start(ctx, batch, func(_ *batchWork, answer ItemAnswer) { line.emit(served, answer) })
+	return nil
+}
+
+// emit queues an answer for the next write.
+func (line *ownerLine) emit(batch *ownerBatch, answer ItemAnswer) {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	if len(batch.answers) == 0 {
+		line.ready = append(line.ready, batch)
+	}
+	batch.answers = append(batch.answers, answer)
+	select {
+	case line.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (line *ownerLine) sendLoop(ctx context.Context) {
+	ticker := time.NewTicker(line.owner.heartbeat)
+	defer ticker.Stop()
+	for {
+		var replies []any
+		select {
+		case <-line.wake:
+			replies = line.takeReady()
+		case <-ticker.C:
+			replies = line.heartbeats(time.Now())
+		case <-ctx.Done():
+			return
+		}
+		if len(replies) == 0 {
+			continue
+		}
+		if err := line.exchange.Send(replies...); err != nil {
+			line.exchange.Cancel()
+			return
+		}
+	}
+}
+
+// takeReady returns the replies that wait, and forgets the batches that they complete.
+func (line *ownerLine) takeReady() []any {
+	report := line.owner.backends.Report()
+	now := time.Now()
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	replies := make([]any, len(line.ready))
+	for i, batch := range line.ready {
+		replies[i] = Reply{ID: batch.id, Answers: batch.answers, Report: report}
+		batch.left -= len(batch.answers)
+		batch.answers = nil
+		batch.spoke = now
+		if batch.left == 0 {
+			line.forget(batch)
+		}
+	}
+	line.ready = line.ready[:0]
+	return replies
+}
+
+// heartbeats returns empty replies for the batches that nothing was said of for a while.
+func (line *ownerLine) heartbeats(now time.Time) []any {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	var replies []any
+	for _, batch := range line.batches {
+		if now.Sub(batch.spoke) < line.owner.heartbeat || len(batch.answers) > 0 {
+			continue
+		}
+		batch.spoke = now
+		replies = append(replies, Reply{ID: batch.id})
+	}
+	return replies
+}
+
+// forget drops a batch. The caller holds the mutex.
+func (line *ownerLine) forget(batch *ownerBatch) {
+	delete(line.batches, batch.id)
+	line.owner.busy.Add(-1)
+}
+
+// abandon withdraws every batch when the stream has ended.
+func (line *ownerLine) abandon() {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	for _, batch := range line.batches {
+		batch.work.cancelAll()
+		line.forget(batch)
+	}
+}
--- a/internal/swquery/scatter_bench_test.go
+++ b/internal/swquery/scatter_bench_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"runtime"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,6 +40,9 @@
 func (fixedMembers fixedMembers) View() *swmember.View { return fixedMembers.view }
 func (fixedMembers) ReportSuspect(string)              {}
 
+// queriesInFlight is the number of queries that one root has open at once.
+const queriesInFlight = 12
+
 // BenchmarkQuery measures whole queries of 450 shards over real QUIC on loopback, with the shards' servers spread over
 // a number of owners that answer at once. The cost holds the root's and the owners' sides together.
 func BenchmarkQuery(b *testing.B) {
@@ -79,15 +84,20 @@
 		Dialer: PeerDialer{Node: root}, Recorder: worldRecorder{world}, Placement: OwnerPlacement{}, Log: zerolog.Nop(),
 		AckTimeout: time.Second, HedgePercentile: 95, MaxTimeout: time.Minute, ShedByCohort: true,
 	})
-	query := Query{Caller: "desk", Kind: "check", Index: "books", Limit: 10, MinCoverage: 1, Timeout: 10 * time.Second}
 	b.ReportAllocs()
 	before := cpuTime(b)
-	for b.Loop() {
-		query.ID++
-		if result := engine.Run(b.Context(), query); result.Code != swcode.OK {
-			b.Fatal(result.Err)
+	var next atomic.Uint64
+	b.SetParallelism(queriesInFlight / runtime.GOMAXPROCS(0))
+	b.RunParallel(func(loop *testing.PB) {
+		query := Query{Caller: "desk", Kind: "check", Index: "books", Limit: 10, MinCoverage: 1, Timeout: 10 * time.Second}
+		for loop.Next() {
+			query.ID = next.Add(1)
+			if result := engine.Run(context.Background(), query); result.Code != swcode.OK {
+				b.Error(result.Err)
+				return
+			}
 		}
-	}
+	})
 	b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N)/float64(shards), "cpu-ns/sub-request")
 }
 
--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -132,8 +132,10 @@
 	for !gatherWait.over() {
 		timer.Reset(gatherWait.nextWake(time.Now()))
 		select {
-		case event := <-execution.scatter.events:
-			gatherWait.take(event)
+		case <-execution.scatter.events.wake:
+			for _, event := range execution.scatter.events.take() {
+				gatherWait.take(event)
+			}
 		case <-timer.C:
 			gatherWait.wake(time.Now())
 		case <-ctx.Done():
@@ -225,7 +227,7 @@
 	link.lost = true
 	gatherWait.engine.config.Recorder.Event("lost_owners", 1)
 	gatherWait.engine.config.Members.ReportSuspect(link.owner.Name)
-	gatherWait.engine.config.Dialer.Forget(link.owner.Peer)
+	gatherWait.engine.lines.forget(link.owner.Peer)
 	orders := gatherWait.execution.gather.Lose(now, ran, func(attempt uint64, _ Target) bool {
 		_, on := link.attempts[attempt]
 		return on
@@ -254,7 +256,7 @@
 
 // mayLose reports whether silence on the link may move its attempts elsewhere. Non-idempotent work stays where it is.
 func (gatherWait *gatherWait) mayLose(link *link) bool {
-	return !link.lost && !link.local && len(link.attempts) > 0 && gatherWait.execution.query.Idempotent()
+	return !link.lost && !link.local() && len(link.attempts) > 0 && gatherWait.execution.query.Idempotent()
 }
 
 // silence is how long an owner that still has attempts may say nothing.
--- a/internal/swquery/step_scatter.go
+++ b/internal/swquery/step_scatter.go
@@ -15,7 +15,7 @@
 func (*scatterStep) String() string { return "scatter to the owners" }
 
 // Run sends the first attempts.
-func (scatterStep *scatterStep) Run(ctx context.Context, execution *execution) error {
+func (scatterStep *scatterStep) Run(_ context.Context, execution *execution) error {
 	engine := scatterStep.engine
 	execution.gather = NewGather(GatherConfig{
 		Shards:     execution.plan,
@@ -25,7 +25,7 @@
 		Budget:     engine.budget,
 		HedgeAfter: engine.hedgeAfter(execution.query.Index),
 	})
-	execution.scatter = newScatter(ctx, engine)
+	execution.scatter = newScatter(engine)
 	first := len(execution.plan)
 	if execution.verdict == swquarantine.Canary {
 		first = min(1, first)
--- a/internal/swquery/wire.go
+++ b/internal/swquery/wire.go
@@ -8,6 +8,19 @@
 	"github.com/sycamorewall/sycamorewall/pkg/swrule"
 )
 
+// Envelope flows from a root to an owner, on one long stream for many batches.
+type Envelope struct {
+	_ struct{} `cbor:",toarray"`
+	// ID names the batch on this stream.
+	ID uint64
+	// Batch begins a batch; it is nil in the envelopes that follow.
+	Batch *Batch
+	// Cancel lists attempts of the batch that are no longer wanted.
+	Cancel []uint64
+	// CancelAll withdraws every attempt of the batch.
+	CancelAll bool
+}
+
 // Batch carries the sub-requests of one query to the VM that owns their backend servers. It encodes as an array, since
 // an owner takes thousands a second.
 type Batch struct {
@@ -36,16 +49,10 @@
 	Server  string
 }
 
-// Control follows a Batch on its stream.
-type Control struct {
-	_ struct{} `cbor:",toarray"`
-	// Cancel lists attempts that are no longer wanted.
-	Cancel []uint64
-}
-
 // Reply flows from the owner to the root. One without answers tells that the owner works on the batch.
 type Reply struct {
 	_       struct{} `cbor:",toarray"`
+	ID      uint64
 	Answers []ItemAnswer
 	// Report tells how the owner sheds work.
 	Report swadmission.Report
