Judge crashes at owner and root, find successors in any data centre, clean claims

Owners and roots note which fingerprints were answered, so that blame for a crash falls on the others. A gather no longer sends a request again after a crash unless a server has answered it: the evidence reaches the root after the retry would have left.

A VM of another data centre looked for an issuer's successor in its own data centre. It now asks the issuer's, or the first VMs of each where the issuer is unknown. Watchers of the first data centre delete expired claims.

A repeat whose reply was too large to keep says so.

--- a/internal/swapp/lifecycle.go
+++ b/internal/swapp/lifecycle.go
@@ -79,6 +79,7 @@
 	parts.Group.Go(parts.Directory.Run)
 	parts.Group.Go(parts.Store.Run)
 	parts.Group.Go(parts.Watcher.Run)
+	parts.Group.Go(parts.cleanClaims)
 	parts.Server.Serve(parts.Group)
 	parts.Log.Info().Stringer("Caller", parts.Server.Address()).Stringer("Peer", parts.Node.Address()).Msg("serving")
 	return nil
--- a/internal/swapp/runs.go
+++ b/internal/swapp/runs.go
@@ -20,8 +20,8 @@
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
-// kindClaim names the platform objects that bind callers' own keys.
-const kindClaim = "Claim"
+// successorRanks is the number of VMs of a data centre that may take over the keys of one that leaves.
+const successorRanks = 8
 
 func newKeyService(config Config, group *swgroup.Group, node *swpeer.Node, directory *swmember.Directory, board *swmember.Board, platform *swplatform.Client) (*swkey.Service, error) {
 	return swkey.New(swkey.Config{
@@ -45,15 +45,23 @@
 	return member.Peer, known
 }
 
-// Successors returns the VMs of this data centre in rendezvous order.
+// Successors returns the VMs of the data centre of the VM of that name in rendezvous order. Where the VM is not known,
+// they are the first of each data centre, then the second of each, and so on.
 func (keyDirectory keyDirectory) Successors(name string) []swkey.Peer {
 	view := keyDirectory.directory.View()
+	dataCentres := view.DataCentres()
+	if issuer, known := view.Member(name); known {
+		dataCentres = []string{issuer.DataCentre}
+	}
 	var peers []swkey.Peer
-	for _, member := range view.Owners(view.Self.DataCentre, "keys/"+name) {
-		if member.Name == name || member.State != swmember.Alive {
-			continue
+	for rank := range successorRanks {
+		for _, dataCentre := range dataCentres {
+			owners := view.Owners(dataCentre, "keys/"+name)
+			if rank >= len(owners) || owners[rank].Name == name || owners[rank].State != swmember.Alive {
+				continue
+			}
+			peers = append(peers, swkey.Peer{Name: owners[rank].Name, Address: owners[rank].Peer})
 		}
-		peers = append(peers, swkey.Peer{Name: member.Name, Address: member.Peer})
 	}
 	return peers
 }
@@ -65,7 +73,7 @@
 
 // Create stores a claim that must not exist.
 func (claimStore claimStore) Create(ctx context.Context, name string, value []byte) error {
-	_, err := claimStore.client.Create(ctx, kindClaim, name, value)
+	_, err := claimStore.client.Create(ctx, swkey.KindClaim, name, value)
 	if errors.Is(err, swplatform.ErrConflict) {
 		return swkey.ErrClaimExists
 	}
@@ -74,7 +82,7 @@
 
 // Get returns a claim.
 func (claimStore claimStore) Get(ctx context.Context, name string) ([]byte, error) {
-	object, err := claimStore.client.Get(ctx, kindClaim, name)
+	object, err := claimStore.client.Get(ctx, swkey.KindClaim, name)
 	if errors.Is(err, swplatform.ErrNotFound) {
 		return nil, swkey.ErrNoClaim
 	}
@@ -83,7 +91,7 @@
 
 // Delete removes a claim.
 func (claimStore claimStore) Delete(ctx context.Context, name string) error {
-	err := claimStore.client.Delete(ctx, kindClaim, name, 0)
+	err := claimStore.client.Delete(ctx, swkey.KindClaim, name, 0)
 	if errors.Is(err, swplatform.ErrNotFound) {
 		return swkey.ErrNoClaim
 	}
@@ -92,7 +100,7 @@
 
 // List returns the names of claims that begin with prefix.
 func (claimStore claimStore) List(ctx context.Context, prefix string) ([]string, error) {
-	_, versions, err := claimStore.client.List(ctx, kindClaim, prefix)
+	_, versions, err := claimStore.client.List(ctx, swkey.KindClaim, prefix)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/swkey/authority.go
+++ b/internal/swkey/authority.go
@@ -188,6 +188,7 @@
 	kept := outcome
 	if int64(len(kept.Reply)) > authority.limits.MaxOutcome {
 		kept.Reply = nil
+		kept.Message = "the reply was too large to keep for repeats"
 	}
 	size := outcomeSize(kept)
 	if outcome.Ran == swcode.RanNo {
--- a/internal/swkey/outcome.go
+++ b/internal/swkey/outcome.go
@@ -16,7 +16,7 @@
 	Rule    int           `cbor:",omitempty"`
 	Wait    time.Duration `cbor:",omitempty"`
 	// Reply is the encoded reply of a run, kept for repeats. It is nil when the run gave none, or when it exceeded the
-	// size that is kept and this is a repeat.
+	// size that is kept and this is a repeat; Message then says so.
 	Reply []byte `cbor:",omitempty"`
 }
 
--- a/internal/swquery/engine.go
+++ b/internal/swquery/engine.go
@@ -57,6 +57,14 @@
 	Completed(fingerprint uint64)
 }
 
+// Crashes judges requests by the backend servers that died with them in flight.
+type Crashes interface {
+	// Answered tells that a backend server answered a request with the fingerprint.
+	Answered(fingerprint uint64)
+	// MayRetryCrashed reports whether a request may be sent again after a server died with it in flight.
+	MayRetryCrashed(fingerprint uint64) bool
+}
+
 // Recorder takes the figures of queries.
 type Recorder interface {
 	Query(priority swrule.Priority, caller string, code swcode.Code, total time.Duration, subRequests int)
@@ -72,11 +80,13 @@
 	Limiter    Limiter
 	Gate       Gate
 	Quarantine Quarantine
-	Backends   Backends
-	Dialer     Dialer
-	Recorder   Recorder
-	Placement  Placement
-	Log        zerolog.Logger
+	// Crashes may be nil; a crash then does not forbid a retry.
+	Crashes   Crashes
+	Backends  Backends
+	Dialer    Dialer
+	Recorder  Recorder
+	Placement Placement
+	Log       zerolog.Logger
 	// AckTimeout is how long an owner may be silent before its attempts go elsewhere.
 	AckTimeout time.Duration
 	// HedgePercent bounds hedges and retries, in percent of sub-requests.
@@ -113,6 +123,9 @@
 		budget:    NewAttemptBudget(config.HedgePercent),
 		absent:    newAbsentSnapshots(),
 	}
+	if config.Crashes != nil {
+		engine.owner.onAnswered = config.Crashes.Answered
+	}
 	engine.steps = engine.orderedSteps()
 	return engine
 }
--- a/internal/swquery/gather.go
+++ b/internal/swquery/gather.go
@@ -59,7 +59,9 @@
 	Idempotent bool
 	// MayRetry forbids hedges and retries, when false, of a request that may crash servers; nil allows them.
 	MayRetry func() bool
-	Budget   Budget
+	// MayRetryCrashed forbids, when false, a retry after a server died with the request in flight; nil allows it.
+	MayRetryCrashed func() bool
+	Budget          Budget
 	// HedgeAfter returns the wait before a shard is hedged, or zero for never.
 	HedgeAfter func(shard int, target Target) time.Duration
 }
@@ -229,7 +231,7 @@
 	if costsNothing(answer.Outcome) {
 		return true
 	}
-	if gather.suspect() {
+	if gather.suspect() || (answer.Crash && gather.crasher()) {
 		return false
 	}
 	return gather.config.Budget.Take()
@@ -240,6 +242,11 @@
 	return gather.config.MayRetry != nil && !gather.config.MayRetry()
 }
 
+// crasher reports whether the request may have killed the server that died with it in flight.
+func (gather *Gather) crasher() bool {
+	return gather.config.MayRetryCrashed != nil && !gather.config.MayRetryCrashed()
+}
+
 // costsNothing reports whether the backend server spent no capacity on the attempt.
 func costsNothing(outcome swbackend.Outcome) bool {
 	switch outcome {
--- a/internal/swquery/owner.go
+++ b/internal/swquery/owner.go
@@ -41,6 +41,8 @@
 	heartbeat time.Duration
 	busy      atomic.Int64
 	served    atomic.Uint64
+	// onAnswered is told the fingerprint of each attempt that a backend server answered; it may be nil.
+	onAnswered func(fingerprint uint64)
 }
 
 // Busy returns the number of batches of peers in flight.
@@ -171,6 +173,9 @@
 		RunKey:      batch.RunKey,
 		Deadline:    deadline,
 	})
+	if answer.Outcome == swbackend.Answered && owner.onAnswered != nil {
+		owner.onAnswered(batch.Fingerprint)
+	}
 	return ItemAnswer{
 		QueryID:  batch.QueryID,
 		Attempt:  item.Attempt,
--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -210,6 +210,7 @@
 	switch item.Answer.Outcome {
 	case swbackend.Answered:
 		latencies.Observe(now, gatherWait.execution.query.Index, item.Shard, item.Server, age)
+		gatherWait.noteAnswered()
 	case swbackend.Cancelled:
 		latencies.ObserveSlow(now, item.Server, age)
 	default:
@@ -217,6 +218,13 @@
 	}
 }
 
+// noteAnswered tells that the request did not crash a server.
+func (gatherWait *gatherWait) noteAnswered() {
+	if crashes := gatherWait.engine.config.Crashes; crashes != nil {
+		crashes.Answered(gatherWait.execution.query.Fingerprint)
+	}
+}
+
 // lose gives up the attempts of a link whose owner is gone.
 func (gatherWait *gatherWait) lose(now time.Time, link *link, ran swcode.Ran) {
 	if link.lost || len(link.attempts) == 0 {
--- a/internal/swquery/step_scatter.go
+++ b/internal/swquery/step_scatter.go
@@ -25,6 +25,11 @@
 		Budget:     engine.budget,
 		HedgeAfter: engine.hedgeAfter(execution.query.Index),
 	})
+	if engine.config.Crashes != nil {
+		execution.gather.config.MayRetryCrashed = func() bool {
+			return engine.config.Crashes.MayRetryCrashed(execution.query.Fingerprint)
+		}
+	}
 	execution.scatter = newScatter(ctx, engine)
 	first := len(execution.plan)
 	if execution.verdict == swquarantine.Canary {
