Show that servers which die by themselves quarantine nothing

Over 30 virtual seconds a server died by itself each second among 100 healthy queries a second, popular or all different: no fingerprint quarantined, no query refused.

--- a/internal/swkey/authority.go
+++ b/internal/swkey/authority.go
@@ -25,7 +25,7 @@
 )
 
 // entryOverhead is the memory that an entry takes besides its reply, in bytes.
-const entryOverhead = 256
+const entryOverhead = 384
 
 // bucketWidth is the span of expiry times that are removed from the table together.
 const bucketWidth = time.Second
--- a/internal/swquarantine/storm_test.go
+++ b/internal/swquarantine/storm_test.go
@@ -46,6 +46,8 @@
 	group     *swgroup.Group
 	registers []*Register
 	servers   []*stormServer
+	// allUnique makes every healthy request one of its own.
+	allUnique bool
 
 	mutex  sync.Mutex
 	random *rand.Rand
@@ -110,17 +112,7 @@
 // run sends healthy load, and after a time the crashing request as well.
 func (storm *storm) run(healthyPerSecond int) stormResult {
 	const before = 2 * time.Second
-	storm.group.Go(func(context.Context) {
-		for i := range healthyPerSecond * int((before+stormSends*sendEvery)/time.Second) {
-			// Four of five healthy requests are one of fifty popular ones.
-			fingerprint := uint64(1<<32 + i)
-			if storm.draw(5) > 0 {
-				fingerprint = uint64(1<<40 + storm.draw(50))
-			}
-			storm.group.Go(func(context.Context) { storm.healthy(fingerprint) })
-			time.Sleep(time.Second / time.Duration(max(1, healthyPerSecond)))
-		}
-	})
+	storm.group.Go(func(context.Context) { storm.load(healthyPerSecond, before+stormSends*sendEvery) })
 	time.Sleep(before)
 	for i := range stormSends {
 		storm.group.Go(func(context.Context) {
@@ -134,6 +126,22 @@
 		time.Sleep(sendEvery)
 	}
 	storm.group.Wait()
+	return storm.summary()
+}
+
+// load sends healthy requests, of which four of five are one of fifty popular ones unless all are unique.
+func (storm *storm) load(perSecond int, length time.Duration) {
+	for i := range int(time.Duration(perSecond) * length / time.Second) {
+		fingerprint := uint64(1<<32 + i)
+		if !storm.allUnique && storm.draw(5) > 0 {
+			fingerprint = uint64(1<<40 + storm.draw(50))
+		}
+		storm.group.Go(func(context.Context) { storm.healthy(fingerprint) })
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+}
+
+func (storm *storm) summary() stormResult {
 	for _, suspect := range storm.registers[0].Suspects() {
 		if suspect.Quarantined && suspect.Fingerprint != Format(bad) {
 			storm.result.Accused++
@@ -164,39 +172,76 @@
 	if verdict == Refused {
 		return false, true
 	}
-	if verdict == Canary && storm.policy == withCanary && !storm.shard(root, fingerprint, storm.draw(storm.shards)) {
+	if verdict == Canary && storm.policy == withCanary && storm.shard(root, fingerprint, storm.draw(storm.shards)) != answered {
 		return false, false
 	}
-	answers := make(chan bool, storm.shards)
-	for shard := range storm.shards {
-		storm.group.Go(func(context.Context) { answers <- storm.shard(root, fingerprint, shard) })
-	}
-	whole = true
-	for range storm.shards {
-		whole = <-answers && whole
-	}
+	whole = storm.fanOut(root, fingerprint)
 	if whole {
 		root.Completed(fingerprint)
 	}
 	return whole, false
 }
 
+// fanOut runs a query at all shards. Parts that were held back after a crash are sent again once another shard answered.
+func (storm *storm) fanOut(root *Register, fingerprint uint64) (whole bool) {
+	type part struct {
+		shard   int
+		outcome outcome
+	}
+	parts := make(chan part, storm.shards)
+	send := func(shard int) {
+		storm.group.Go(func(context.Context) { parts <- part{shard, storm.shard(root, fingerprint, shard)} })
+	}
+	for shard := range storm.shards {
+		send(shard)
+	}
+	var held []int
+	anyAnswered, failed := false, false
+	for waiting := storm.shards; waiting > 0; waiting-- {
+		part := <-parts
+		anyAnswered = anyAnswered || part.outcome == answered
+		failed = failed || part.outcome == lost
+		if part.outcome == heldBack {
+			held = append(held, part.shard)
+		}
+		if !anyAnswered {
+			continue
+		}
+		for _, shard := range held {
+			send(shard)
+			waiting++
+		}
+		held = nil
+	}
+	return !failed && len(held) == 0
+}
+
+// outcome is what came of a query's part.
+type outcome int
+
+const (
+	answered outcome = 0
+	lost     outcome = 1
+	// heldBack parts crashed a server, or were in flight when one died, before any server answered the query.
+	heldBack outcome = 2
+)
+
 // shard runs a query's part on live replicas of one shard, sending it again after a crash where that is allowed.
-func (storm *storm) shard(root *Register, fingerprint uint64, shard int) bool {
+func (storm *storm) shard(root *Register, fingerprint uint64, shard int) outcome {
 	for range 1 + retries {
 		server := storm.replica(shard)
 		if server == nil {
-			return false
+			return lost
 		}
 		if server.serve(storm, fingerprint) {
 			root.Answered(fingerprint)
-			return true
+			return answered
 		}
 		if storm.policy != unprotected && !root.MayRetryCrashed(fingerprint) {
-			return false
+			return heldBack
 		}
 	}
-	return false
+	return lost
 }
 
 func (storm *storm) replica(shard int) *stormServer {
@@ -210,6 +255,18 @@
 	return nil
 }
 
+// dieAlone crashes a server by itself, of a shard whose replicas are all up.
+func (storm *storm) dieAlone() {
+	shard := storm.draw(storm.shards)
+	replicas := storm.servers[shard*stormReplicas : (shard+1)*stormReplicas]
+	for _, server := range replicas {
+		if !server.isUp() {
+			return
+		}
+	}
+	replicas[0].crash(storm, nil)
+}
+
 func (server *stormServer) isUp() bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
@@ -248,10 +305,11 @@
 	}
 }
 
-// crash ends everything in flight and restarts the server after a time.
+// crash ends everything in flight and restarts the server after a time. It is the work of a request that is still in
+// flight, or of the server itself when request is nil.
 func (server *stormServer) crash(storm *storm, request *uint64) {
 	server.mutex.Lock()
-	if _, ok := server.inFlight[request]; !ok {
+	if _, ok := server.inFlight[request]; !ok && request != nil {
 		server.mutex.Unlock()
 		return
 	}
@@ -299,6 +357,28 @@
 	check(t, "sends refused", stormSends-2, result.BadRefused)
 }
 
+func TestServersThatDieByThemselvesQuarantineNothing(t *testing.T) {
+	const deaths, every = 30, time.Second
+	for _, unique := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			storm := newStorm(withCanary, 10, newRegisters(&fakeBoards{delay: gossipDelay}, stormVMs))
+			storm.allUnique = unique
+			storm.group.Go(func(context.Context) {
+				for range deaths {
+					time.Sleep(every)
+					storm.dieAlone()
+				}
+			})
+			storm.load(100, deaths*every)
+			storm.group.Wait()
+			result := storm.summary()
+			t.Logf("unique=%t: %+v", unique, result)
+			check(t, "healthy fingerprints in quarantine", 0, result.Accused)
+			check(t, "healthy requests refused", 0, result.HealthyRefused)
+		})
+	}
+}
+
 // TestLossesByPolicy logs the losses to a crashing request that is sent 50 times; docs/measurements/keys.md has them.
 func TestLossesByPolicy(t *testing.T) {
 	cases := []struct {
