--- a/internal/swquery/owner.go
+++ b/internal/swquery/owner.go
@@ -30,6 +30,8 @@
 	heartbeat time.Duration
 	busy      atomic.Int64
 	served    atomic.Uint64
+	// onAnswered is told the fingerprint of each attempt that a backend server answered; it may be nil.
+	onAnswered func(fingerprint uint64)
 }
 
 // NewOwner returns an owner that tells the root every heartbeat that it still works on a batch.
@@ -106,6 +108,9 @@
 		RunKey:      batch.RunKey,
 		Deadline:    deadline,
 	})
+	if answer.Outcome == swbackend.Answered && owner.onAnswered != nil {
+		owner.onAnswered(batch.Fingerprint)
+	}
 	return ItemAnswer{
 		QueryID:  batch.QueryID,
 		Attempt:  item.Attempt,
--- a/internal/swquery/step_scatter.go
+++ b/internal/swquery/step_scatter.go
@@ -25,6 +25,11 @@
 		Budget:     engine.budget,
 		HedgeAfter: engine.hedgeAfter(execution.query.Index),
 	})
+	if engine.config.Crashes != nil {
+		execution.gather.config.MayRetryCrashed = func() bool {
+			return engine.config.Crashes.MayRetryCrashed(execution.query.Fingerprint)
+		}
+	}
 	execution.scatter = newScatter(engine)
 	first := len(execution.plan)
 	if execution.verdict == swquarantine.Canary {
