Let a priority save its minimum share for a few pieces of work

Cause: a priority gained its share only while it had work waiting, so the first waiter of a priority well inside its share waited for several others; under a flood of Urgent work its queue wait passed the target and it was shed.

--- a/internal/swadmission/queue.go
+++ b/internal/swadmission/queue.go
@@ -250,23 +250,15 @@
 
 func (queue *Queue) remove(waiter *waiter) {
 	waiter.queued = false
-	line := &queue.lines[waiter.work.Priority]
-	line.remove(waiter)
+	queue.lines[waiter.work.Priority].remove(waiter)
 	queue.waiting--
-	if line.length == 0 {
-		queue.shares.idle(waiter.work.Priority)
-	}
 }
 
 // start accounts for work of the priority that takes a slot now.
 func (queue *Queue) start(priority swrule.Priority, wait time.Duration) {
 	queue.running++
 	queue.shedders[priority].started(wait)
-	var backlog [swrule.Priorities]bool
-	for i := range queue.lines {
-		backlog[i] = queue.lines[i].length > 0
-	}
-	queue.shares.charge(priority, &backlog, &queue.service)
+	queue.shares.charge(priority, &queue.service)
 }
 
 // cannotMeet reports whether the work would finish after its deadline, judged by the service times observed. With
--- a/internal/swadmission/share.go
+++ b/internal/swadmission/share.go
@@ -11,6 +11,8 @@
 	leastShare = 0.01
 	// serviceGain is the weight of a new observation of the service time.
 	serviceGain = 0.1
+	// savedWork is the number of pieces of work for which a priority may save its claim.
+	savedWork = 4
 	// unknownCost stands for the service time before anything was observed.
 	unknownCost = 5 * time.Millisecond
 )
@@ -48,22 +50,17 @@
 	return best
 }
 
-// charge accounts for work of the priority that starts: every priority with waiting work gains its share of the cost.
-func (ledger *shareLedger) charge(priority swrule.Priority, backlog *[swrule.Priorities]bool, service *serviceEstimate) {
+// charge accounts for work of the priority that starts: every priority gains its share of the cost, and saves up to a
+// few pieces of work, so that a priority within its share seldom waits behind a flood.
+func (ledger *shareLedger) charge(priority swrule.Priority, service *serviceEstimate) {
 	cost := service.cost(priority)
 	for i := range ledger.credit {
-		if backlog[i] {
-			ledger.credit[i] += ledger.share[i] * cost
-		}
+		most := savedWork * service.cost(swrule.Priority(i))
+		ledger.credit[i] = min(most, ledger.credit[i]+ledger.share[i]*cost)
 	}
 	ledger.credit[priority] = max(0, ledger.credit[priority]-cost)
 }
 
-// idle drops the claim of a priority that has nothing waiting.
-func (ledger *shareLedger) idle(priority swrule.Priority) {
-	ledger.credit[priority] = 0
-}
-
 // serviceEstimate is the observed service time by priority: an exponentially weighted mean.
 type serviceEstimate struct {
 	means [swrule.Priorities]float64
