Step below what a server refused and try one more slot rarely

Cause: a limit lowered by a factor grew back within four answers, so a server that takes 1 of its 2 declared slots refused every fifth sub-request and nearly every query was cut.

--- a/internal/swadmission/queue.go
+++ b/internal/swadmission/queue.go
@@ -365,9 +365,9 @@
 	switch result {
 	case Completed:
 		queue.service.add(lease.Work.Priority, service)
-		queue.slots.succeeded()
+		queue.slots.succeeded(now)
 	case ShedByServer:
-		queue.slots.shed(now)
+		queue.slots.shed(now, queue.running+1)
 		queue.shedders[lease.Work.Priority].lost++
 	case Lost:
 		queue.service.censored(lease.Work.Priority, service)
