--- a/internal/swbackend/dial.go
+++ b/internal/swbackend/dial.go
@@ -33,6 +33,16 @@
 	outage.until = now.Add(outage.pause)
 }
 
+// reachable returns an error while the server is known not to take connections and none is open.
+func (server *server) reachable() error {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if len(server.connections) == 0 && time.Now().Before(server.outage.until) {
+		return errOutage
+	}
+	return nil
+}
+
 // take returns an idle connection, or opens one. With proven only a connection that a response was read on will do.
 func (server *server) take(ctx context.Context, proven bool) (*connection, error) {
 	server.mutex.Lock()
--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -148,7 +148,7 @@
 	if ctx.Err() != nil {
 		return nil, server.refusalAnswer(contextError(ctx))
 	}
-	return nil, Answer{Outcome: Unreachable, Code: swcode.NoReplica, Message: err.Error()}
+	return nil, server.unreachableAnswer(err)
 }
 
 func contextError(ctx context.Context) *swcode.Error {
@@ -247,7 +247,7 @@
 func (server *server) broken(connection *connection, subRequest *SubRequest, sent bool, err error) Answer {
 	server.finished(connection)
 	if !sent {
-		return Answer{Outcome: Unreachable, Code: swcode.NoReplica, Message: server.name + ": " + err.Error()}
+		return server.unreachableAnswer(err)
 	}
 	answer := Answer{Outcome: Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed, Message: server.name + ": " + err.Error()}
 	if !subRequest.Idempotent() {
--- a/internal/swbackend/pool.go
+++ b/internal/swbackend/pool.go
@@ -186,7 +186,7 @@
 }
 
 // Execute waits for a slot of the server, sends the sub-request and returns what came of it. The answer's Ran is No
-// unless a byte may have left for the server.
+// unless a byte may have left for the server. Work that the server itself sheds queues once more.
 func (pool *Pool) Execute(ctx context.Context, subRequest SubRequest) Answer {
 	server := pool.server(subRequest.Server)
 	if server == nil {
@@ -200,11 +200,23 @@
 		defer cancel()
 		ctx = deadlined
 	}
-	lease, err := server.queue.Acquire(ctx, workOf(&subRequest))
+	answer := server.attempt(ctx, &subRequest)
+	if answer.Outcome == Shed && answer.Ran == swcode.RanNo && answer.Service > 0 {
+		return server.attempt(ctx, &subRequest)
+	}
+	return answer
+}
+
+// attempt takes the sub-request through the queue to the server once.
+func (server *server) attempt(ctx context.Context, subRequest *SubRequest) Answer {
+	if err := server.reachable(); err != nil {
+		return server.unreachableAnswer(err)
+	}
+	lease, err := server.queue.Acquire(ctx, workOf(subRequest))
 	if err != nil {
 		return server.refusalAnswer(err)
 	}
-	answer := server.run(ctx, &subRequest)
+	answer := server.run(ctx, subRequest)
 	answer.QueueWait = lease.Wait
 	server.queue.Release(lease, resultOf(&answer))
 	return answer
--- a/internal/swbackend/server.go
+++ b/internal/swbackend/server.go
@@ -185,6 +185,10 @@
 	return Answer{Outcome: ServerLeaving, Code: swcode.NoReplica, Message: server.name + " is leaving"}
 }
 
+func (server *server) unreachableAnswer(err error) Answer {
+	return Answer{Outcome: Unreachable, Code: swcode.NoReplica, Message: server.name + ": " + err.Error()}
+}
+
 // refusalAnswer returns the answer to work that the queue refused.
 func (server *server) refusalAnswer(err error) Answer {
 	var refusal *swcode.Error
