Check settings, caller input and the settings reference

Cause: bad input of any kind must be refused with a code, the field and the fix, and the reference must not drift from the code. A duration that cannot be read named no field; it names Timeout now.

--- a/internal/swhttp/middleware.go
+++ b/internal/swhttp/middleware.go
@@ -133,6 +133,10 @@
 	if errors.As(err, &mistyped) {
 		return &swcode.Error{Code: swcode.BadField, Field: mistyped.Field, Message: "a JSON " + mistyped.Value + " does not fit", Fix: "give a " + mistyped.Type.String()}
 	}
+	var duration *swclient.DurationError
+	if errors.As(err, &duration) {
+		return &swcode.Error{Code: swcode.BadField, Field: "Timeout", Message: duration.Error(), Fix: "give a number and a unit"}
+	}
 	if field, found := unknownField(err); found {
 		return &swcode.Error{Code: swcode.BadField, Field: field, Message: "the field is not known", Fix: "leave it out"}
 	}
--- a/internal/swsetting/setting.go
+++ b/internal/swsetting/setting.go
@@ -50,9 +50,12 @@
 
 // TLS names PEM files. All empty means no TLS, which only the caller listener may have.
 type TLS struct {
+	// Certificate is the PEM file of this VM's certificate.
 	Certificate string `yaml:"Certificate"`
-	Key         string `yaml:"Key"`
-	CA          string `yaml:"CA"`
+	// Key is the PEM file of the certificate's private key.
+	Key string `yaml:"Key"`
+	// CA is the PEM file of the authorities that certificates of the other side must come from.
+	CA string `yaml:"CA"`
 }
 
 // Platform is the platform's object API.
--- a/pkg/swclient/message.go
+++ b/pkg/swclient/message.go
@@ -3,10 +3,9 @@
 package swclient
 
 import (
+	"fmt"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
@@ -23,6 +22,16 @@
 // Duration is a time span that JSON carries as text such as "180ms".
 type Duration time.Duration
 
+// DurationError means that a text is no duration.
+type DurationError struct {
+	Text string
+}
+
+// Error names the text and the form that is wanted.
+func (err *DurationError) Error() string {
+	return fmt.Sprintf("%q is not a duration such as 250ms", err.Text)
+}
+
 // MarshalText formats the duration as time.Duration does.
 func (duration Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(duration).String()), nil
@@ -32,7 +41,7 @@
 func (duration *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	if err != nil {
-		return errors.Wrap(err, "parse duration")
+		return &DurationError{Text: string(text)}
 	}
 	*duration = Duration(parsed)
 	return nil
