Hold a retry back after a crash until another shard has answered

A query that no server has answered is not sent again after a server died with it in flight, as it may kill the next one. Giving the shard up at once lost healthy queries that were beside a dying server; its retry now waits until another shard answers, which a query of death never lets happen.

--- a/internal/swquery/gather.go
+++ b/internal/swquery/gather.go
@@ -73,6 +73,9 @@
 	shards  []gatherShard
 	orders  Orders
 	waiting int
+	// answered is set once a shard has answered, held counts the shards that are held back until then.
+	answered bool
+	held     int
 	// nextTick is no later than the next hedge that is due; zero when none is.
 	nextTick time.Time
 	// total and failed count the documents of all shards and of those that failed.
@@ -99,6 +102,8 @@
 	answer  swbackend.Answer
 	notHeld int
 	ran     swcode.Ran
+	// held marks a shard whose retry waits until another shard has answered.
+	held bool
 }
 
 type shardState int
@@ -174,7 +179,7 @@
 		return gather.orders, age, true
 	}
 	if answer.Outcome == swbackend.Answered {
-		gather.accept(position, answer)
+		gather.accept(now, position, answer)
 		return gather.orders, age, true
 	}
 	attempt.useless = answer.Outcome == swbackend.SnapshotNotHeld || answer.Outcome == swbackend.ServerLeaving
@@ -182,12 +187,14 @@
 	return gather.orders, age, true
 }
 
-func (gather *Gather) accept(position int, answer swbackend.Answer) {
+func (gather *Gather) accept(now time.Time, position int, answer swbackend.Answer) {
 	shard := &gather.shards[position]
 	shard.state = shardAnswered
 	shard.answer = answer
 	gather.waiting--
+	gather.answered = true
 	gather.cancelOthers(position)
+	gather.releaseHeld(now)
 }
 
 func (gather *Gather) cancelOthers(position int) {
@@ -213,7 +220,15 @@
 	if shard.running > 0 {
 		return
 	}
-	if gather.mayRetry(shard, answer) && gather.send(now, position, false) {
+	if gather.holdBack(shard, answer) {
+		return
+	}
+	gather.retryOrFail(now, position)
+}
+
+func (gather *Gather) retryOrFail(now time.Time, position int) {
+	shard := &gather.shards[position]
+	if gather.mayRetry(shard, shard.answer) && gather.send(now, position, false) {
 		gather.Retries++
 		return
 	}
@@ -242,11 +257,6 @@
 	return gather.config.MayRetry != nil && !gather.config.MayRetry()
 }
 
-// crasher reports whether the request may have killed the server that died with it in flight.
-func (gather *Gather) crasher() bool {
-	return gather.config.MayRetryCrashed != nil && !gather.config.MayRetryCrashed()
-}
-
 // costsNothing reports whether the backend server spent no capacity on the attempt.
 func costsNothing(outcome swbackend.Outcome) bool {
 	switch outcome {
@@ -266,6 +276,7 @@
 	if shard.notHeld > 0 && shard.notHeld == len(shard.attempts) {
 		gather.NotHeld = true
 	}
+	gather.failHeld()
 }
 
 // Lose takes the loss of the attempts that match: their owner did not acknowledge them or its exchange broke. ran tells
--- a/internal/swquery/gather_crash_test.go
+++ b/internal/swquery/gather_crash_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"github.com/sycamorewall/sycamorewall/internal/swbackend"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
@@ -39,3 +40,86 @@
 		})
 	}
 }
+
+func TestGatherHoldsBackRetryAfterCrashUntilAnotherShardAnswers(t *testing.T) {
+	crash := swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Crash: true}
+	tests := []struct {
+		name    string
+		answers []swbackend.Answer
+		retries int
+		failed  int
+		done    bool
+	}{
+		{"the others are still running", []swbackend.Answer{crash}, 0, 0, false},
+		{"another answers later", []swbackend.Answer{crash, answered(1)}, 1, 0, false},
+		{"another answered before", []swbackend.Answer{answered(1), crash}, 1, 0, false},
+		{"two wait for the third", []swbackend.Answer{crash, crash, answered(1)}, 2, 0, false},
+		{"every server dies", []swbackend.Answer{crash, crash, crash}, 0, 3, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			gather := NewGather(GatherConfig{
+				Shards:          testPlan(3, 2),
+				Idempotent:      true,
+				MayRetryCrashed: func() bool { return false },
+				Budget:          grantAll{},
+			})
+			now := time.Unix(0, 0)
+			sent := append([]Command(nil), gather.Start(now, 0, 3).Send...)
+			for i, answer := range test.answers {
+				gather.Answer(now, sent[i].Attempt, sent[i].Target.Server, answer)
+			}
+			got := []any{gather.Retries, gather.failedShards, gather.Done()}
+			if diff := cmp.Diff([]any{test.retries, test.failed, test.done}, got); diff != "" {
+				t.Errorf("retries, failed shards, done (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestGatherDoesNotHoldBackACanary(t *testing.T) {
+	gather := NewGather(GatherConfig{
+		Shards:          testPlan(3, 2),
+		Idempotent:      true,
+		MayRetryCrashed: func() bool { return false },
+		Budget:          grantAll{},
+	})
+	now := time.Unix(0, 0)
+	sent := append([]Command(nil), gather.Start(now, 0, 1).Send...)
+	gather.Answer(now, sent[0].Attempt, sent[0].Target.Server, swbackend.Answer{Outcome: swbackend.Broken, Crash: true})
+	if diff := cmp.Diff(shardFailed, gather.shards[0].state); diff != "" {
+		t.Errorf("state of the canary's shard (-want +got):\n%s", diff)
+	}
+}
+
+// TestGatherWithCrashesEnds answers every attempt in random order, with crashes among the answers: the gather must be
+// done when no attempt is left.
+func TestGatherWithCrashesEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := rapid.IntRange(1, 5).Draw(t, "shards")
+		gather := NewGather(GatherConfig{
+			Shards:          testPlan(shards, rapid.IntRange(1, 3).Draw(t, "replicas")),
+			Idempotent:      true,
+			MayRetryCrashed: func() bool { return false },
+			Budget:          grantAll{},
+		})
+		now := time.Unix(0, 0)
+		open := append([]Command(nil), gather.Start(now, 0, shards).Send...)
+		outcomes := []swbackend.Answer{
+			answered(1),
+			{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Crash: true},
+			{Outcome: swbackend.Failed, Ran: swcode.RanUnknown},
+			{Outcome: swbackend.Unreachable},
+		}
+		for len(open) > 0 {
+			next := rapid.IntRange(0, len(open)-1).Draw(t, "attempt")
+			command := open[next]
+			open = append(open[:next], open[next+1:]...)
+			orders, _, _ := gather.Answer(now, command.Attempt, command.Target.Server, rapid.SampledFrom(outcomes).Draw(t, "outcome"))
+			open = append(open, orders.Send...)
+		}
+		if !gather.Done() {
+			t.Fatalf("no attempt is left and %d shards wait, %d of them held back", gather.waiting, gather.held)
+		}
+	})
+}
