--- a/cmd/rules_apply.go
+++ b/cmd/rules_apply.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/user"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,12 +73,24 @@
 	apply.output.register(apply.command)
 	flags := apply.command.Flags()
 	flags.Uint64Var(&apply.base, "base", 0, "version that was edited, instead of the one in the file's first line")
-	flags.StringVar(&apply.by, "by", os.Getenv("USER"), "name of the operator for the history")
+	flags.StringVar(&apply.by, "by", operator(), "name of the operator for the history")
 	flags.BoolVar(&apply.wait, "wait", false, "wait until the rules are in force in every data centre")
 	flags.DurationVar(&apply.waitTimeout, "wait-timeout", defaultTimeout, "how long to wait with --wait")
 	return apply
 }
 
+// operator returns the name of the user who runs the program, or the empty string.
+func operator() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	account, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return account.Username
+}
+
 func (apply *rulesApplyCommand) run(command *cobra.Command, args []string) error {
 	path := args[0]
 	request, err := apply.request(command, path)
--- a/internal/swedit/editor.go
+++ b/internal/swedit/editor.go
@@ -12,7 +12,7 @@
 
 // staleReads is the number of reads in a row that may return a version lower than the one edited before that version is
 // taken to be wrong.
-const staleReads = 5
+const staleReads = 8
 
 // Store is the part of the platform that an Editor needs.
 type Store interface {
--- a/internal/swedit/error.go
+++ b/internal/swedit/error.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// RaceError tells that the rules are not at the version that the operator edited. Nothing was written.
+// RaceError tells that the platform does not show the rules at the version that the operator edited. Nothing was written.
 type RaceError struct {
 	// Base is the version that the operator edited.
 	Base uint64
@@ -21,6 +21,9 @@
 	if err.Version == 0 {
 		return fmt.Sprintf("version %d was edited, but the platform has no rules; nothing was written", err.Base)
 	}
+	if err.Version < err.Base {
+		return fmt.Sprintf("version %d was edited, but the platform shows version %d: its reads lag, or the version is wrong; nothing was written", err.Base, err.Version)
+	}
 	text := fmt.Sprintf("version %d was edited, but the rules are at version %d", err.Base, err.Version)
 	if len(err.Edits) > 0 {
 		text += " by " + err.Edits[0].By
