Take the leaving sign of backend servers from the VM list as well

Cause: the platform's list named leaving backend servers and nothing read it; a root went on asking owners for a server that answered leaving. Ready also waits for a server list now, since without one every shard lacks a replica.

--- a/internal/swapp/life.go
+++ b/internal/swapp/life.go
@@ -39,6 +39,7 @@
 var (
 	errLeaving     = errors.New("this VM is leaving")
 	errNoRules     = errors.New("no rules are in force on this VM yet: neither the platform nor a peer has given any")
+	errNoServers   = errors.New("no backend servers are known on this VM yet: neither the platform nor a peer has given any")
 	errNoCatalogue = errors.New("no catalogue is known on this VM yet: neither the platform nor a peer has given any")
 )
 
@@ -53,6 +54,9 @@
 	if lifeState.registry.Indexes() == 0 {
 		return errNoCatalogue
 	}
+	if len(lifeState.registry.Servers().All()) == 0 {
+		return errNoServers
+	}
 	return nil
 }
 
--- a/internal/swapp/provide.go
+++ b/internal/swapp/provide.go
@@ -205,7 +205,9 @@
 	}, nil
 }
 
-func newWatcher(config Config, client *swplatform.Client, directory *swmember.Directory, node *swpeer.Node, store *swrollout.Store, log zerolog.Logger) *swrollout.Watcher {
+func newWatcher(config Config, client *swplatform.Client, directory *swmember.Directory, node *swpeer.Node, store *swrollout.Store,
+	registry *swindex.Registry, board *swmember.Board, log zerolog.Logger,
+) *swrollout.Watcher {
 	return swrollout.NewWatcher(swrollout.WatcherConfig{
 		Platform:  client,
 		Directory: directory,
@@ -213,7 +215,10 @@
 		Store:     store,
 		WatchWait: config.Settings.Platform.WatchWait,
 		ListEvery: config.Settings.Platform.ListEvery,
-		Log:       log,
+		OnServerLeaving: func(server string) {
+			announceDraining(registry, board, server)
+		},
+		Log: log,
 	})
 }
 
--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -10,6 +10,9 @@
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
+// drainingFor is how long this root passes over a backend server whose owner says that it takes no new work.
+const drainingFor = 5 * time.Second
+
 // gatherStep waits for the shards' answers, with hedges, retries and cancellation.
 type gatherStep struct {
 	engine *Engine
@@ -213,6 +216,8 @@
 	case swbackend.Answered:
 		latencies.Observe(now, gatherWait.execution.query.Index, item.Shard, item.Server, age)
 		gatherWait.noteAnswered()
+	case swbackend.ServerLeaving:
+		gatherWait.engine.config.Registry.SetDraining(item.Server, drainingFor)
 	case swbackend.Cancelled:
 		latencies.ObserveSlow(now, item.Server, age)
 	default:
--- a/internal/swrollout/watcher.go
+++ b/internal/swrollout/watcher.go
@@ -81,6 +81,8 @@
 	WatchWait time.Duration
 	// ListEvery is the time between two readings of the VM list by the first watcher. The default is 30 s.
 	ListEvery time.Duration
+	// OnServerLeaving is told each backend server that the VM list calls leaving; it may be nil.
+	OnServerLeaving func(server string)
 	// Seed sets the sequence of random choices; zero draws one.
 	Seed uint64
 	Log  zerolog.Logger
@@ -391,6 +393,13 @@
 	})
 }
 
+// noteServer passes on that a backend server is leaving.
+func (watcher *Watcher) noteServer(vm *swplatform.VM) {
+	if vm.State == swplatform.StateLeaving && watcher.config.OnServerLeaving != nil {
+		watcher.config.OnServerLeaving(vm.Name)
+	}
+}
+
 func (watcher *Watcher) mergeVMs(ctx context.Context, dataCentre string) error {
 	listed, err := watcher.config.Platform.VMs(ctx, dataCentre)
 	if err != nil {
@@ -400,6 +409,7 @@
 	vms := make([]swmember.VM, 0, len(listed))
 	for _, vm := range listed {
 		if vm.Role != swplatform.RoleEntry {
+			watcher.noteServer(&vm)
 			continue
 		}
 		vms = append(vms, swmember.VM{
