--- a/cmd/rules.go
+++ b/cmd/rules.go
@@ -41,8 +41,9 @@
 
 // Defaults of flags.
 const (
-	defaultTimeout     = 30 * time.Second
-	defaultCallTimeout = 3 * time.Second
+	defaultTimeout     = time.Minute
+	defaultWaitTimeout = 30 * time.Second
+	defaultCallTimeout = 8 * time.Second
 )
 
 // platformOptions are the flags of commands that call the platform.
--- a/cmd/rules_apply.go
+++ b/cmd/rules_apply.go
@@ -75,7 +75,7 @@
 	flags.Uint64Var(&apply.base, "base", 0, "version that was edited, instead of the one in the file's first line")
 	flags.StringVar(&apply.by, "by", operator(), "name of the operator for the history")
 	flags.BoolVar(&apply.wait, "wait", false, "wait until the rules are in force in every data centre")
-	flags.DurationVar(&apply.waitTimeout, "wait-timeout", defaultTimeout, "how long to wait with --wait")
+	flags.DurationVar(&apply.waitTimeout, "wait-timeout", defaultWaitTimeout, "how long to wait with --wait")
 	return apply
 }
 
--- /dev/null
+++ b/internal/swedit/fake_test.go
@@ -0,0 +1,157 @@
+package swedit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+)
+
+// fault is what befalls one call of a fakeStore.
+type fault string
+
+const (
+	none       fault = ""
+	down       fault = "Down"       // the call fails and surely has no effect
+	lost       fault = "Lost"       // a write takes effect and its answer is lost
+	dropped    fault = "Dropped"    // a write has no effect and its answer is lost
+	delayed    fault = "Delayed"    // a write's answer is lost and it takes effect just before the next write
+	slow       fault = "Slow"       // the call takes 3 s and succeeds
+	stale      fault = "Stale"      // a read returns the version before
+	rejected   fault = "Rejected"   // the call is rejected
+	lostRival  fault = "LostRival"  // as lost, and another edit follows at once
+	rivalFirst fault = "RivalFirst" // another edit gets in first
+	lostMany   fault = "LostMany"   // as lost, and more edits follow than are remembered
+	lostForged fault = "LostForged" // as dropped, and an edit that keeps no record follows
+)
+
+// fakeStore holds the rules object. Each read and write meets the next of its faults.
+type fakeStore struct {
+	version  uint64
+	value    []byte
+	previous swplatform.Object
+	reads    []fault
+	writes   []fault
+	// pending is a delayed write.
+	pending func()
+	// accepted counts the writes that took effect, by edit ID.
+	accepted map[string]int
+	calls    int
+}
+
+func newFakeStore(t interface{ Fatal(...any) }, version uint64, document Document) *fakeStore {
+	value, err := document.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &fakeStore{version: version, value: value, accepted: make(map[string]int)}
+}
+
+func next(faults *[]fault) fault {
+	if len(*faults) == 0 {
+		return none
+	}
+	first := (*faults)[0]
+	*faults = (*faults)[1:]
+	return first
+}
+
+func (store *fakeStore) object() swplatform.Object {
+	return swplatform.Object{Kind: KindRules, Name: NameMain, Version: store.version, Value: store.value}
+}
+
+func (store *fakeStore) Get(ctx context.Context, _, _ string) (swplatform.Object, error) {
+	store.calls++
+	if ctx.Err() != nil {
+		return swplatform.Object{}, errors.Join(swplatform.ErrUnavailable, ctx.Err())
+	}
+	switch next(&store.reads) {
+	case down:
+		return swplatform.Object{}, swplatform.ErrUnavailable
+	case rejected:
+		return swplatform.Object{}, swplatform.ErrRejected
+	case slow:
+		time.Sleep(3 * time.Second)
+	case stale:
+		return store.previous, nil
+	}
+	if store.value == nil {
+		return swplatform.Object{}, swplatform.ErrNotFound
+	}
+	return store.object(), nil
+}
+
+func (store *fakeStore) Create(_ context.Context, _, _ string, value []byte) (swplatform.Object, error) {
+	return store.write(value, func() bool { return store.value == nil })
+}
+
+func (store *fakeStore) Update(_ context.Context, _, _ string, version uint64, value []byte) (swplatform.Object, error) {
+	return store.write(value, func() bool { return store.value != nil && store.version == version })
+}
+
+func (store *fakeStore) write(value []byte, allowed func() bool) (swplatform.Object, error) {
+	store.calls++
+	if store.pending != nil {
+		store.pending()
+		store.pending = nil
+	}
+	take := func() {
+		if allowed() {
+			store.put(value)
+		}
+	}
+	switch fault := next(&store.writes); fault {
+	case down:
+		return swplatform.Object{}, swplatform.ErrUnavailable
+	case rejected:
+		return swplatform.Object{}, swplatform.ErrRejected
+	case slow:
+		time.Sleep(3 * time.Second)
+	case delayed:
+		store.pending = take
+		return swplatform.Object{}, swplatform.ErrOutcomeUnknown
+	case lost, lostRival, lostMany:
+		take()
+		rivals := map[string]int{"LostRival": 1, "LostMany": MaxEdits}[string(fault)]
+		for i := range rivals {
+			store.rival(fmt.Sprintf("rival-%d", i))
+		}
+		return swplatform.Object{}, swplatform.ErrOutcomeUnknown
+	case dropped:
+		return swplatform.Object{}, swplatform.ErrOutcomeUnknown
+	case lostForged:
+		store.put([]byte(`{"Text":"refuse # by hand"}`))
+		return swplatform.Object{}, swplatform.ErrOutcomeUnknown
+	case rivalFirst:
+		store.rival("rival")
+	}
+	if !allowed() {
+		return swplatform.Object{}, swplatform.ErrConflict
+	}
+	store.put(value)
+	return swplatform.Object{Kind: KindRules, Name: NameMain, Version: store.version}, nil
+}
+
+func (store *fakeStore) put(value []byte) {
+	store.previous = store.object()
+	store.version++
+	store.value = value
+	if document, err := DecodeDocument(value); err == nil && len(document.Edits) > 0 {
+		store.accepted[document.Edits[0].ID]++
+	}
+}
+
+// rival makes another operator's edit.
+func (store *fakeStore) rival(id string) {
+	document, err := DecodeDocument(store.value)
+	if err != nil {
+		document = Document{}
+	}
+	edit := Edit{ID: id, By: "rival", Base: store.version}
+	value, err := document.withEdit("refuse # "+id+"\n", edit).Encode()
+	if err == nil {
+		store.put(value)
+	}
+}
