--- a/internal/swedit/editor_test.go
+++ b/internal/swedit/editor_test.go
@@ -11,6 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 )
 
 const newText = "# Version: 41\npass # wanted\n"
@@ -253,3 +255,50 @@
 	}
 	return ""
 }
+
+func TestRacingOperatorsNeverUndoEachOther(t *testing.T) {
+	faults := []fault{none, none, down, lost, dropped, slow, stale}
+	rapid.Check(t, func(rt *rapid.T) {
+		reads := rapid.SliceOfN(rapid.SampledFrom(faults), 0, 20).Draw(rt, "Reads")
+		writes := rapid.SliceOfN(rapid.SampledFrom(faults), 0, 20).Draw(rt, "Writes")
+		var failure string
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore(t, 40, Document{Text: "refuse # older\n"})
+			store.rival("previous")
+			store.reads, store.writes = reads, writes
+			failure = race(store, 4)
+		})
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+// race lets operators edit version 41 at once and says what is wrong about the outcomes.
+func race(store *fakeStore, operators int) string {
+	group := swgroup.New(context.Background())
+	errs := make([]error, operators)
+	texts := make([]string, operators)
+	for i := range operators {
+		texts[i] = fmt.Sprintf("pass Kind=k%d # operator %d\n", i, i)
+		group.Go(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, time.Hour)
+			defer cancel()
+			_, errs[i] = New(Config{Store: store}).Apply(ctx, Request{Text: texts[i], Base: 41, By: "operator"})
+		})
+	}
+	group.Wait()
+	winners := 0
+	for i := range operators {
+		accepted := store.accepted[EditID(41, "operator", texts[i])]
+		var race *RaceError
+		if (errs[i] == nil) != (accepted == 1) || errs[i] != nil && !errors.As(errs[i], &race) {
+			return fmt.Sprintf("operator %d was told %v, and the edit took effect %d times", i, errs[i], accepted)
+		}
+		winners += accepted
+	}
+	if winners != 1 || store.version != 42 {
+		return fmt.Sprintf("%d edits took effect, and the version is %d", winners, store.version)
+	}
+	return ""
+}
--- a/internal/swedit/fake_test.go
+++ b/internal/swedit/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
@@ -29,6 +30,7 @@
 
 // fakeStore holds the rules object. Each read and write meets the next of its faults.
 type fakeStore struct {
+	mutex    sync.Mutex
 	version  uint64
 	value    []byte
 	previous swplatform.Object
@@ -38,7 +40,6 @@
 	pending func()
 	// accepted counts the writes that took effect, by edit ID.
 	accepted map[string]int
-	calls    int
 }
 
 func newFakeStore(t interface{ Fatal(...any) }, version uint64, document Document) *fakeStore {
@@ -58,12 +59,20 @@
 	return first
 }
 
+// sleep lets other calls in while this one is slow.
+func (store *fakeStore) sleep() {
+	store.mutex.Unlock()
+	defer store.mutex.Lock()
+	time.Sleep(3 * time.Second)
+}
+
 func (store *fakeStore) object() swplatform.Object {
 	return swplatform.Object{Kind: KindRules, Name: NameMain, Version: store.version, Value: store.value}
 }
 
 func (store *fakeStore) Get(ctx context.Context, _, _ string) (swplatform.Object, error) {
-	store.calls++
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
 	if ctx.Err() != nil {
 		return swplatform.Object{}, errors.Join(swplatform.ErrUnavailable, ctx.Err())
 	}
@@ -73,7 +82,7 @@
 	case rejected:
 		return swplatform.Object{}, swplatform.ErrRejected
 	case slow:
-		time.Sleep(3 * time.Second)
+		store.sleep()
 	case stale:
 		return store.previous, nil
 	}
@@ -92,7 +101,8 @@
 }
 
 func (store *fakeStore) write(value []byte, allowed func() bool) (swplatform.Object, error) {
-	store.calls++
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
 	if store.pending != nil {
 		store.pending()
 		store.pending = nil
@@ -108,7 +118,7 @@
 	case rejected:
 		return swplatform.Object{}, swplatform.ErrRejected
 	case slow:
-		time.Sleep(3 * time.Second)
+		store.sleep()
 	case delayed:
 		store.pending = take
 		return swplatform.Object{}, swplatform.ErrOutcomeUnknown
