--- a/cmd/rules_match.go
+++ b/cmd/rules_match.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 	"github.com/sycamorewall/sycamorewall/pkg/swrule"
 )
 
@@ -58,7 +57,7 @@
 	decision := ruleSet.Match(test.request)
 	result := rulesTest{
 		Version: version, Action: decision.Action.String(), Priority: decision.Priority, Line: decision.Line,
-		Rule: decision.Text, Code: refusalCode(decision).String(),
+		Rule: decision.Text, Code: decision.Code().String(),
 	}
 	return test.output.print(command, result, func(out io.Writer) {
 		if result.Line == 0 {
@@ -88,14 +87,3 @@
 	}
 	return ruleSet, rules.version, nil
 }
-
-// refusalCode returns the result code with which a caller would see the decision.
-func refusalCode(decision swrule.Decision) swcode.Code {
-	switch {
-	case decision.Action != swrule.Refuse:
-		return swcode.OK
-	case decision.Line == 0:
-		return swcode.NoRuleMatched
-	}
-	return swcode.RefusedByRule
-}
--- a/internal/swquery/step_match.go
+++ b/internal/swquery/step_match.go
@@ -31,11 +31,12 @@
 		Index:       query.Index,
 		Fingerprint: FormatID(query.Fingerprint),
 	})
-	if execution.decision.Line == 0 {
-		return execution.refuse(swcode.NoRuleMatched, "no rule matches this caller, kind and index")
-	}
-	if execution.decision.Action == swrule.Refuse {
-		return execution.refuse(swcode.RefusedByRule, fmt.Sprintf("rule at line %d: %s", execution.decision.Line, execution.decision.Text))
+	switch code := execution.decision.Code(); code {
+	case swcode.OK:
+	case swcode.NoRuleMatched:
+		return execution.refuse(code, "no rule matches this caller, kind and index")
+	default:
+		return execution.refuse(code, fmt.Sprintf("rule at line %d: %s", execution.decision.Line, execution.decision.Text))
 	}
 	return matchStep.checkQuarantine(execution)
 }
--- a/pkg/swrule/decision.go
+++ b/pkg/swrule/decision.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
 // Action is what a rule does with the work that it matches.
@@ -55,4 +57,19 @@
 	Deadline time.Duration
 	// Release exempts a fingerprint from quarantine.
 	Release bool
+	// ByFingerprint tells that the rule names fingerprints.
+	ByFingerprint bool
+}
+
+// Code returns the result code with which a caller sees the decision: OK unless it is a refusal.
+func (decision *Decision) Code() swcode.Code {
+	switch {
+	case decision.Line == 0:
+		return swcode.NoRuleMatched
+	case decision.Action != Refuse:
+		return swcode.OK
+	case decision.ByFingerprint:
+		return swcode.QuarantinedByRule
+	}
+	return swcode.RefusedByRule
 }
--- a/pkg/swrule/parse_test.go
+++ b/pkg/swrule/parse_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
 const exampleText = `# Version: 41
@@ -64,7 +66,7 @@
 			name:    "fingerprint",
 			request: Request{Caller: "levy-notice-sender", Kind: "notice", Fingerprint: "00ff00ff00ff00ff"},
 			want: Decision{
-				Action: Pass, Priority: Standard, Line: 6, RatePerSecond: 0.5, Deadline: 250 * time.Millisecond, Release: true,
+				Action: Pass, Priority: Standard, Line: 6, RatePerSecond: 0.5, Deadline: 250 * time.Millisecond, Release: true, ByFingerprint: true,
 				Text: "pass   Fingerprint=00ff00ff00ff00ff Release=yes Rate=0.5/s Deadline=250ms # on-call: mended in 2.1",
 				ID:   "pass Fingerprint=00ff00ff00ff00ff Rate=0.5/s Deadline=250ms Release=yes",
 			},
@@ -88,6 +90,22 @@
 	}
 }
 
+func TestDecisionsHaveResultCodes(t *testing.T) {
+	ruleSet := parseGood(t, "refuse Fingerprint=00* # on-call\npass Kind=a # a\nrefuse Caller=b # b\n")
+	tests := map[swcode.Code]Request{
+		swcode.QuarantinedByRule: {Kind: "a", Fingerprint: "00ff00ff00ff00ff"},
+		swcode.OK:                {Kind: "a", Fingerprint: "11ff00ff00ff00ff"},
+		swcode.RefusedByRule:     {Caller: "b"},
+		swcode.NoRuleMatched:     {Caller: "c"},
+	}
+	for want, request := range tests {
+		decision := ruleSet.Match(request)
+		if diff := cmp.Diff(want, decision.Code()); diff != "" {
+			t.Errorf("code of %+v (-want +got):\n%s", request, diff)
+		}
+	}
+}
+
 func TestProblemsNameLineColumnFaultAndFix(t *testing.T) {
 	tests := []struct {
 		name string
--- a/pkg/swrule/rule.go
+++ b/pkg/swrule/rule.go
@@ -109,5 +109,6 @@
 		For:           rule.For,
 		Deadline:      rule.Deadline,
 		Release:       rule.Release,
+		ByFingerprint: rule.Fingerprint != Wildcard,
 	}
 }
