--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -122,6 +122,8 @@
 	canary bool
 	// aborted is set when the canary failed, so that the other shards are not tried.
 	aborted bool
+	// noted is set once an answer was told to the judge of crashes.
+	noted bool
 }
 
 func (gatherWait *gatherWait) run(ctx context.Context) {
@@ -220,11 +222,14 @@
 	}
 }
 
-// noteAnswered tells that the request did not crash a server.
+// noteAnswered tells once that the request did not crash a server.
 func (gatherWait *gatherWait) noteAnswered() {
-	if crashes := gatherWait.engine.config.Crashes; crashes != nil {
-		crashes.Answered(gatherWait.execution.query.Fingerprint)
+	crashes := gatherWait.engine.config.Crashes
+	if crashes == nil || gatherWait.noted {
+		return
 	}
+	gatherWait.noted = true
+	crashes.Answered(gatherWait.execution.query.Fingerprint)
 }
 
 // lose gives up the attempts of a link whose owner is gone.
