Let callers save turns, and assert what floods leave to the rest

Cause: a burst of a caller within its fair share waited in turn with a caller that flooded its priority. TestFloods holds for 8 seeds (go test ./internal/swadmission -run TestFloods -flood.seeds 8).

--- a/internal/swadmission/line.go
+++ b/internal/swadmission/line.go
@@ -8,14 +8,18 @@
 // idleCallers is the number of callers without waiting work that a line remembers.
 const idleCallers = 64
 
+// savedTurns is the number of turns that a caller without waiting work saves up, so that its bursts seldom wait for a
+// caller that floods.
+const savedTurns = 4
+
 // line holds the waiting work of one priority: start-time fair queueing between callers, earliest deadline first
 // inside a caller.
 type line struct {
 	callers map[string]*callerLine
 	active  []*callerLine
 	length  int
-	// clock is the virtual start time of the work served last.
-	clock uint64
+	// clock is the latest virtual start time of work that was served.
+	clock int64
 }
 
 // callerLine holds the waiting work of one caller as a heap by deadline.
@@ -23,7 +27,7 @@
 	caller  string
 	waiters []*waiter
 	// start is the virtual time at which the caller's next work is due.
-	start uint64
+	start int64
 }
 
 func (line *line) push(waiter *waiter) {
@@ -34,7 +38,7 @@
 		line.callers[waiter.work.Caller] = caller
 	}
 	if len(caller.waiters) == 0 {
-		caller.start = max(caller.start, line.clock)
+		caller.start = max(caller.start, line.clock-savedTurns)
 		line.active = append(line.active, caller)
 	}
 	heap.Push(caller, waiter)
@@ -74,7 +78,7 @@
 // served moves the caller's turn behind the other callers'.
 func (line *line) served(waiter *waiter) {
 	caller := line.callers[waiter.work.Caller]
-	line.clock = caller.start
+	line.clock = max(line.clock, caller.start)
 	caller.start++
 }
 
--- a/internal/swadmission/main_test.go
+++ b/internal/swadmission/main_test.go
@@ -8,7 +8,10 @@
 	"pgregory.net/rapid"
 )
 
-// floodTable makes TestFloods print its table for docs/measurements/admission.md.
+// floodSeeds is the number of seeds with which TestFloods runs.
+var floodSeeds = flag.Int("flood.seeds", 1, "number of seeds of the floods")
+
+// floodTable makes TestFloodTable print its table for docs/measurements/admission.md.
 var floodTable = flag.Bool("flood.table", false, "print the table of floods")
 
 func TestMain(m *testing.M) {
