--- a/lab/internal/swlabbackend/record.go
+++ b/lab/internal/swlabbackend/record.go
@@ -1,6 +1,7 @@
 package swlabbackend
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -81,11 +82,11 @@
 	return slices.Clone(journal.records)
 }
 
-// Refusals returns the number of refused requests by code.
-func (journal *Journal) Refusals(code string) int64 {
+// Refusals returns the numbers of requests that got no answer, by code.
+func (journal *Journal) Refusals() map[string]int64 {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
-	return journal.refusals[code]
+	return maps.Clone(journal.refusals)
 }
 
 // Arrivals returns the requests that reached leaving servers.
--- a/lab/internal/swlabbackend/server.go
+++ b/lab/internal/swlabbackend/server.go
@@ -40,6 +40,8 @@
 	// Service is the median service time, and Sigma the deviation of its logarithm.
 	Service time.Duration
 	Sigma   float64
+	// Warm makes the first start a warm one.
+	Warm bool
 	// ColdFor is how long a start is cold, and ColdFactor how much slower it is at first.
 	ColdFor    time.Duration
 	ColdFactor float64
@@ -109,6 +111,9 @@
 	if err := server.listen(); err != nil {
 		return nil, err
 	}
+	if config.Warm {
+		server.started = server.started.Add(-config.ColdFor)
+	}
 	return server, nil
 }
 
--- a/lab/internal/swlabcheck/answer.go
+++ b/lab/internal/swlabcheck/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbackend"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabload"
+	"github.com/sycamorewall/sycamorewall/pkg/swclient"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
@@ -126,7 +127,7 @@
 
 func (checker *checker) equalsScan(snapshot *swlabbackend.Snapshot, result *swlabload.Result) bool {
 	reference := checker.scan(snapshot, result.Query, result.Stream.Limit)
-	same := func(hit swlabload.Hit, other swlabbackend.Hit) bool {
+	same := func(hit swclient.Hit, other swlabbackend.Hit) bool {
 		return hit.ID == other.ID && hit.Score == other.Score && hit.Text == other.Text
 	}
 	if !slices.EqualFunc(result.Answer.Hits, reference.Hits, same) {
@@ -158,7 +159,7 @@
 	slices.SortFunc(begun, func(a, b *swlabload.Result) int { return a.Sent.Compare(b.Sent) })
 	ended := slices.Clone(results)
 	slices.SortFunc(ended, func(a, b *swlabload.Result) int { return a.Ended().Compare(b.Ended()) })
-	var known int64
+	var known uint64
 	next := 0
 	for _, result := range begun {
 		for next < len(ended) && ended[next].Ended().Before(result.Sent) {
--- a/lab/internal/swlabcheck/check_test.go
+++ b/lab/internal/swlabcheck/check_test.go
@@ -11,6 +11,7 @@
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbackend"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabcheck"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabload"
+	"github.com/sycamorewall/sycamorewall/pkg/swclient"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
@@ -51,22 +52,22 @@
 	return made
 }
 
-func answer(snapshot *swlabbackend.Snapshot, query string) swlabload.Answer {
+func answer(snapshot *swlabbackend.Snapshot, query string) swclient.SearchReply {
 	scan := snapshot.Scan(query, limit)
-	made := swlabload.Answer{
+	made := swclient.SearchReply{
 		Code: swcode.OK, Ran: swcode.RanYes, RequestID: "1", Snapshot: snapshot.ID, RuleVersion: 7, Counts: scan.Counts,
-		Coverage: swlabload.Coverage{
+		Coverage: swclient.Coverage{
 			Documents: snapshot.Total(), Of: snapshot.Total(), Shards: len(snapshot.Shards), OfShards: len(snapshot.Shards),
 		},
 	}
 	for _, hit := range scan.Hits {
-		made.Hits = append(made.Hits, swlabload.Hit{ID: hit.ID, Score: hit.Score, Text: hit.Text})
+		made.Hits = append(made.Hits, swclient.Hit{ID: hit.ID, Score: hit.Score, Text: hit.Text})
 	}
 	return made
 }
 
 // again adds another result of the same VM.
-func again(evidence *swlabcheck.Evidence, after time.Duration, version int64) {
+func again(evidence *swlabcheck.Evidence, after time.Duration, version uint64) {
 	result := evidence.Results[0]
 	result.Intended = begin.Add(after)
 	result.Sent = result.Intended
@@ -114,10 +115,10 @@
 			evidence.Results[0].Answer.Coverage.OfShards++
 		}, violations{FalseCoverage: 1}},
 		{"refusal of what ran", func(evidence *swlabcheck.Evidence) {
-			evidence.Results[0].Answer = swlabload.Answer{Code: swcode.ShedByPriority, Ran: swcode.RanNo}
+			evidence.Results[0].Answer = swclient.SearchReply{Code: swcode.ShedByPriority, Ran: swcode.RanNo}
 		}, violations{RanDespiteRefusal: 1}},
 		{"refusal of what ran later", func(evidence *swlabcheck.Evidence) {
-			evidence.Results[0].Answer = swlabload.Answer{Code: swcode.ShedByPriority, Ran: swcode.RanNo}
+			evidence.Results[0].Answer = swclient.SearchReply{Code: swcode.ShedByPriority, Ran: swcode.RanNo}
 			for i := range evidence.Records {
 				evidence.Records[i].Started = begin.Add(time.Hour)
 			}
@@ -183,7 +184,7 @@
 
 func TestWastedCountsWorkWithoutWholeAnswer(t *testing.T) {
 	wasted := evidence()
-	wasted.Results[0].Answer = swlabload.Answer{Code: swcode.DeadlineExceeded, Ran: swcode.RanUnknown}
+	wasted.Results[0].Answer = swclient.SearchReply{Code: swcode.DeadlineExceeded, Ran: swcode.RanUnknown}
 	report := swlabcheck.NewReport(wasted, []swlabload.Line{{Caller: "treasurer-desk"}}, nil)
 	if got := report.Priorities[0].Wasted; got != 1 {
 		t.Errorf("%d wasted, want 1", got)
--- a/lab/internal/swlabcheck/evidence.go
+++ b/lab/internal/swlabcheck/evidence.go
@@ -23,7 +23,7 @@
 
 // RuleChange is one accepted version of the rule file.
 type RuleChange struct {
-	Version int64
+	Version uint64
 	At      time.Time
 }
 
--- a/lab/internal/swlabcheck/report.go
+++ b/lab/internal/swlabcheck/report.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabload"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 	"github.com/sycamorewall/sycamorewall/pkg/swrule"
 )
 
@@ -34,7 +35,11 @@
 	// begun already, as a share of the shards asked for.
 	ExtraLoad float64
 	// SubRequests is the number of sub-requests that backend servers began.
-	SubRequests   int
+	SubRequests int
+	// BackendRefusals counts the requests that backend servers did not answer, by code.
+	BackendRefusals map[string]int64
+	// Snapshots counts the answers by index and snapshot.
+	Snapshots     map[string]int64
 	PlatformCalls map[string]int64
 	Violations    Violations
 	Examples      []string `json:",omitempty"`
@@ -48,6 +53,7 @@
 		Violations: verdict.Violations, Examples: verdict.Examples, PlatformCalls: calls,
 		SubRequests: len(evidence.Records), ExtraLoad: extraLoad(evidence),
 	}
+	report.Snapshots = answersBySnapshot(evidence)
 	wasted := wastedBy(evidence)
 	var answered, covered float64
 	for _, line := range lines {
@@ -63,6 +69,16 @@
 	return report
 }
 
+func answersBySnapshot(evidence *Evidence) map[string]int64 {
+	answers := make(map[string]int64)
+	for i := range evidence.Results {
+		if result := &evidence.Results[i]; result.Err == nil && result.Answer.Code == swcode.OK {
+			answers[result.Stream.Index+"/"+result.Answer.Snapshot]++
+		}
+	}
+	return answers
+}
+
 type lineKey struct {
 	caller string
 	kind   string
@@ -110,8 +126,13 @@
 			line.P50, line.P99, line.P999, line.Coverage)
 	}
 	_ = table.Flush()
+	fmt.Fprintln(out)
+	for _, line := range report.Priorities {
+		fmt.Fprintf(out, "%s %s: %v\n", line.Caller, line.Kind, line.Codes)
+	}
 	fmt.Fprintf(out, "\ncoverage %.4f, extra load %.2f %%, %d sub-requests, platform calls %v\n",
 		report.Coverage, 100*report.ExtraLoad, report.SubRequests, report.PlatformCalls)
+	fmt.Fprintf(out, "answers by snapshot %v, refusals of backend servers %v\n", report.Snapshots, report.BackendRefusals)
 	fmt.Fprintf(out, "violations %d: %+v\n", report.Violations.Total(), report.Violations)
 	if len(report.Examples) > 0 {
 		fmt.Fprintln(out, "  "+strings.Join(report.Examples, "\n  "))
--- a/lab/internal/swlabfleet/backend.go
+++ b/lab/internal/swlabfleet/backend.go
@@ -67,7 +67,7 @@
 		Name:       fmt.Sprintf("%s-%d-%d", pool.Index, shard, replica),
 		DataCentre: dataCentre.Name, Slots: pool.Slots, Waiting: waitingEach * pool.Slots,
 		Connections: pool.Connections, ConnectDelay: pool.ConnectDelay,
-		Service: pool.Service, Sigma: serviceSigma, ColdFor: coldFor, ColdFactor: coldFactor,
+		Service: pool.Service, Sigma: serviceSigma, Warm: true, ColdFor: coldFor, ColdFactor: coldFactor,
 		Restart: restartAfter, Seed: fleet.config.Seed, Journal: fleet.Journal,
 	})
 }
--- a/lab/internal/swlabfleet/fleet.go
+++ b/lab/internal/swlabfleet/fleet.go
@@ -142,11 +142,7 @@
 			return err
 		}
 	}
-	targets := make([]swlabload.Target, len(fleet.VMs))
-	for i, vm := range fleet.VMs {
-		targets[i] = swlabload.Target{Name: vm.Name, DataCentre: vm.DataCentre.Name, Address: vm.caller.Address().String()}
-	}
-	fleet.Balancer = swlabload.NewBalancer(targets)
+	fleet.Balancer = swlabload.NewBalancer(fleet.Targets())
 	return nil
 }
 
@@ -273,6 +269,15 @@
 	return fleet.Balancer.AwaitReady(ctx, len(fleet.VMs))
 }
 
+// Targets returns the VMs as callers reach them.
+func (fleet *Fleet) Targets() []swlabload.Target {
+	targets := make([]swlabload.Target, len(fleet.VMs))
+	for i, vm := range fleet.VMs {
+		targets[i] = swlabload.Target{Name: vm.Name, DataCentre: vm.DataCentre.Name, Address: vm.caller.Address().String()}
+	}
+	return targets
+}
+
 // Callers returns the HTTP addresses of the VMs.
 func (fleet *Fleet) Callers() []string {
 	list := make([]string, len(fleet.VMs))
--- a/lab/internal/swlabfleet/rule.go
+++ b/lab/internal/swlabfleet/rule.go
@@ -15,7 +15,7 @@
 
 // RuleChange is one accepted version of the rule file.
 type RuleChange struct {
-	Version int64
+	Version uint64
 	At      time.Time
 }
 
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	fleet.rules = append(fleet.rules, RuleChange{Version: object.Version, At: time.Now()})
+	fleet.rules = append(fleet.rules, RuleChange{Version: uint64(object.Version), At: time.Now()})
 	return nil
 }
 
--- a/lab/internal/swlabload/client.go
+++ b/lab/internal/swlabload/client.go
@@ -15,60 +15,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
-	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
-// Request is the body of /v1/search and /v1/runs.
-type Request struct {
-	Caller      string
-	Kind        string
-	Index       string
-	Query       string
-	Limit       int      `json:",omitempty"`
-	MinCoverage *float64 `json:",omitempty"`
-	Timeout     string   `json:",omitempty"`
-	RequestID   string   `json:",omitempty"`
-	Key         string   `json:",omitempty"`
-}
-
-// Hit is one match in an answer.
-type Hit struct {
-	ID    string
-	Score float64
-	Shard int
-	Text  string
-}
-
-// Coverage is the part of a snapshot that an answer covers.
-type Coverage struct {
-	Documents int64
-	Of        int64
-	Shards    int
-	OfShards  int
-}
-
-// Ratio returns the covered share of documents.
-func (coverage Coverage) Ratio() float64 {
-	if coverage.Of == 0 {
-		return 0
-	}
-	return float64(coverage.Documents) / float64(coverage.Of)
-}
-
-// Answer is the body of every reply of a VM.
-type Answer struct {
-	Code        swcode.Code
-	Name        string
-	Ran         swcode.Ran
-	RequestID   string
-	Snapshot    string
-	Coverage    Coverage
-	RuleVersion int64
-	Hits        []Hit
-	Counts      map[string]int64
-	Message     string
-}
-
 const (
 	// maxAnswer is the largest answer that is read, in bytes.
 	maxAnswer = 8 << 20
--- a/lab/internal/swlabload/load.go
+++ b/lab/internal/swlabload/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/pkg/swclient"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 	"github.com/sycamorewall/sycamorewall/pkg/swrule"
 )
@@ -72,7 +74,7 @@
 	First  bool
 	Last   bool
 	Status int
-	Answer Answer
+	Answer swclient.SearchReply
 	// Err is set when no answer came.
 	Err error
 }
@@ -92,6 +94,8 @@
 	Balancer *Balancer
 	Streams  []*Stream
 	Duration time.Duration
+	// Until ends the load in place of Duration when it is set; requests under way go on.
+	Until context.Context
 	// ClientDelay is added to each way between callers and VMs.
 	ClientDelay time.Duration
 	Seed        uint64
@@ -179,6 +183,10 @@
 func (sender *sender) run(ctx context.Context) {
 	begin := time.Now()
 	until := sender.config.Duration
+	if sender.config.Until != nil {
+		until = math.MaxInt64
+		ctx = sender.config.Until
+	}
 	if sender.stream.Until > 0 {
 		until = min(until, sender.stream.Until)
 	}
@@ -224,7 +232,7 @@
 	}
 	for attempt := range sender.stream.Resend + 1 {
 		result.First = attempt == 0
-		sender.post(ctx, "/v1/search", sender.request(number, attempt, &result), &result)
+		sender.post(ctx, swclient.PathSearch, sender.request(number, attempt, &result), &result)
 		if attempt < sender.stream.Resend && !result.Whole() {
 			sender.observe(result)
 			continue
@@ -235,7 +243,7 @@
 }
 
 // request makes the request of a number and names it in the result.
-func (sender *sender) request(number int64, attempt int, result *Result) Request {
+func (sender *sender) request(number int64, attempt int, result *Result) swclient.SearchRequest {
 	stream := sender.stream
 	query := stream.Queries[int(number)%len(stream.Queries)]
 	result.Tag = fmt.Sprintf("%d-%d-%d", sender.number, number, attempt)
@@ -243,9 +251,9 @@
 		query += " tag:" + result.Tag
 	}
 	result.Query, result.RequestID = query, result.Tag
-	request := Request{
+	request := swclient.SearchRequest{
 		Caller: stream.Caller, Kind: stream.Kind, Index: stream.Index, Query: query, Limit: stream.Limit,
-		Timeout: stream.Timeout.String(), RequestID: result.RequestID,
+		Timeout: swclient.Duration(stream.Timeout), RequestID: result.RequestID,
 	}
 	if stream.MinCoverage > 0 {
 		request.MinCoverage = &stream.MinCoverage
@@ -265,12 +273,12 @@
 }
 
 // post sends a request to a VM that the balancer picks.
-func (sender *sender) post(ctx context.Context, path string, request Request, result *Result) {
+func (sender *sender) post(ctx context.Context, path string, request any, result *Result) {
 	ctx, cancel := context.WithTimeout(ctx, sender.stream.Timeout+2*sender.config.ClientDelay+grace)
 	defer cancel()
 	target := sender.config.Balancer.Pick()
 	result.Target = target.Name
-	result.Answer = Answer{}
+	result.Answer = swclient.SearchReply{}
 	sleepUntil(ctx, time.Now().Add(sender.config.ClientDelay))
 	result.Sent = time.Now()
 	result.Status, result.Err = sender.config.Balancer.Post(ctx, target, path, request, &result.Answer)
@@ -300,7 +308,7 @@
 	line.Codes[result.Answer.Code.String()]++
 	if result.Answer.Code == swcode.OK {
 		tally.answered++
-		tally.coverage += result.Answer.Coverage.Ratio()
+		tally.coverage += result.Answer.Coverage.Fraction()
 	}
 }
 
--- a/lab/internal/swlabload/load_test.go
+++ b/lab/internal/swlabload/load_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabload"
+	"github.com/sycamorewall/sycamorewall/pkg/swclient"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
@@ -82,7 +83,7 @@
 }
 
 func TestWholeNeedsFullCoverage(t *testing.T) {
-	result := swlabload.Result{Answer: swlabload.Answer{Code: swcode.OK, Coverage: swlabload.Coverage{Documents: 1, Of: 2}}}
+	result := swlabload.Result{Answer: swclient.SearchReply{Code: swcode.OK, Coverage: swclient.Coverage{Documents: 1, Of: 2}}}
 	if result.Whole() {
 		t.Error("half an answer counts as whole")
 	}
--- a/lab/internal/swlabload/run.go
+++ b/lab/internal/swlabload/run.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/pkg/swclient"
 )
 
 const (
@@ -35,12 +37,9 @@
 	if len(store.keys) == 0 {
 		ctx, cancel := context.WithTimeout(ctx, keyTimeout)
 		defer cancel()
-		var reply struct{ Keys []string }
-		wanted := struct {
-			Caller string
-			Count  int
-		}{sender.stream.Caller, keyBatch}
-		if _, err := sender.config.Balancer.Post(ctx, sender.config.Balancer.Pick(), "/v1/keys", wanted, &reply); err != nil {
+		var reply swclient.KeysReply
+		wanted := swclient.KeysRequest{Caller: sender.stream.Caller, Count: keyBatch}
+		if _, err := sender.config.Balancer.Post(ctx, sender.config.Balancer.Pick(), swclient.PathKeys, wanted, &reply); err != nil {
 			return ""
 		}
 		store.keys = reply.Keys
@@ -64,7 +63,7 @@
 // sendRun sends non-idempotent work several times under one key, through the VMs that the balancer picks. The first
 // answer counts in the tally; all are observed.
 func (sender *sender) sendRun(ctx context.Context, number int64, result Result) {
-	request := sender.request(number, 0, &result)
+	request := swclient.RunRequest{SearchRequest: sender.request(number, 0, &result)}
 	request.Key = sender.key(ctx, number)
 	result.Key = request.Key
 	if request.Key == "" {
@@ -75,7 +74,7 @@
 	}
 	for i := range runsEach {
 		result.First, result.Last = i == 0, i == runsEach-1
-		sender.post(ctx, "/v1/runs", request, &result)
+		sender.post(ctx, swclient.PathRuns, request, &result)
 		if result.First {
 			sender.finish(result)
 			continue
--- a/lab/internal/swlabscenario/bench.go
+++ b/lab/internal/swlabscenario/bench.go
@@ -122,6 +122,7 @@
 	}
 	report := swlabcheck.NewReport(bench.evidence(), lines, bench.Fleet.Platform.Calls())
 	report.Scenario, report.User, report.Seed = scenario.Name, options.User.Name, options.Seed
+	report.BackendRefusals = bench.Fleet.Journal.Refusals()
 	report.Duration = options.Duration.String()
 	report.Timeline = swlabcheck.NewTimeline(bench.results, bench.begin, options.Duration)
 	return report, nil
--- /dev/null
+++ b/lab/internal/swlabscenario/process_test.go
@@ -0,0 +1,252 @@
+package swlabscenario_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbackend"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabcheck"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabfleet"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabload"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabplatform"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabscenario"
+	"github.com/sycamorewall/sycamorewall/pkg/swclient"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+var (
+	longSet = flag.Bool("long", false, "run every scenario for both users with real processes")
+	seeds   = flag.Uint64("seeds", 3, "number of seeds of the long set")
+	// binary is the program under test, built once.
+	binary string
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(build(m))
+}
+
+func build(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "sycamorewall-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	binary = filepath.Join(directory, "sycamorewall")
+	command := exec.Command("go", "build", "-o", binary, "github.com/sycamorewall/sycamorewall")
+	command.Stderr = os.Stderr
+	if err := command.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// start runs a fleet of real processes.
+func start(t *testing.T, user swlabfleet.User, change func(config *swlabfleet.Config)) *swlabfleet.Fleet {
+	t.Helper()
+	config := swlabfleet.Config{User: user, Seed: 1, Launch: swlabfleet.LaunchBinary(binary, t.TempDir())}
+	if change != nil {
+		change(&config)
+	}
+	fleet, err := swlabfleet.Start(t.Context(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	return fleet
+}
+
+func awaitReady(t *testing.T, fleet *swlabfleet.Fleet, count int) {
+	t.Helper()
+	if err := fleet.Balancer.AwaitReady(t.Context(), count); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func findUser(t *testing.T, name string) swlabfleet.User {
+	t.Helper()
+	user, ok := swlabfleet.FindUser(name)
+	if !ok {
+		t.Fatalf("no user %s", name)
+	}
+	return user
+}
+
+// search asks one VM for every match of a query, with time enough for every retry.
+func search(t *testing.T, fleet *swlabfleet.Fleet, target swlabload.Target, stream *swlabload.Stream, query string) swclient.SearchReply {
+	t.Helper()
+	request := swclient.SearchRequest{
+		Caller: stream.Caller, Kind: stream.Kind, Index: stream.Index, Query: query, Limit: 1000, Timeout: swclient.Duration(20 * time.Second),
+	}
+	var answer swclient.SearchReply
+	if _, err := fleet.Balancer.Post(t.Context(), target, swclient.PathSearch, request, &answer); err != nil {
+		t.Errorf("%s: %v", target.Name, err)
+	}
+	return answer
+}
+
+// expectScan checks that an answer is the direct scan of its snapshot, whole.
+func expectScan(t *testing.T, fleet *swlabfleet.Fleet, target swlabload.Target, stream *swlabload.Stream, query string) {
+	t.Helper()
+	answer := search(t, fleet, target, stream, query)
+	if answer.Code != swcode.OK {
+		t.Errorf("%s, %s, %q: %s: %s", target.Name, stream.Index, query, answer.Code, answer.Message)
+		return
+	}
+	snapshot, err := fleet.Snapshot(stream.Index, answer.Snapshot)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	scan := snapshot.Scan(query, 1000)
+	got := swlabbackend.Result{Hits: []swlabbackend.Hit{}, Counts: map[string]int64{}}
+	shards := make(map[int]bool)
+	for _, hit := range answer.Hits {
+		got.Hits = append(got.Hits, swlabbackend.Hit{ID: hit.ID, Score: hit.Score, Text: hit.Text})
+		shards[hit.Shard] = true
+	}
+	for name, count := range answer.Counts {
+		got.Counts[name] = count
+	}
+	if diff := cmp.Diff(scan, got); diff != "" {
+		t.Errorf("%s, %s, %q: %s", target.Name, stream.Index, query, diff)
+	}
+	total, count := snapshot.Total(), len(snapshot.Shards)
+	want := swclient.Coverage{Documents: total, Of: total, Shards: count, OfShards: count}
+	if diff := cmp.Diff(want, answer.Coverage); diff != "" {
+		t.Errorf("%s, %s, %q: %s", target.Name, stream.Index, query, diff)
+	}
+	if len(shards) != count {
+		t.Errorf("%s, %s, %q: hits of %d shards, want %d", target.Name, stream.Index, query, len(shards), count)
+	}
+}
+
+func TestSearchThroughThreeDataCentresEqualsDirectScan(t *testing.T) {
+	for _, user := range swlabfleet.Users() {
+		t.Run(user.Name, func(t *testing.T) {
+			fleet := start(t, user, nil)
+			awaitReady(t, fleet, len(fleet.VMs))
+			for _, target := range fleet.Targets() {
+				for i := range user.Streams {
+					expectScan(t, fleet, target, &user.Streams[i], "levy")
+					expectScan(t, fleet, target, &user.Streams[i], "belt count:state count:month")
+				}
+			}
+		})
+	}
+}
+
+func TestKilledVMLeavesOthersAnswering(t *testing.T) {
+	user := findUser(t, "avellana")
+	fleet := start(t, user, nil)
+	awaitReady(t, fleet, len(fleet.VMs))
+	killed := fleet.VM(0, 0)
+	fleet.KillVM(killed)
+	for _, target := range fleet.Targets() {
+		if target.Name != killed.Name {
+			expectScan(t, fleet, target, &user.Streams[0], "levy")
+		}
+	}
+	if err := fleet.StartVM(t.Context(), killed); err != nil {
+		t.Fatal(err)
+	}
+	awaitReady(t, fleet, len(fleet.VMs))
+	expectScan(t, fleet, fleet.Targets()[0], &user.Streams[0], "levy")
+}
+
+func TestVMsStartWhenThePlatformReturns(t *testing.T) {
+	user := findUser(t, "kowhai")
+	fleet := start(t, user, func(config *swlabfleet.Config) {
+		config.PlatformFault = swlabplatform.Fault{Down: true}
+	})
+	for _, target := range fleet.Targets() {
+		answer := search(t, fleet, target, &user.Streams[0], "levy")
+		if answer.Code != swcode.NotReady || answer.Ran != swcode.RanNo {
+			t.Errorf("%s without rules: %s, %s", target.Name, answer.Code, answer.Ran)
+		}
+	}
+	fleet.Platform.SetFault(swlabplatform.Fault{})
+	awaitReady(t, fleet, len(fleet.VMs))
+	fleet.Platform.SetFault(swlabplatform.Fault{Down: true})
+	if err := fleet.StopVM(t.Context(), fleet.VM(1, 1)); err != nil {
+		t.Error(err)
+	}
+	if err := fleet.StartVM(t.Context(), fleet.VM(1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	for _, target := range fleet.Targets() {
+		awaitReady(t, fleet, len(fleet.VMs))
+		expectScan(t, fleet, target, &user.Streams[0], "levy")
+	}
+}
+
+func TestRollingRestartUnderLoadCutsNoRequest(t *testing.T) {
+	user := findUser(t, "kowhai")
+	fleet := start(t, user, nil)
+	awaitReady(t, fleet, len(fleet.VMs))
+	ctx, cancel := context.WithCancel(t.Context())
+	group := swgroup.New(t.Context())
+	var results collector
+	group.Go(func(context.Context) {
+		swlabload.Run(t.Context(), swlabload.Config{
+			Balancer: fleet.Balancer, Streams: []*swlabload.Stream{&user.Streams[0], &user.Streams[1]},
+			Until: ctx, ClientDelay: user.ClientDelay, Seed: 1, Observe: results.add,
+		})
+	})
+	for _, vm := range fleet.VMs {
+		if err := fleet.StopVM(t.Context(), vm); err != nil {
+			t.Error(err)
+		}
+		if err := fleet.StartVM(t.Context(), vm); err != nil {
+			t.Fatal(err)
+		}
+		awaitReady(t, fleet, len(fleet.VMs))
+	}
+	cancel()
+	group.Wait()
+	verdict := swlabcheck.Check(&swlabcheck.Evidence{
+		Results: results.list, Records: fleet.Journal.Records(), Arrivals: fleet.Journal.Arrivals(), Snapshots: fleet.Snapshots,
+	})
+	if diff := cmp.Diff(swlabcheck.Violations{}, verdict.Violations); diff != "" {
+		t.Errorf("%s%v", diff, verdict.Examples)
+	}
+	for i := range results.list {
+		if result := &results.list[i]; result.Err != nil {
+			t.Errorf("%s through %s was cut: %v", result.Tag, result.Target, result.Err)
+		}
+	}
+}
+
+func TestEveryScenarioKeepsThePromises(t *testing.T) {
+	if !*longSet {
+		t.Skip("the long set needs -long")
+	}
+	for _, scenario := range swlabscenario.All() {
+		for _, user := range swlabfleet.Users() {
+			for seed := range *seeds {
+				t.Run(fmt.Sprintf("%s/%s/%d", scenario.Name, user.Name, seed+1), func(t *testing.T) {
+					report, err := swlabscenario.Run(t.Context(), scenario, swlabscenario.Options{
+						User: user, Seed: seed + 1, Launch: swlabfleet.LaunchBinary(binary, t.TempDir()),
+					})
+					if err != nil {
+						t.Fatal(err)
+					}
+					if diff := cmp.Diff(swlabcheck.Violations{}, report.Violations); diff != "" {
+						t.Errorf("%s%v", diff, report.Examples)
+					}
+				})
+			}
+		}
+	}
+}
