Pass the leaving sign of a server list on without the pool's lock

Cause: Pool.SetServers held the pool's lock while OnLeaving ran; in swapp that puts a gossip record, whose subscriber calls Pool.SetLeaving and waits for the same lock. From the moment a server list named a leaving server, every VM that took the list in was stuck for good: each Execute waited for the lock and each query ended at its deadline. Ruled out: the watcher and the stand-ins, whose goroutines were idle.

--- a/internal/swbackend/pool.go
+++ b/internal/swbackend/pool.go
@@ -90,12 +90,24 @@
 
 // SetServers replaces the list of servers. Work in flight at a server that is no longer listed goes on.
 func (pool *Pool) SetServers(list []swindex.Server) {
+	// OnLeaving may use the pool, so signs are passed on without the lock.
+	for _, server := range pool.replace(list) {
+		server.setLeaving()
+	}
+}
+
+// replace takes in a list and returns the servers that it says are leaving.
+func (pool *Pool) replace(list []swindex.Server) []*server {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	var leaving []*server
 	listed := make(map[string]bool, len(list))
 	for _, description := range list {
 		listed[description.Name] = true
-		pool.set(description)
+		server := pool.set(description)
+		if description.Leaving {
+			leaving = append(leaving, server)
+		}
 	}
 	for name, server := range pool.servers {
 		if !listed[name] {
@@ -103,9 +115,10 @@
 			server.retire()
 		}
 	}
+	return leaving
 }
 
-func (pool *Pool) set(description swindex.Server) {
+func (pool *Pool) set(description swindex.Server) *server {
 	present := pool.servers[description.Name]
 	if present != nil && present.address() != description.Address {
 		present.retire()
@@ -116,6 +129,7 @@
 		pool.servers[description.Name] = present
 	}
 	present.describe(description, pool.share)
+	return present
 }
 
 // SetShare limits this VM to a part of every server's slots and connections, as when each VM dispatches on its own.
--- a/internal/swbackend/server.go
+++ b/internal/swbackend/server.go
@@ -67,6 +67,7 @@
 }
 
 // describe takes in what the server list says. A list that lags does not undo a sign that this VM saw itself.
+// The caller passes the sign of leaving on, once it holds no lock.
 func (server *server) describe(description swindex.Server, share share) {
 	server.mutex.Lock()
 	server.description = description
@@ -77,9 +78,6 @@
 	server.listLeaving = description.Leaving
 	server.mutex.Unlock()
 	server.setShare(share)
-	if description.Leaving {
-		server.setLeaving()
-	}
 }
 
 func (server *server) setShare(share share) {
