Tell peers that a node closes, and reset connections to an earlier process

Roots wrote to QUIC connections of processes that had gone: closing the transport told no peer, and the process that came back under the same address knew nothing of them. Searches moved on by silence; non-idempotent work may not. Ruled out: the handover of keys, and batches cut by the stop: no batch was in flight when the VM left. Change: a node closes every connection with a code before it goes; a stateless reset key from the VM's private key lets a new process under the same address and key reset the earlier one's connections at the first packet. Tests: a closing node ends its peers' streams; a node that takes the place of one that vanished resets its connections.

--- a/internal/swpeer/node.go
+++ b/internal/swpeer/node.go
@@ -30,6 +30,9 @@
 	connectionWindow = 256 << 10
 )
 
+// nodeClosed is the QUIC error code of a connection whose VM is closing.
+const nodeClosed quic.ApplicationErrorCode = 1
+
 // Handler serves one exchange that a peer opened. The context ends with the exchange.
 type Handler func(ctx context.Context, stream *Stream) error
 
@@ -55,6 +58,8 @@
 
 	mutex       sync.Mutex
 	connections map[netip.AddrPort]*outbound
+	// open holds every connection in either direction, to be closed with the node.
+	open map[*quic.Conn]struct{}
 
 	closing  sync.Once
 	closeErr error
@@ -86,7 +91,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers on %s", config.Listen)
 	}
-	transport := &quic.Transport{Conn: socket}
+	transport := &quic.Transport{Conn: socket, StatelessResetKey: resetKey(config.TLS)}
 	listener, err := transport.Listen(config.TLS, quicConfig())
 	if err != nil {
 		socket.Close()
@@ -99,6 +104,7 @@
 		group:       swgroup.New(context.Background()),
 		handlers:    make(map[Method]Handler),
 		connections: make(map[netip.AddrPort]*outbound),
+		open:        make(map[*quic.Conn]struct{}),
 	}, nil
 }
 
@@ -145,6 +151,7 @@
 }
 
 func (node *Node) close() error {
+	node.closeConnections()
 	node.group.Cancel()
 	err := node.listener.Close()
 	if closeErr := node.transport.Close(); err == nil {
@@ -157,7 +164,36 @@
 	return errors.Wrap(err, "close peer listener")
 }
 
+// closeConnections tells every peer that its connections to this VM are over, so that none waits on them.
+func (node *Node) closeConnections() {
+	node.mutex.Lock()
+	open := node.open
+	node.open = nil
+	node.mutex.Unlock()
+	var closing sync.WaitGroup
+	for connection := range open {
+		closing.Go(func() { _ = connection.CloseWithError(nodeClosed, "closing") })
+	}
+	closing.Wait()
+}
+
+// track remembers a connection until it ends.
+func (node *Node) track(connection *quic.Conn) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if node.open == nil {
+		return
+	}
+	node.open[connection] = struct{}{}
+	context.AfterFunc(connection.Context(), func() {
+		node.mutex.Lock()
+		defer node.mutex.Unlock()
+		delete(node.open, connection)
+	})
+}
+
 func (node *Node) serveConnection(ctx context.Context, connection *quic.Conn) {
+	node.track(connection)
 	certificate := peerCertificate(connection)
 	for {
 		stream, err := connection.AcceptStream(ctx)
@@ -312,6 +348,7 @@
 		return
 	}
 	outbound.connection = connection
+	node.track(connection)
 }
 
 func (node *Node) drop(target netip.AddrPort, connection *quic.Conn) {
--- a/internal/swpeer/node_test.go
+++ b/internal/swpeer/node_test.go
@@ -153,3 +153,54 @@
 		t.Error(diff)
 	}
 }
+
+func TestClosingNodeTellsItsPeersAtOnce(t *testing.T) {
+	authority := swpeertest.NewAuthority(t)
+	server := newNode(t, authority.TLS(t, "vm-1"))
+	server.Handle(swpeer.MethodBatch, func(ctx context.Context, _ *swpeer.Stream) error {
+		<-ctx.Done()
+		return nil
+	})
+	client := newNode(t, authority.TLS(t, "vm-2"))
+	stream, err := client.Open(t.Context(), server.Address(), swpeer.MethodBatch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var message echo
+	if err := stream.Receive(&message); err == nil {
+		t.Error("the stream goes on after the peer has closed")
+	}
+}
+
+// TestPeerThatWasKilledAndStartsAgainResetsOldConnections starts a second process's node under the address and key of one
+// that vanished without a word, as after a kill.
+func TestPeerThatWasKilledAndStartsAgainResetsOldConnections(t *testing.T) {
+	authority := swpeertest.NewAuthority(t)
+	config := authority.TLS(t, "vm-1")
+	relay := newRelay(t)
+	server := newNode(t, config)
+	relay.target.Store(server.Address())
+	client := newNode(t, authority.TLS(t, "vm-2"))
+	var reply echo
+	if err := client.Call(t.Context(), relay.address, swpeer.MethodStatus, echo{Text: "first"}, &reply); err != nil {
+		t.Fatal(err)
+	}
+	stream, err := client.Open(t.Context(), relay.address, swpeer.MethodStatus)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := newNode(t, config)
+	relay.target.Store(again.Address())
+	if err := stream.Send(echo{Text: "to the first"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := stream.Receive(&reply); err == nil {
+		t.Error("a connection to the earlier process was answered")
+	}
+	if err := client.Call(t.Context(), relay.address, swpeer.MethodStatus, echo{Text: "second"}, &reply); err != nil {
+		t.Error(err)
+	}
+}
