--- a/internal/swquery/engine.go
+++ b/internal/swquery/engine.go
@@ -107,6 +107,7 @@
 	planner   *Planner
 	budget    *AttemptBudget
 	absent    *absentSnapshots
+	pin       *pinStep
 	steps     []step
 }
 
@@ -128,6 +129,7 @@
 	if config.Crashes != nil {
 		engine.owner.onAnswered = config.Crashes.Answered
 	}
+	engine.pin = &pinStep{registry: config.Registry, absent: engine.absent}
 	engine.steps = engine.orderedSteps()
 	return engine
 }
--- a/internal/swquery/execution.go
+++ b/internal/swquery/execution.go
@@ -24,7 +24,9 @@
 	verdict     swquarantine.Verdict
 	release     func()
 
-	epoch    uint16
+	epoch uint16
+	// tried lists the snapshots that this query found absent.
+	tried    []string
 	snapshot *swindex.Snapshot
 	view     *swmember.View
 	plan     []ShardPlan
@@ -34,6 +36,8 @@
 	// earlier holds what gathers on other snapshots did before a restart.
 	earlierRan      swcode.Ran
 	earlierAttempts int
+	earlierHedges   int
+	earlierRetries  int
 	result          Result
 }
 
@@ -65,11 +69,14 @@
 	execution.earlierRan = execution.ran()
 	if execution.gather != nil {
 		execution.earlierAttempts += execution.gather.Attempts
+		execution.earlierHedges += execution.gather.Hedges
+		execution.earlierRetries += execution.gather.Retries
 	}
 	if execution.scatter != nil {
 		execution.scatter.close()
 	}
 	execution.epoch++
+	execution.tried = append(execution.tried, execution.snapshot.ID)
 	execution.snapshot, execution.plan, execution.gather, execution.scatter = nil, nil, nil, nil
 }
 
@@ -89,11 +96,11 @@
 	result.RuleVersion = execution.ruleVersion
 	result.Rule = execution.decision.Line
 	result.Priority = execution.decision.Priority
-	result.SubRequests = execution.earlierAttempts
+	result.SubRequests, result.Hedges, result.Retries = execution.earlierAttempts, execution.earlierHedges, execution.earlierRetries
 	if execution.gather != nil {
 		result.SubRequests += execution.gather.Attempts
-		result.Hedges = execution.gather.Hedges
-		result.Retries = execution.gather.Retries
+		result.Hedges += execution.gather.Hedges
+		result.Retries += execution.gather.Retries
 		result.Coverage = execution.gather.Coverage()
 	}
 	if execution.snapshot != nil {
--- a/internal/swquery/gather.go
+++ b/internal/swquery/gather.go
@@ -76,6 +76,8 @@
 	// answered is set once a shard has answered, held counts the shards that are held back until then.
 	answered bool
 	held     int
+	// closed is set when nothing may be sent any more.
+	closed bool
 	// nextTick is no later than the next hedge that is due; zero when none is.
 	nextTick time.Time
 	// total and failed count the documents of all shards and of those that failed.
@@ -87,7 +89,7 @@
 	Attempts int
 	Hedges   int
 	Retries  int
-	// NotHeld is set when no replica of a shard holds the snapshot.
+	// NotHeld is set when a shard has failed and a replica of it does not hold the snapshot.
 	NotHeld bool
 }
 
@@ -147,6 +149,17 @@
 	return gather.orders
 }
 
+// Close ends the sending: answers still count, and failures stay open until the deadline that has come.
+func (gather *Gather) Close() {
+	gather.closed = true
+}
+
+// Expects reports whether an attempt of that identity belongs to this gather.
+func (gather *Gather) Expects(attemptID uint64, shard int, server string) bool {
+	position, attempt := gather.find(attemptID)
+	return attempt != nil && attempt.target.Server == server && gather.shards[position].plan.Number == shard
+}
+
 // Done reports whether every shard has an answer or has failed.
 func (gather *Gather) Done() bool {
 	return gather.waiting == 0
@@ -227,6 +240,9 @@
 }
 
 func (gather *Gather) retryOrFail(now time.Time, position int) {
+	if gather.closed {
+		return
+	}
 	shard := &gather.shards[position]
 	if gather.mayRetry(shard, shard.answer) && gather.send(now, position, false) {
 		gather.Retries++
@@ -273,7 +289,7 @@
 	gather.waiting--
 	gather.failed += shard.plan.Documents
 	gather.failedShards++
-	if shard.notHeld > 0 && shard.notHeld == len(shard.attempts) {
+	if shard.notHeld > 0 {
 		gather.NotHeld = true
 	}
 	gather.failHeld()
@@ -311,106 +327,6 @@
 	}
 }
 
-// Tick sends the hedges that are due.
-func (gather *Gather) Tick(now time.Time) Orders {
-	gather.reset()
-	if now.Before(gather.nextTick) {
-		return gather.orders
-	}
-	gather.nextTick = time.Time{}
-	if !gather.config.Idempotent || gather.suspect() {
-		return gather.orders
-	}
-	for position := range gather.shards {
-		shard := &gather.shards[position]
-		if shard.state != shardRunning || shard.hedgeAt.IsZero() {
-			continue
-		}
-		if now.Before(shard.hedgeAt) {
-			gather.noteTick(shard.hedgeAt)
-			continue
-		}
-		shard.hedgeAt = time.Time{}
-		if !shard.hasTarget() {
-			continue
-		}
-		if gather.config.Budget.Take() && gather.send(now, position, true) {
-			gather.Hedges++
-		}
-	}
-	return gather.orders
-}
-
-// NextTick returns a time no later than the next hedge, or the zero time when none is due.
-func (gather *Gather) NextTick() time.Time {
-	return gather.nextTick
-}
-
-func (gather *Gather) noteTick(at time.Time) {
-	if gather.nextTick.IsZero() || at.Before(gather.nextTick) {
-		gather.nextTick = at
-	}
-}
-
-func (gather *Gather) send(now time.Time, position int, hedge bool) bool {
-	shard := &gather.shards[position]
-	if !shard.hasTarget() {
-		gather.failUnreachable(position)
-		return false
-	}
-	target := shard.plan.Targets[shard.nextTarget]
-	shard.nextTarget++
-	shard.attempts = append(shard.attempts, attempt{target: target, sentAt: now, hedge: hedge})
-	shard.running++
-	gather.Attempts++
-	shard.hedgeAt = time.Time{}
-	if gather.config.HedgeAfter != nil {
-		if wait := gather.config.HedgeAfter(shard.plan.Number, target); wait > 0 {
-			shard.hedgeAt = now.Add(wait)
-			gather.noteTick(shard.hedgeAt)
-		}
-	}
-	gather.orders.Send = append(gather.orders.Send, Command{
-		Attempt: gather.attemptID(position, len(shard.attempts)-1),
-		Shard:   shard.plan.Number,
-		Target:  target,
-	})
-	return true
-}
-
-// hasTarget moves on to the next target whose server may answer, and reports whether there is one.
-func (shard *gatherShard) hasTarget() bool {
-	if len(shard.attempts) >= maxAttempts {
-		return false
-	}
-	for shard.nextTarget < len(shard.plan.Targets) {
-		if !shard.isUseless(shard.plan.Targets[shard.nextTarget].Server) {
-			return true
-		}
-		shard.nextTarget++
-	}
-	return false
-}
-
-func (shard *gatherShard) isUseless(server string) bool {
-	for i := range shard.attempts {
-		if shard.attempts[i].useless && shard.attempts[i].target.Server == server {
-			return true
-		}
-	}
-	return false
-}
-
-// failUnreachable fails a shard that has no replica to send to.
-func (gather *Gather) failUnreachable(position int) {
-	shard := &gather.shards[position]
-	if shard.state != shardRunning || shard.running > 0 {
-		return
-	}
-	shard.answer = swbackend.Answer{Outcome: swbackend.Unreachable, Code: swcode.NoReplica, Message: "no live replica is left"}
-	gather.fail(position)
-}
-
 // Withdraw returns the attempts that have no outcome, to be cancelled.
 func (gather *Gather) Withdraw() Orders {
 	gather.reset()
@@ -420,76 +336,6 @@
 	return gather.orders
 }
 
-// Coverage returns what the answered shards cover of the plan.
-func (gather *Gather) Coverage() Coverage {
-	coverage := Coverage{OfShards: len(gather.shards)}
-	for i := range gather.shards {
-		shard := &gather.shards[i]
-		coverage.Of += shard.plan.Documents
-		if shard.state == shardAnswered {
-			coverage.Documents += shard.plan.Documents
-			coverage.Shards++
-		}
-	}
-	return coverage
-}
-
-// Ran tells whether any backend server may have run a part of the query. Attempts without an outcome may have run.
-func (gather *Gather) Ran() swcode.Ran {
-	ran := swcode.RanNo
-	for i := range gather.shards {
-		shard := &gather.shards[i]
-		ran = moreRan(ran, shard.ran)
-		if shard.running > 0 {
-			ran = moreRan(ran, swcode.RanUnknown)
-		}
-	}
-	return ran
-}
-
-// Failure returns the outcome of the first failed shard, and the shard's number.
-func (gather *Gather) Failure() (answer swbackend.Answer, shard int, found bool) {
-	for i := range gather.shards {
-		if gather.shards[i].state == shardFailed {
-			return gather.shards[i].answer, gather.shards[i].plan.Number, true
-		}
-	}
-	return swbackend.Answer{}, 0, false
-}
-
-// tally counts the shards of non-idempotent work by whether they ran.
-func (gather *Gather) tally() (ran, notRun, unknown int) {
-	for i := range gather.shards {
-		shard := &gather.shards[i]
-		switch {
-		case shard.state == shardAnswered:
-			ran++
-		case shard.running > 0 || shard.ran == swcode.RanUnknown:
-			unknown++
-		case shard.ran == swcode.RanYes:
-			ran++
-		default:
-			notRun++
-		}
-	}
-	return ran, notRun, unknown
-}
-
-func (shard *gatherShard) noteRan(ran swcode.Ran) {
-	shard.ran = moreRan(shard.ran, ran)
-}
-
-// moreRan returns Yes over Unknown over No.
-func moreRan(a, b swcode.Ran) swcode.Ran {
-	if a == swcode.RanYes || b == swcode.RanYes {
-		return swcode.RanYes
-	}
-	if a == swcode.RanUnknown || b == swcode.RanUnknown {
-		return swcode.RanUnknown
-	}
-	return swcode.RanNo
-}
-
 func (gather *Gather) attemptID(position, number int) uint64 {
 	return uint64(gather.config.Epoch)<<(shardBits+attemptBits) | uint64(position)<<attemptBits | uint64(number)
 }
@@ -512,14 +358,3 @@
 	gather.orders.Send = gather.orders.Send[:0]
 	gather.orders.Cancel = gather.orders.Cancel[:0]
 }
-
-// Reachable returns the highest coverage that the query can still come to, as a fraction.
-func (gather *Gather) Reachable() float64 {
-	coverage := Coverage{
-		Documents: gather.total - gather.failed,
-		Of:        gather.total,
-		Shards:    len(gather.shards) - gather.failedShards,
-		OfShards:  len(gather.shards),
-	}
-	return coverage.Fraction()
-}
--- /dev/null
+++ b/internal/swquery/gather_send.go
@@ -0,0 +1,108 @@
+package swquery
+
+import (
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+// Tick sends the hedges that are due.
+func (gather *Gather) Tick(now time.Time) Orders {
+	gather.reset()
+	if now.Before(gather.nextTick) {
+		return gather.orders
+	}
+	gather.nextTick = time.Time{}
+	if !gather.config.Idempotent || gather.suspect() {
+		return gather.orders
+	}
+	for position := range gather.shards {
+		shard := &gather.shards[position]
+		if shard.state != shardRunning || shard.hedgeAt.IsZero() {
+			continue
+		}
+		if now.Before(shard.hedgeAt) {
+			gather.noteTick(shard.hedgeAt)
+			continue
+		}
+		shard.hedgeAt = time.Time{}
+		if !shard.hasTarget() {
+			continue
+		}
+		if gather.config.Budget.Take() && gather.send(now, position, true) {
+			gather.Hedges++
+		}
+	}
+	return gather.orders
+}
+
+// NextTick returns a time no later than the next hedge, or the zero time when none is due.
+func (gather *Gather) NextTick() time.Time {
+	return gather.nextTick
+}
+
+func (gather *Gather) noteTick(at time.Time) {
+	if gather.nextTick.IsZero() || at.Before(gather.nextTick) {
+		gather.nextTick = at
+	}
+}
+
+func (gather *Gather) send(now time.Time, position int, hedge bool) bool {
+	shard := &gather.shards[position]
+	if !shard.hasTarget() {
+		gather.failUnreachable(position)
+		return false
+	}
+	target := shard.plan.Targets[shard.nextTarget]
+	shard.nextTarget++
+	shard.attempts = append(shard.attempts, attempt{target: target, sentAt: now, hedge: hedge})
+	shard.running++
+	gather.Attempts++
+	shard.hedgeAt = time.Time{}
+	if gather.config.HedgeAfter != nil {
+		if wait := gather.config.HedgeAfter(shard.plan.Number, target); wait > 0 {
+			shard.hedgeAt = now.Add(wait)
+			gather.noteTick(shard.hedgeAt)
+		}
+	}
+	gather.orders.Send = append(gather.orders.Send, Command{
+		Attempt: gather.attemptID(position, len(shard.attempts)-1),
+		Shard:   shard.plan.Number,
+		Target:  target,
+	})
+	return true
+}
+
+// hasTarget moves on to the next target whose server may answer, and reports whether there is one.
+func (shard *gatherShard) hasTarget() bool {
+	if len(shard.attempts) >= maxAttempts {
+		return false
+	}
+	for shard.nextTarget < len(shard.plan.Targets) {
+		if !shard.isUseless(shard.plan.Targets[shard.nextTarget].Server) {
+			return true
+		}
+		shard.nextTarget++
+	}
+	return false
+}
+
+func (shard *gatherShard) isUseless(server string) bool {
+	for i := range shard.attempts {
+		if shard.attempts[i].useless && shard.attempts[i].target.Server == server {
+			return true
+		}
+	}
+	return false
+}
+
+// failUnreachable fails a shard that has no replica to send to.
+func (gather *Gather) failUnreachable(position int) {
+	shard := &gather.shards[position]
+	if shard.state != shardRunning || shard.running > 0 {
+		return
+	}
+	shard.answer = swbackend.Answer{Outcome: swbackend.Unreachable, Code: swcode.NoReplica, Message: "no live replica is left"}
+	gather.fail(position)
+}
--- a/internal/swquery/line.go
+++ b/internal/swquery/line.go
@@ -63,9 +63,7 @@
 	mutex  sync.Mutex
 	nextID uint64
 	links  map[uint64]*link
-	queue  []any
-	// opened tells that the stream exists, so that what was queued may have been sent.
-	opened bool
+	queue  []Envelope
 	ended  bool
 	// retired lines take no new batches and end with their last link.
 	retired bool
@@ -106,15 +104,18 @@
 	}
 }
 
-// forget makes the next batch to the peer go over a fresh connection. Batches on the present one may still be answered.
-func (lines *lines) forget(peer netip.AddrPort) {
+// forget makes the next batch to the line's peer go over a fresh connection. Batches on the line may still be answered. A
+// line that another took the place of already changes nothing, since many queries lose their batches on one line.
+func (lines *lines) forget(lost *line) {
 	lines.mutex.Lock()
-	present := lines.byPeer[peer]
-	delete(lines.byPeer, peer)
+	present := lines.byPeer[lost.peer] == lost
+	if present {
+		delete(lines.byPeer, lost.peer)
+	}
 	lines.mutex.Unlock()
-	lines.dialer.Forget(peer)
-	if present != nil {
-		present.retire()
+	if present {
+		lines.dialer.Forget(lost.peer)
+		lost.retire()
 	}
 }
 
@@ -181,6 +182,7 @@
 	defer cancel()
 	line.mutex.Lock()
 	line.cancel = cancel
+	line.endIfIdle()
 	line.mutex.Unlock()
 	exchange, err := line.lines.dialer.Open(ctx, line.peer, swpeer.MethodBatch)
 	if err != nil {
@@ -189,9 +191,6 @@
 	}
 	stop := context.AfterFunc(ctx, exchange.Cancel)
 	defer stop()
-	line.mutex.Lock()
-	line.opened = true
-	line.mutex.Unlock()
 	line.lines.group.Go(func(context.Context) { line.sendLoop(ctx, exchange) })
 	line.receiveLoop(exchange)
 	line.end()
@@ -211,13 +210,21 @@
 		if len(queue) == 0 {
 			continue
 		}
-		if err := exchange.Send(queue...); err != nil {
+		if err := exchange.Send(messagesOf(queue)...); err != nil {
 			exchange.Cancel()
 			return
 		}
 	}
 }
 
+func messagesOf(queue []Envelope) []any {
+	messages := make([]any, len(queue))
+	for i := range queue {
+		messages[i] = &queue[i]
+	}
+	return messages
+}
+
 func (line *line) receiveLoop(exchange Exchange) {
 	for {
 		var reply Reply
@@ -233,19 +240,25 @@
 	}
 }
 
-// end tells every link that the stream is gone.
+// end tells every link that the stream is gone. Batches that still wait in the queue were not sent, and never will be.
 func (line *line) end() {
 	line.lines.drop(line)
 	line.mutex.Lock()
 	line.ended = true
-	links := line.links
-	line.links = nil
-	ran := swcode.RanNo
-	if line.opened {
-		ran = swcode.RanUnknown
-	}
+	links, queue := line.links, line.queue
+	line.links, line.queue = nil, nil
 	line.mutex.Unlock()
-	for _, link := range links {
+	unsent := make(map[uint64]bool, len(queue))
+	for _, envelope := range queue {
+		if envelope.Batch != nil {
+			unsent[envelope.ID] = true
+		}
+	}
+	for id, link := range links {
+		ran := swcode.RanUnknown
+		if unsent[id] {
+			ran = swcode.RanNo
+		}
 		link.events.put(scatterEvent{link: link, broken: true, ran: ran})
 	}
 }
--- a/internal/swquery/ownerline.go
+++ b/internal/swquery/ownerline.go
@@ -41,13 +41,21 @@
 }
 
 // Serve takes the batches of one root until the stream ends, and withdraws what is then in flight: a root that is gone
-// waits for nothing.
+// waits for nothing. Nothing uses the exchange once it has returned.
 func (owner *Owner) Serve(ctx context.Context, exchange Exchange) error {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	line := &ownerLine{owner: owner, exchange: exchange, batches: make(map[uint64]*ownerBatch), wake: make(chan struct{}, 1)}
-	defer line.abandon()
-	owner.group.Go(func(context.Context) { line.sendLoop(ctx) })
+	sent := make(chan struct{})
+	owner.group.Go(func(context.Context) {
+		defer close(sent)
+		line.sendLoop(ctx)
+	})
+	defer func() {
+		cancel()
+		exchange.Cancel()
+		<-sent
+		line.abandon()
+	}()
 	for {
 		var envelope Envelope
 		err := exchange.Receive(&envelope)
--- a/internal/swquery/plan.go
+++ b/internal/swquery/plan.go
@@ -89,6 +89,8 @@
 	placement Placement
 	latencies *Latencies
 
+	lacking *lackingServers
+
 	mutex     sync.Mutex
 	templates map[*swindex.Snapshot]*template
 }
@@ -99,6 +101,7 @@
 		registry:  registry,
 		placement: placement,
 		latencies: latencies,
+		lacking:   newLackingServers(),
 		templates: make(map[*swindex.Snapshot]*template),
 	}
 }
@@ -111,13 +114,13 @@
 	for i := range template.shards {
 		shard := &template.shards[i]
 		first := len(targets)
-		targets = planner.appendTargets(targets, now, shard)
+		targets = planner.appendTargets(targets, now, snapshot, shard)
 		plan[i] = ShardPlan{Number: shard.number, Documents: shard.documents, Targets: targets[first:len(targets):len(targets)]}
 	}
 	return plan
 }
 
-func (planner *Planner) appendTargets(targets []Target, now time.Time, shard *shardTemplate) []Target {
+func (planner *Planner) appendTargets(targets []Target, now time.Time, snapshot *swindex.Snapshot, shard *shardTemplate) []Target {
 	var order [maxReplicas]int
 	var score [maxReplicas]float64
 	count := 0
@@ -129,6 +132,9 @@
 		expected := planner.latencies.Expect(now, replica.server, replica.prior)
 		order[count] = i
 		score[i] = float64(expected) * (jitterLow + jitterSpan*rand.Float64())
+		if planner.lacking.has(now, snapshot, replica.server) {
+			score[i] += float64(lackingPenalty)
+		}
 		count++
 	}
 	slices.SortFunc(order[:count], func(a, b int) int {
--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -37,6 +37,9 @@
 		return concludeRun(execution)
 	}
 	coverage := gather.Coverage()
+	if gather.NotHeld && ctx.Err() == nil && gatherStep.engine.pin.hasAnother(execution) {
+		return &restartError{Snapshot: execution.snapshot.ID}
+	}
 	if coverage.whole() || coverage.Shards > 0 && coverage.Fraction() >= execution.query.MinCoverage {
 		gatherStep.engine.config.Quarantine.Completed(execution.query.Fingerprint)
 		return nil
@@ -121,8 +124,11 @@
 type gatherWait struct {
 	engine    *Engine
 	execution *execution
-	// canary is set until the first shard of a suspect query has answered.
-	canary bool
+	// canary is set until one shard of a suspect query has answered; canaryAt is the position of the shard that runs it.
+	canary   bool
+	canaryAt int
+	// due is the time at which the wait was to end.
+	due time.Time
 	// aborted is set when the canary failed, so that the other shards are not tried.
 	aborted bool
 	// noted is set once an answer was told to the judge of crashes.
@@ -134,30 +140,44 @@
 	gatherWait.canary = execution.verdict == swquarantine.Canary && len(execution.plan) > 1
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	gatherWait.checkCanary(time.Now())
 	for !gatherWait.over() {
-		timer.Reset(gatherWait.nextWake(time.Now()))
+		now := time.Now()
+		wait := gatherWait.nextWake(now)
+		gatherWait.due = now.Add(wait)
+		timer.Reset(wait)
 		select {
 		case <-execution.scatter.events.wake:
-			for _, event := range execution.scatter.events.take() {
-				gatherWait.take(event)
-			}
+			gatherWait.takeEvents()
 		case <-timer.C:
 			gatherWait.wake(time.Now())
 		case <-ctx.Done():
+			execution.gather.Close()
+			gatherWait.takeEvents()
 			return
 		}
 	}
 }
 
+// takeEvents takes what the links have reported.
+func (gatherWait *gatherWait) takeEvents() {
+	for _, event := range gatherWait.execution.scatter.events.take() {
+		gatherWait.take(event)
+	}
+}
+
 // over reports whether no further answer can change the outcome.
 func (gatherWait *gatherWait) over() bool {
 	gather := gatherWait.execution.gather
-	if gather.Done() || gather.NotHeld || gatherWait.aborted {
+	if gather.Done() || gatherWait.aborted {
 		return true
 	}
 	if !gatherWait.execution.query.Idempotent() {
 		return false
 	}
+	if gather.NotHeld && gatherWait.engine.pin.hasAnother(gatherWait.execution) {
+		return true
+	}
 	return gather.Reachable() < gatherWait.execution.query.MinCoverage
 }
 
@@ -177,7 +197,7 @@
 // answer takes one attempt's outcome. An answer that does not echo this query, snapshot and attempt is dropped.
 func (gatherWait *gatherWait) answer(now time.Time, link *link, item *ItemAnswer) {
 	execution := gatherWait.execution
-	if item.QueryID != execution.query.ID || item.Snapshot != execution.snapshot.ID || !link.answered(item.Attempt) {
+	if !execution.expects(item) || !link.answered(item.Attempt) {
 		gatherWait.engine.config.Recorder.Event("crossed_answers", 1)
 		return
 	}
@@ -191,25 +211,42 @@
 	gatherWait.checkCanary(now)
 }
 
-// checkCanary sends the other shards once the first has answered, and gives up when it has failed.
+// expects reports whether the answer echoes an attempt of the query on its snapshot.
+func (execution *execution) expects(item *ItemAnswer) bool {
+	return item.QueryID == execution.query.ID && item.Snapshot == execution.snapshot.ID &&
+		execution.gather.Expects(item.Attempt, item.Shard, item.Server)
+}
+
+// checkCanary sends the other shards once one has answered. A shard where no server saw the request passes the canary on
+// to the next; any other failure gives the query up.
 func (gatherWait *gatherWait) checkCanary(now time.Time) {
-	if !gatherWait.canary {
-		return
-	}
-	switch gatherWait.execution.gather.shards[0].state {
-	case shardAnswered:
-		gatherWait.release(now)
-	case shardFailed:
-		gatherWait.aborted = true
+	gather := gatherWait.execution.gather
+	for gatherWait.canary && !gather.closed {
+		shard := &gather.shards[gatherWait.canaryAt]
+		switch {
+		case shard.state == shardAnswered:
+			gatherWait.release(now)
+		case shard.state == shardRunning:
+			return
+		case shard.ran == swcode.RanNo && gatherWait.canaryAt+1 < len(gather.shards):
+			gatherWait.canaryAt++
+			gatherWait.start(now, gatherWait.canaryAt, gatherWait.canaryAt+1)
+		default:
+			gatherWait.canary, gatherWait.aborted = false, true
+		}
 	}
 }
 
+// start sends the first attempts of some shards.
+func (gatherWait *gatherWait) start(now time.Time, first, last int) {
+	execution := gatherWait.execution
+	gatherWait.engine.carryOut(now, execution, execution.gather.Start(now, first, last))
+}
+
 // release sends the shards that waited for the canary.
 func (gatherWait *gatherWait) release(now time.Time) {
 	gatherWait.canary = false
-	execution := gatherWait.execution
-	orders := execution.gather.Start(now, 1, len(execution.plan))
-	gatherWait.engine.carryOut(now, execution, orders)
+	gatherWait.start(now, gatherWait.canaryAt+1, len(gatherWait.execution.plan))
 }
 
 func (gatherWait *gatherWait) observe(now time.Time, item *ItemAnswer, age time.Duration) {
@@ -220,6 +257,8 @@
 		gatherWait.noteAnswered()
 	case swbackend.ServerLeaving:
 		gatherWait.engine.config.Registry.SetDraining(item.Server, drainingFor)
+	case swbackend.SnapshotNotHeld:
+		gatherWait.engine.planner.NoteLacking(now, gatherWait.execution.snapshot, item.Server)
 	case swbackend.Cancelled:
 		latencies.ObserveSlow(now, item.Server, age)
 	default:
@@ -245,7 +284,9 @@
 	link.lost = true
 	gatherWait.engine.config.Recorder.Event("lost_owners", 1)
 	gatherWait.engine.config.Members.ReportSuspect(link.owner.Name)
-	gatherWait.engine.lines.forget(link.owner.Peer)
+	if link.line != nil {
+		gatherWait.engine.lines.forget(link.line)
+	}
 	orders := gatherWait.execution.gather.Lose(now, ran, func(attempt uint64, _ Target) bool {
 		_, on := link.attempts[attempt]
 		return on
@@ -282,8 +323,23 @@
 	return gatherWait.engine.config.AckTimeout
 }
 
+// stallPart is the part of the silence by which a wake-up may be late before this VM itself is taken to have stood still.
+const stallPart = 4
+
+// forgive gives every owner its time anew, since this VM could not hear them.
+func (gatherWait *gatherWait) forgive(now time.Time) {
+	for _, link := range gatherWait.execution.scatter.links {
+		link.heard = now
+	}
+}
+
+// wake acts on the hedges and silences that are due.
 func (gatherWait *gatherWait) wake(now time.Time) {
 	execution := gatherWait.execution
+	gatherWait.takeEvents()
+	if now.Sub(gatherWait.due) > gatherWait.silence()/stallPart {
+		gatherWait.forgive(now)
+	}
 	for _, link := range execution.scatter.links {
 		if gatherWait.mayLose(link) && now.Sub(link.heard) >= gatherWait.silence() {
 			gatherWait.lose(now, link, swcode.RanUnknown)
--- a/internal/swquery/step_pin.go
+++ b/internal/swquery/step_pin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +21,8 @@
 
 func (*pinStep) String() string { return "pin a snapshot" }
 
-// Run pins the newest published snapshot that is not known to be absent. When all are, the newest one is tried, unless
-// this query has found it absent already.
+// Run pins the newest published snapshot that this query has not tried and that is not known to be absent. When all are,
+// the newest untried one is taken, since what other queries found may be over.
 func (pinStep *pinStep) Run(ctx context.Context, execution *execution) error {
 	if ctx.Err() != nil {
 		return execution.refuse(swcode.DeadlineExceeded, "the deadline passed before a snapshot was found that every shard holds")
@@ -30,12 +31,13 @@
 	if catalogue == nil {
 		return &swcode.Error{
 			Code:    swcode.UnknownIndex,
+			Ran:     execution.ran(),
 			Field:   "Index",
 			Message: "no catalogue names index " + execution.query.Index,
 			Fix:     "check the name",
 		}
 	}
-	snapshot := pinStep.choose(catalogue, int(execution.epoch))
+	snapshot := pinStep.choose(catalogue, execution.tried)
 	if snapshot == nil {
 		return execution.refuse(swcode.SnapshotUnavailable, "no snapshot of index "+catalogue.Index+" is held by a replica of every shard")
 	}
@@ -46,14 +48,15 @@
 // maxRestarts bounds how often one query starts again on another snapshot.
 const maxRestarts = 4
 
-func (pinStep *pinStep) choose(catalogue *swindex.Catalogue, restarts int) *swindex.Snapshot {
-	if restarts > maxRestarts {
+// choose returns the snapshot to run on, or nil when the query has tried them all.
+func (pinStep *pinStep) choose(catalogue *swindex.Catalogue, tried []string) *swindex.Snapshot {
+	if len(tried) > maxRestarts {
 		return nil
 	}
 	var newest *swindex.Snapshot
 	for i := len(catalogue.Snapshots) - 1; i >= 0; i-- {
 		snapshot := &catalogue.Snapshots[i]
-		if snapshot.Retired {
+		if snapshot.Retired || slices.Contains(tried, snapshot.ID) {
 			continue
 		}
 		if newest == nil {
@@ -63,10 +66,14 @@
 			return snapshot
 		}
 	}
-	if restarts == 0 {
-		return newest
-	}
-	return nil
+	return newest
+}
+
+// hasAnother reports whether the query could start again on another snapshot.
+func (pinStep *pinStep) hasAnother(execution *execution) bool {
+	catalogue := pinStep.registry.Catalogue(execution.query.Index)
+	tried := append(slices.Clone(execution.tried), execution.snapshot.ID)
+	return catalogue != nil && pinStep.choose(catalogue, tried) != nil
 }
 
 // absentSnapshots remembers for a while which snapshots the replicas of some shard did not hold.
--- a/internal/swquery/steps.go
+++ b/internal/swquery/steps.go
@@ -15,7 +15,7 @@
 		&checkStep{maxTimeout: engine.config.MaxTimeout},
 		&matchStep{rules: engine.config.Rules, quarantine: engine.config.Quarantine},
 		&admitStep{limiter: engine.config.Limiter},
-		&pinStep{registry: engine.config.Registry, absent: engine.absent},
+		engine.pin,
 		&planStep{engine: engine},
 		&scatterStep{engine: engine},
 		&gatherStep{engine: engine},
