Hold non-idempotent batches until their owner has spoken

Cause: a run is sent once, so a batch written to a stream whose owner was gone ended as OutcomeUnknown, although nothing had run; with a stale connection every run through it did, until a search found out by silence. Change: an owner acknowledges a batch of non-idempotent work and waits for the root's word. A stream or owner that is silent before costs time only: the batch never begins, is truthfully not run, and goes elsewhere. The price is one round trip to a remote owner for runs. A change of a member's incarnation or address drops the connections to the earlier process.

--- a/internal/swapp/app.go
+++ b/internal/swapp/app.go
@@ -41,7 +41,7 @@
 			newEngine, newKeyService, newRunService, newLifeState, newServer,
 			newParts,
 		),
-		fx.Invoke(bindHandlers, bindDocuments, bindRecords, bindLifecycle),
+		fx.Invoke(bindHandlers, bindDocuments, bindRecords, bindReplacedPeers, bindLifecycle),
 		fx.Populate(&app.parts),
 	)
 	if err := app.fx.Err(); err != nil {
--- a/internal/swquery/engine.go
+++ b/internal/swquery/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -139,6 +140,11 @@
 	return engine.owner
 }
 
+// ForgetPeer makes the next batch to the VM at the address go over a fresh connection, as when another process took it.
+func (engine *Engine) ForgetPeer(address netip.AddrPort) {
+	engine.lines.forgetPeer(address)
+}
+
 // Run answers or refuses one query. The context ends when the caller goes away.
 func (engine *Engine) Run(ctx context.Context, query Query) Result {
 	started := time.Now()
--- a/internal/swquery/line.go
+++ b/internal/swquery/line.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// forgetPeer forgets the present line to a peer, if there is one.
+func (lines *lines) forgetPeer(peer netip.AddrPort) {
+	lines.mutex.Lock()
+	present := lines.byPeer[peer]
+	lines.mutex.Unlock()
+	if present != nil {
+		lines.forget(present)
+	}
+}
+
 // add registers a link and queues its batch.
 func (line *line) add(link *link) (accepted, ended bool) {
 	line.mutex.Lock()
@@ -145,6 +155,15 @@
 	}
 }
 
+// startHeld tells the owner to begin a batch that it holds.
+func (line *line) startHeld(link *link) {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	if line.links[link.id] == link && !line.ended {
+		line.push(Envelope{ID: link.id, Start: true})
+	}
+}
+
 // withdraw tells the owner that attempts of the link, or all when none are listed, are no longer wanted.
 func (line *line) withdraw(link *link, attempts []uint64) {
 	line.mutex.Lock()
@@ -250,7 +269,7 @@
 	line.mutex.Unlock()
 	unsent := make(map[uint64]bool, len(queue))
 	for _, envelope := range queue {
-		if envelope.Batch != nil {
+		if envelope.Batch != nil || envelope.Start {
 			unsent[envelope.ID] = true
 		}
 	}
--- a/internal/swquery/ownerline.go
+++ b/internal/swquery/ownerline.go
@@ -38,6 +38,10 @@
 	// spoke is the time of the last reply for the batch, or of its coming.
 	spoke time.Time
 	left  int
+	// held is the batch until its Start comes.
+	held *Batch
+	// expires is when a batch that is held is forgotten.
+	expires time.Time
 }
 
 // Serve takes the batches of one root until the stream ends, and withdraws what is then in flight: a root that is gone
@@ -81,14 +85,48 @@
 	if batch == nil {
 		return nil
 	}
-	if envelope.CancelAll {
-		batch.work.cancelAll()
-		return nil
+	if envelope.Start {
+		line.startHeld(ctx, batch)
 	}
-	batch.work.withdraw(envelope.Cancel)
+	line.withdraw(batch, envelope)
 	return nil
 }
 
+// startHeld begins a batch that waited for the root's word.
+func (line *ownerLine) startHeld(ctx context.Context, batch *ownerBatch) {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	if batch.held != nil {
+		line.start(ctx, batch, batch.held)
+	}
+}
+
+// start begins a batch. The caller holds the mutex.
+func (line *ownerLine) start(ctx context.Context, batch *ownerBatch, work *Batch) {
+	if batch.held != nil {
+		work.Remaining = time.Until(batch.expires)
+		batch.held = nil
+	}
+	batch.work = line.owner.start(ctx, work, func(_ *batchWork, answer ItemAnswer) { line.emit(batch, answer) })
+}
+
+// withdraw cancels attempts of a batch. One that is held is only ever withdrawn whole.
+func (line *ownerLine) withdraw(batch *ownerBatch, envelope *Envelope) {
+	line.mutex.Lock()
+	work := batch.work
+	if work == nil && envelope.CancelAll {
+		line.forget(batch)
+	}
+	line.mutex.Unlock()
+	switch {
+	case work == nil:
+	case envelope.CancelAll:
+		work.cancelAll()
+	default:
+		work.withdraw(envelope.Cancel)
+	}
+}
+
 func (line *ownerLine) begin(ctx context.Context, id uint64, batch *Batch) error {
 	if len(batch.Items) == 0 || len(batch.Items) > maxBatchItems {
 		return errors.Errorf("a batch of %d items is outside 1 to %d", len(batch.Items), maxBatchItems)
@@ -99,10 +137,24 @@
 	line.mutex.Lock()
 	defer line.mutex.Unlock()
 	line.batches[id] = served
-	served.work = line.owner.start(ctx, batch, func(_ *batchWork, answer ItemAnswer) { line.emit(served, answer) })
+	if !batch.Hold {
+		line.start(ctx, served, batch)
+		return nil
+	}
+	served.held = batch
+	served.expires = time.Now().Add(batch.Remaining)
+	line.ready = append(line.ready, served)
+	line.wakeSender()
 	return nil
 }
 
+func (line *ownerLine) wakeSender() {
+	select {
+	case line.wake <- struct{}{}:
+	default:
+	}
+}
+
 // emit queues an answer for the next write.
 func (line *ownerLine) emit(batch *ownerBatch, answer ItemAnswer) {
 	line.mutex.Lock()
@@ -111,10 +163,7 @@
 		line.ready = append(line.ready, batch)
 	}
 	batch.answers = append(batch.answers, answer)
-	select {
-	case line.wake <- struct{}{}:
-	default:
-	}
+	line.wakeSender()
 }
 
 func (line *ownerLine) sendLoop(ctx context.Context) {
@@ -166,6 +215,10 @@
 	defer line.mutex.Unlock()
 	var replies []any
 	for _, batch := range line.batches {
+		if batch.held != nil && now.After(batch.expires) {
+			line.forget(batch)
+			continue
+		}
 		if now.Sub(batch.spoke) < line.owner.heartbeat || len(batch.answers) > 0 {
 			continue
 		}
@@ -186,7 +239,9 @@
 	line.mutex.Lock()
 	defer line.mutex.Unlock()
 	for _, batch := range line.batches {
-		batch.work.cancelAll()
+		if batch.work != nil {
+			batch.work.cancelAll()
+		}
 		line.forget(batch)
 	}
 }
--- a/internal/swquery/scatter.go
+++ b/internal/swquery/scatter.go
@@ -18,6 +18,10 @@
 	heard time.Time
 	// lost marks a link whose attempts were given up.
 	lost bool
+	// held marks a batch that its owner holds until it is told to begin.
+	held bool
+	// started is set once the owner was told to begin a batch that it held.
+	started bool
 	// work is set where this VM serves the batch itself.
 	work *batchWork
 	// line and id place the batch on the stream to its owner.
@@ -141,7 +145,7 @@
 	if !known {
 		member = swmember.Member{Name: owner}
 	}
-	made := &link{owner: member, batch: &batch, attempts: make(map[uint64]struct{}), events: scatter.events, heard: now}
+	made := &link{owner: member, batch: &batch, attempts: make(map[uint64]struct{}), events: scatter.events, heard: now, held: header.Hold}
 	scatter.links = append(scatter.links, made)
 	return made
 }
@@ -187,6 +191,11 @@
 	}
 }
 
+// unstarted reports whether the owner holds the batch and was never told to begin.
+func (link *link) unstarted() bool {
+	return link.held && !link.started && !link.local()
+}
+
 // answered takes an attempt off its link and reports whether it was on it.
 func (link *link) answered(attempt uint64) bool {
 	if _, ok := link.attempts[attempt]; !ok {
--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -154,6 +154,7 @@
 		case <-ctx.Done():
 			execution.gather.Close()
 			gatherWait.takeEvents()
+			gatherWait.dropUnstarted(time.Now())
 			return
 		}
 	}
@@ -189,11 +190,35 @@
 		return
 	}
 	gatherWait.engine.config.Gate.Observe(event.link.owner.Name, event.reply.Report)
+	gatherWait.startHeld(event.link)
 	for i := range event.reply.Answers {
 		gatherWait.answer(now, event.link, &event.reply.Answers[i])
 	}
 }
 
+// startHeld lets a batch of non-idempotent work begin, once its owner has spoken and while the answer is still wanted.
+func (gatherWait *gatherWait) startHeld(link *link) {
+	if !link.unstarted() || link.lost || gatherWait.execution.gather.closed {
+		return
+	}
+	link.started = true
+	link.line.startHeld(link)
+}
+
+// dropUnstarted settles at the end that what was never told to begin has not run.
+func (gatherWait *gatherWait) dropUnstarted(now time.Time) {
+	for _, link := range gatherWait.execution.scatter.links {
+		if !link.unstarted() || link.lost {
+			continue
+		}
+		link.lost = true
+		gatherWait.execution.gather.Lose(now, swcode.RanNo, func(attempt uint64, _ Target) bool {
+			_, on := link.attempts[attempt]
+			return on
+		})
+	}
+}
+
 // answer takes one attempt's outcome. An answer that does not echo this query, snapshot and attempt is dropped.
 func (gatherWait *gatherWait) answer(now time.Time, link *link, item *ItemAnswer) {
 	execution := gatherWait.execution
@@ -282,6 +307,9 @@
 		return
 	}
 	link.lost = true
+	if link.unstarted() {
+		ran = swcode.RanNo
+	}
 	gatherWait.engine.config.Recorder.Event("lost_owners", 1)
 	gatherWait.engine.config.Members.ReportSuspect(link.owner.Name)
 	if link.line != nil {
@@ -313,9 +341,13 @@
 	return max(0, next.Sub(now))
 }
 
-// mayLose reports whether silence on the link may move its attempts elsewhere. Non-idempotent work stays where it is.
+// mayLose reports whether silence on the link may move its attempts elsewhere. Non-idempotent work that was told to begin
+// stays where it is.
 func (gatherWait *gatherWait) mayLose(link *link) bool {
-	return !link.lost && !link.local() && len(link.attempts) > 0 && gatherWait.execution.query.Idempotent()
+	if link.lost || link.local() || len(link.attempts) == 0 {
+		return false
+	}
+	return gatherWait.execution.query.Idempotent() || link.unstarted()
 }
 
 // silence is how long an owner that still has attempts may say nothing.
--- a/internal/swquery/step_scatter.go
+++ b/internal/swquery/step_scatter.go
@@ -82,6 +82,7 @@
 		Fingerprint: query.Fingerprint,
 		RunKey:      query.RunKey,
 		Remaining:   execution.answerBy().Sub(now),
+		Hold:        !query.Idempotent(),
 	}
 }
 
--- a/internal/swquery/wire.go
+++ b/internal/swquery/wire.go
@@ -15,6 +15,8 @@
 	ID uint64
 	// Batch begins a batch; it is nil in the envelopes that follow.
 	Batch *Batch
+	// Start lets a batch that is held begin.
+	Start bool
 	// Cancel lists attempts of the batch that are no longer wanted.
 	Cancel []uint64
 	// CancelAll withdraws every attempt of the batch.
@@ -38,7 +40,10 @@
 	RunKey      string
 	// Remaining is the time left until the caller's deadline; clocks of VMs are not compared.
 	Remaining time.Duration
-	Items     []Item
+	// Hold makes the owner acknowledge the batch and wait for Start. Non-idempotent work is held, so that a stream or an
+	// owner that is gone is found before the work may have run.
+	Hold  bool
+	Items []Item
 }
 
 // Item is one attempt inside a Batch.
--- a/internal/swquery/world_test.go
+++ b/internal/swquery/world_test.go
@@ -53,6 +53,8 @@
 	// silent VMs receive nothing and send nothing; mute VMs receive but send nothing.
 	silent map[netip.AddrPort]bool
 	mute   map[netip.AddrPort]bool
+	// muteOnceRunning mutes all VMs when a backend server begins to run work.
+	muteOnceRunning bool
 	// forge alters replies on their way to the root.
 	forge func(reply *Reply)
 }
@@ -221,6 +223,11 @@
 		return swbackend.Answer{Outcome: swbackend.SnapshotNotHeld, Message: subRequest.Server + " does not hold the snapshot"}
 	}
 	world.runs[subRequest.Server]++
+	if world.muteOnceRunning {
+		for _, dataCentre := range dataCentres {
+			world.mute[vmAddress(dataCentre)] = true
+		}
+	}
 	documents := world.documents[subRequest.Snapshot][subRequest.Shard]
 	world.mutex.Unlock()
 	if server.crashes {
