Follow an authority that moved while a request waits, and try it on real processes

Cause: a VM that had located an issuer sent the request there until its deadline, also after the issuer had handed its keys over and gone; seen with nine real processes as IssuerUnreachable after 10 s, straight after a graceful stop.

The lab's map of peer addresses was read by proxies while it was still filled (data race).

--- a/internal/swkey/failure_test.go
+++ b/internal/swkey/failure_test.go
@@ -139,6 +139,18 @@
 	})
 }
 
+func TestResendFollowsAuthorityThatMovedSinceItWasLocated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b", "c")
+		used, unused := network.key(network.vms["a"]), network.key(network.vms["a"])
+		check(t, "located", ranOnce, verdictOf(network.send(network.vms["c"], used, "match", testTimeout)))
+		check(t, "handover", nil, network.vms["a"].service.Handover(t.Context()))
+		network.kill("a")
+		check(t, "used key", ranOnce, verdictOf(network.send(network.vms["c"], used, "match", testTimeout)))
+		check(t, "unused key", ranOnce, verdictOf(network.send(network.vms["c"], unused, "count", testTimeout)))
+	})
+}
+
 func TestHandoverTwiceInARow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := newFakeNetwork(t, "a", "b", "c", "d")
--- a/internal/swkey/forward.go
+++ b/internal/swkey/forward.go
@@ -19,10 +19,10 @@
 	locationLife = 10 * time.Second
 	// maxHops bounds how often one request follows an authority that moved.
 	maxHops = 4
-	// sendAttempts is how often a request is sent to the holder of the authority when exchanges break.
-	sendAttempts = 2
-	// retryPause is the time between two such attempts.
-	retryPause = 10 * time.Millisecond
+	// driftDivisor bounds the drift between two clocks: one part in so many of the time since they were compared.
+	driftDivisor = 1000
+	// maxSends bounds how often one request is sent to holders of the authority.
+	maxSends = 8
 )
 
 // RunMessage asks a peer whether it holds an issuer's authority and, when Request is set, to run under it.
@@ -56,9 +56,10 @@
 	at    time.Time
 }
 
-// startBefore returns a time on the authority's clock that is not later than the local time deadline.
-func (location location) startBefore(deadline time.Time) time.Duration {
-	return location.clock + deadline.Sub(location.at)
+// on returns a time on the authority's clock that is not later than the local time at.
+func (location location) on(at time.Time) time.Duration {
+	drift := time.Since(location.at) / driftDivisor
+	return max(location.clock+at.Sub(location.at)-drift, 1)
 }
 
 // search is the outcome of looking for an authority.
@@ -74,31 +75,34 @@
 }
 
 // forward passes a request on to the holder of the issuer's authority. The request itself is sent only to a peer that
-// has just shown that it holds the authority, with a bound on the authority's own clock for the start of the run.
+// has shown that it holds the authority, with a bound on the authority's own clock for the start of the run. While no
+// answer comes it looks for the holder anew, as the authority may have moved.
 func (service *Service) forward(ctx context.Context, issuer Issuer, request RunRequest) Outcome {
 	found := service.locate(ctx, issuer)
 	if !found.found {
 		return absent(found)
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		request.StartBefore = earlier(request.StartBefore, found.location.startBefore(deadline))
-	}
-	message := RunMessage{Issuer: issuer, Request: &request}
-	for range sendAttempts {
-		answer, err := service.ask(ctx, found.location.target, message)
-		if err == nil && answer.Outcome != nil {
-			return *answer.Outcome
-		}
-		service.located.Delete(issuer)
-		if err == nil {
-			return refusalForNow(swcode.HandoverInProgress, swcode.RanUnknown, "the issuer is handing its keys over")
-		}
-		if !pause(ctx, retryPause) {
-			break
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	pass := passing{service: service, issuer: issuer, request: request, answers: make(chan passed, maxSends)}
+	pass.send(ctx, found.location)
+	ticker := time.NewTicker(service.config.Limits.LocateTimeout)
+	defer ticker.Stop()
+	for {
+		select {
+		case passed := <-pass.answers:
+			outcome, ended := pass.take(ctx, passed)
+			if ended {
+				return outcome
+			}
+		case <-ticker.C:
+			if !pass.follow(ctx) {
+				return unanswered()
+			}
+		case <-ctx.Done():
+			return unanswered()
 		}
 	}
-	return refusalForNow(swcode.IssuerUnreachable, swcode.RanUnknown,
-		"the issuer did not answer; it begins no run of this request after the deadline")
 }
 
 // absent answers a request that was sent to no one.
@@ -113,11 +117,17 @@
 		"the issuer did not answer; this request was not passed on and will not be run")
 }
 
+// unanswered answers a request that was passed on and got no answer.
+func unanswered() Outcome {
+	return refusalForNow(swcode.IssuerUnreachable, swcode.RanUnknown,
+		"the issuer did not answer; it begins no run of this request any more")
+}
+
 func earlier(a, b time.Duration) time.Duration {
 	if a > 0 && a < b {
 		return a
 	}
-	return max(b, 1)
+	return b
 }
 
 func pause(ctx context.Context, wait time.Duration) bool {
@@ -259,9 +269,9 @@
 	if executor == nil {
 		return refusalForNow(swcode.NotReady, swcode.RanNo, "the issuer is not ready"), false
 	}
-	if request.StartBefore > 0 {
+	if request.EndBefore > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, request.StartBefore-authority.clock.now())
+		ctx, cancel = context.WithTimeout(ctx, request.EndBefore-authority.clock.now())
 		defer cancel()
 	}
 	return service.runHere(ctx, authority, token, request, func(ctx context.Context) Outcome {
--- a/internal/swkey/property_test.go
+++ b/internal/swkey/property_test.go
@@ -75,6 +75,12 @@
 	body     string
 	deadline time.Time
 	outcome  Outcome
+	answered time.Time
+}
+
+// givenUp reports whether the answer says that the send begins no run any more.
+func (answer *answer) givenUp() bool {
+	return answer.outcome.Code == swcode.IssuerUnreachable || answer.outcome.Code == swcode.IssuerGone
 }
 
 func (history *history) play(action action) {
@@ -139,6 +145,7 @@
 		history.mutex.Lock()
 		defer history.mutex.Unlock()
 		history.answers[number].outcome = outcome
+		history.answers[number].answered = time.Now()
 	})
 }
 
@@ -166,6 +173,9 @@
 		if ran && backend.began[answer.body].After(answer.deadline) {
 			faults = append(faults, fmt.Sprintf("%s began after its deadline", answer.body))
 		}
+		if ran && answer.givenUp() && backend.began[answer.body].After(answer.answered) {
+			faults = append(faults, fmt.Sprintf("%s began after it was answered %v", answer.body, answer.outcome))
+		}
 		if answer.outcome.Ran == swcode.RanYes && ranByKey[answer.key] == 0 {
 			faults = append(faults, fmt.Sprintf("%s was answered %v and did not run", answer.body, answer.outcome))
 		}
--- a/internal/swkey/service.go
+++ b/internal/swkey/service.go
@@ -99,6 +99,8 @@
 	Fingerprint uint64
 	// StartBefore is the issuer's clock time from which the run must not begin; zero leaves the context's deadline.
 	StartBefore time.Duration
+	// EndBefore is the issuer's clock time at which a run that was passed on is given up; zero leaves the context's deadline.
+	EndBefore time.Duration
 	// Body is the encoded request as the executor needs it.
 	Body []byte
 }
--- a/lab/internal/swlabfleet/fleet.go
+++ b/lab/internal/swlabfleet/fleet.go
@@ -170,6 +170,19 @@
 	return nil
 }
 
+// namePeer notes the peer address of a VM. Packets of a fleet that ended may already arrive at the proxies.
+func (fleet *Fleet) namePeer(address netip.AddrPort, name string) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.peers[address] = name
+}
+
+func (fleet *Fleet) peerName(address netip.AddrPort) string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.peers[address]
+}
+
 // prepare makes the settings, certificate and proxies of a VM.
 func (fleet *Fleet) prepare(vm *VM, authority *authority, at netip.Addr) error {
 	certificates, err := authority.issue(vm.Name)
@@ -177,7 +190,7 @@
 		return err
 	}
 	caller, peer := netip.AddrPortFrom(at, callerPort), netip.AddrPortFrom(at, peerPort)
-	fleet.peers[peer] = vm.Name
+	fleet.namePeer(peer, vm.Name)
 	vm.caller, err = swlabproxy.StartTCP(swlabproxy.TCPConfig{
 		Target: caller.String(), From: groupCallers, To: vm.Name, Network: fleet.Network,
 	})
@@ -192,7 +205,7 @@
 	}
 	vm.peer, err = swlabproxy.StartUDP(swlabproxy.UDPConfig{
 		Target: peer, To: vm.Name, Network: fleet.Network,
-		Group: func(source netip.AddrPort) string { return fleet.peers[source] },
+		Group: fleet.peerName,
 	})
 	if err != nil {
 		return err
--- a/pkg/swcode/code.go
+++ b/pkg/swcode/code.go
@@ -154,7 +154,7 @@
 	{RunInProgress, "RunInProgress", http.StatusConflict, unknowing, true, "The run under this key has not finished.", "Send again under the same key for its outcome."},
 	{PartialRun, "PartialRun", http.StatusBadGateway, unknowing, false, "Some shards ran the work and others did not or are unknown.", "Check the books for the shards that Coverage lacks."},
 	{HandoverInProgress, "HandoverInProgress", http.StatusServiceUnavailable, unknowing, true, "The issuer is handing its keys to a successor.", "Send again under the same key."},
-	{IssuerUnreachable, "IssuerUnreachable", http.StatusServiceUnavailable, unknowing, true, "The issuer of the key, which alone runs under it, did not answer; this request begins no run after its deadline.", "Send again under the same key; check the books before sending the work under a new one."},
+	{IssuerUnreachable, "IssuerUnreachable", http.StatusServiceUnavailable, unknowing, true, "The issuer of the key, which alone runs under it, did not answer; this request begins no run any more.", "Send again under the same key; check the books before sending the work under a new one."},
 }
 
 var byCode = func() map[Code]Entry {
