Never call a request not run that went out on a silent connection

Cause: after a silent connection the second try could be answered 409 or 503, and the answer then said Ran No though the first try may have run.

--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -120,6 +120,10 @@
 		return answer
 	}
 	answer, _ = server.exchange(ctx, connection, subRequest, 0)
+	if answer.Ran == swcode.RanNo {
+		// The request on the silent connection may have run.
+		answer.Ran = swcode.RanUnknown
+	}
 	return answer
 }
 
--- a/internal/swbackend/fake_test.go
+++ b/internal/swbackend/fake_test.go
@@ -28,6 +28,9 @@
 	conns    []net.Conn
 	requests []string
 	dialWait time.Duration
+	// open is the number of connections that the client holds, and mostOpen the highest it was.
+	open     int
+	mostOpen int
 	dialErr  error
 	running  map[string]chan struct{}
 	// swallowed marks connections whose requests vanish.
@@ -46,9 +49,14 @@
 }
 
 func newFakeServer(t *testing.T) *fakeServer {
+	fake := startFakeServer()
+	t.Cleanup(fake.close)
+	return fake
+}
+
+func startFakeServer() *fakeServer {
 	fake := &fakeServer{group: swgroup.New(context.Background()), swallowed: make(map[int]bool), running: make(map[string]chan struct{})}
 	fake.answer = func(_ int, _ string, request searchRequest) *fakeAnswer { return echo(request) }
-	t.Cleanup(fake.close)
 	return fake
 }
 
@@ -75,8 +83,27 @@
 	near, far := net.Pipe()
 	number := len(fake.conns)
 	fake.conns = append(fake.conns, far)
+	fake.open++
+	fake.mostOpen = max(fake.mostOpen, fake.open)
 	fake.group.Go(func(context.Context) { fake.serve(number, far) })
-	return near, nil
+	return &countedConn{Conn: near, fake: fake}, nil
+}
+
+// countedConn counts when the client closes it.
+type countedConn struct {
+	net.Conn
+	fake *fakeServer
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (conn *countedConn) Close() error {
+	conn.once.Do(func() {
+		conn.fake.mutex.Lock()
+		defer conn.fake.mutex.Unlock()
+		conn.fake.open--
+	})
+	return conn.Conn.Close()
 }
 
 func (fake *fakeServer) serve(number int, conn net.Conn) {
@@ -232,9 +259,14 @@
 
 // newFakePool returns a pool whose one server is fake.
 func newFakePool(t *testing.T, fake *fakeServer, config Config) *Pool {
+	pool := startFakePool(fake, config)
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+func startFakePool(fake *fakeServer, config Config) *Pool {
 	config.Dial = fake.dial
 	pool := NewPool(config)
-	t.Cleanup(pool.Close)
 	pool.SetServers([]swindex.Server{{
 		Name: serverName, Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 2, Connections: 25,
 	}})
