--- a/internal/swbackend/crash.go
+++ b/internal/swbackend/crash.go
@@ -61,18 +61,36 @@
 	return count
 }
 
-// died returns whether the connection's end is evidence of a crash, and how many requests were in flight then. A
-// connection that the server never answered on, while it keeps others open, was one too many for the server.
+// died returns whether the connection's end is evidence of a crash, and how many requests were in flight then.
 func (server *server) died(connection *connection) (crash bool, inFlight int) {
 	server.event(Died)
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	if !connection.proven.Load() && server.hasProven() {
+	if server.tooMany(connection) {
 		return false, 0
 	}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
 	return true, max(1, server.crash.inFlight)
 }
 
+// tooMany reports whether the connection that ended was one too many for the server: the server never answered on it and
+// keeps others open. It then holds this VM to those for a while.
+func (server *server) tooMany(connection *connection) bool {
+	server.mutex.Lock()
+	refused := !connection.proven.Load() && server.hasProven()
+	if refused {
+		server.accepted, server.acceptedUntil = len(server.connections), time.Now().Add(acceptedFor)
+	}
+	slots := server.usableSlots()
+	server.mutex.Unlock()
+	if refused {
+		server.queue.SetSlots(slots)
+	}
+	return refused
+}
+
+// acceptedFor is how long a VM keeps to the connections that a server left open when it refused one.
+const acceptedFor = 10 * time.Second
+
 // hasProven reports whether a connection is open that the server has answered on. The caller holds the mutex.
 func (server *server) hasProven() bool {
 	for connection := range server.connections {
--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -111,17 +111,24 @@
 		patience = server.patience(subRequest.Deadline)
 	}
 	answer, silent := server.exchange(ctx, connection, subRequest, patience)
-	if !silent {
+	refused := answer.Outcome == Broken && !answer.Crash && !connection.proven.Load()
+	if !subRequest.Idempotent() || !silent && !refused {
 		return answer
 	}
-	connection, err := server.take(ctx, false)
+	return server.again(ctx, subRequest, answer, refused)
+}
+
+// again sends an idempotent sub-request once more after its connection was silent or refused. On a server that refuses
+// connections only one that works will do.
+func (server *server) again(ctx context.Context, subRequest *SubRequest, first Answer, refused bool) Answer {
+	connection, err := server.take(ctx, refused)
 	if err != nil {
-		answer.Message = "silent connection: " + err.Error()
-		return answer
+		first.Message += ": " + err.Error()
+		return first
 	}
-	answer, _ = server.exchange(ctx, connection, subRequest, 0)
+	answer, _ := server.exchange(ctx, connection, subRequest, 0)
 	if answer.Ran == swcode.RanNo {
-		// The request on the silent connection may have run.
+		// The first request may have run.
 		answer.Ran = swcode.RanUnknown
 	}
 	return answer
@@ -165,6 +172,7 @@
 	sent, err := connection.send(data, subRequest.Deadline)
 	if err != nil {
 		connection.close()
+		server.tooMany(connection)
 		return server.broken(connection, subRequest, sent, err), false
 	}
 	response, verdict := connection.await(ctx, patience)
--- a/internal/swbackend/fake_test.go
+++ b/internal/swbackend/fake_test.go
@@ -32,7 +32,11 @@
 	open     int
 	mostOpen int
 	dialErr  error
-	running  map[string]chan struct{}
+	// health is the state that the health endpoint tells.
+	health string
+	// refuseFrom is the number of the first connection that is closed after the accept; none when negative.
+	refuseFrom int
+	running    map[string]chan struct{}
 	// swallowed marks connections whose requests vanish.
 	swallowed map[int]bool
 }
@@ -55,7 +59,7 @@
 }
 
 func startFakeServer() *fakeServer {
-	fake := &fakeServer{group: swgroup.New(context.Background()), swallowed: make(map[int]bool), running: make(map[string]chan struct{})}
+	fake := &fakeServer{group: swgroup.New(context.Background()), swallowed: make(map[int]bool), running: make(map[string]chan struct{}), health: "Ready", refuseFrom: -1}
 	fake.answer = func(_ int, _ string, request searchRequest) *fakeAnswer { return echo(request) }
 	return fake
 }
@@ -85,7 +89,16 @@
 	fake.conns = append(fake.conns, far)
 	fake.open++
 	fake.mostOpen = max(fake.mostOpen, fake.open)
-	fake.group.Go(func(context.Context) { fake.serve(number, far) })
+	refused := fake.refuseFrom >= 0 && number >= fake.refuseFrom
+	fake.group.Go(func(context.Context) {
+		if !refused {
+			fake.serve(number, far)
+			return
+		}
+		// A byte of the request leaves before the client sees that the connection was closed.
+		defer far.Close()
+		_, _ = far.Read(make([]byte, 1))
+	})
 	return &countedConn{Conn: near, fake: fake}, nil
 }
 
@@ -134,13 +147,13 @@
 	fake.mutex.Lock()
 	fake.requests = append(fake.requests, path)
 	swallowed := fake.swallowed[number]
-	answer := fake.answer
+	answer, health := fake.answer, fake.health
 	fake.mutex.Unlock()
 	if swallowed {
 		return true
 	}
 	if path == "/health" {
-		return write(conn, &fakeAnswer{status: http.StatusOK, body: healthResponse{State: "Ready"}})
+		return write(conn, &fakeAnswer{status: http.StatusOK, body: healthResponse{State: health}})
 	}
 	if path == "/cancel" {
 		fake.cancel(request)
@@ -223,6 +236,24 @@
 	fake.answer = answer
 }
 
+func (fake *fakeServer) setHealth(state string) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	fake.health = state
+}
+
+func (fake *fakeServer) setRefuseFrom(number int) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	fake.refuseFrom = number
+}
+
+func (fake *fakeServer) openNow() int {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	return fake.open
+}
+
 // count returns how many requests for path arrived.
 func (fake *fakeServer) count(path string) int {
 	fake.mutex.Lock()
--- a/internal/swbackend/health.go
+++ b/internal/swbackend/health.go
@@ -45,6 +45,7 @@
 	pool.mutex.RUnlock()
 	for _, server := range servers {
 		server.closeUnused()
+		server.refreshSlots()
 		if connection := server.unheard(); connection != nil {
 			pool.group.Go(func(context.Context) { server.check(ctx, connection) })
 		}
@@ -102,6 +103,7 @@
 	}
 	response, err := connection.call(ctx, data)
 	if err != nil {
+		server.tooMany(connection)
 		return errors.Wrap(err, "check connection")
 	}
 	server.noteHealth(&response)
--- a/internal/swbackend/server.go
+++ b/internal/swbackend/server.go
@@ -39,9 +39,12 @@
 	listLeaving bool
 	leavingSeen time.Time
 	announced   bool
-	latency     latency
-	outage      outage
-	crash       crashEvidence
+	// accepted bounds the connections until acceptedUntil, after the server refused one.
+	accepted      int
+	acceptedUntil time.Time
+	latency       latency
+	outage        outage
+	crash         crashEvidence
 }
 
 func newServer(pool *Pool, description swindex.Server) *server {
@@ -85,6 +88,13 @@
 func (server *server) setShare(share share) {
 	server.mutex.Lock()
 	server.share = share
+	server.mutex.Unlock()
+	server.refreshSlots()
+}
+
+// refreshSlots tells the queue how many slots this VM may use at present.
+func (server *server) refreshSlots() {
+	server.mutex.Lock()
 	slots := server.usableSlots()
 	server.mutex.Unlock()
 	server.queue.SetSlots(slots)
@@ -99,8 +109,11 @@
 // usableConnections returns how many connections this VM may hold.
 func (server *server) usableConnections() int {
 	limit := server.description.Connections
-	usable := limit - limit/reservedFraction
-	return max(1, usable*server.share.numerator/server.share.denominator)
+	usable := (limit - limit/reservedFraction) * server.share.numerator / server.share.denominator
+	if time.Now().Before(server.acceptedUntil) {
+		usable = min(usable, server.accepted)
+	}
+	return max(1, usable)
 }
 
 func (server *server) isLeaving() bool {
