--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -14,17 +14,6 @@
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
-// CancelPolicy is the way in which a request in flight is withdrawn.
-type CancelPolicy int
-
-// The policies.
-const (
-	// CancelByClose closes the request's connection.
-	CancelByClose CancelPolicy = 0
-	// CancelByRequest asks the server over a spare connection and keeps the request's connection.
-	CancelByRequest CancelPolicy = 1
-)
-
 // leavingHeader marks answers of a server that takes no new work.
 const leavingHeader = "Sw-Leaving"
 
@@ -122,15 +111,26 @@
 		patience = server.patience(subRequest.Deadline)
 	}
 	answer, silent := server.exchange(ctx, connection, subRequest, patience)
-	if !silent {
+	refused := answer.Outcome == Broken && !answer.Crash && !connection.proven.Load()
+	if !subRequest.Idempotent() || !silent && !refused {
 		return answer
 	}
-	connection, err := server.take(ctx, false)
+	return server.again(ctx, subRequest, answer, refused)
+}
+
+// again sends an idempotent sub-request once more after its connection was silent or refused. On a server that refuses
+// connections only one that works will do.
+func (server *server) again(ctx context.Context, subRequest *SubRequest, first Answer, refused bool) Answer {
+	connection, err := server.take(ctx, refused)
 	if err != nil {
-		answer.Message = "silent connection: " + err.Error()
-		return answer
+		first.Message += ": " + err.Error()
+		return first
+	}
+	answer, _ := server.exchange(ctx, connection, subRequest, 0)
+	if answer.Ran == swcode.RanNo {
+		// The first request may have run.
+		answer.Ran = swcode.RanUnknown
 	}
-	answer, _ = server.exchange(ctx, connection, subRequest, 0)
 	return answer
 }
 
@@ -172,6 +172,7 @@
 	sent, err := connection.send(data, subRequest.Deadline)
 	if err != nil {
 		connection.close()
+		server.tooMany(connection)
 		return server.broken(connection, subRequest, sent, err), false
 	}
 	response, verdict := connection.await(ctx, patience)
@@ -225,24 +226,6 @@
 	}
 }
 
-// withdraw gives up a request in flight whose context ended.
-func (server *server) withdraw(ctx context.Context, connection *connection, subRequest *SubRequest) Answer {
-	server.event(ClosedToCancel)
-	connection.close()
-	server.finished(connection)
-	server.warm()
-	answer := Answer{Outcome: Cancelled, Ran: swcode.RanUnknown, Code: swcode.CallerGone, Message: "withdrawn from " + server.name}
-	if ctx.Err() == context.DeadlineExceeded {
-		answer.Outcome = Late
-		answer.Code = swcode.DeadlineExceeded
-		answer.Message = server.name + " did not answer by the deadline"
-	}
-	if !subRequest.Idempotent() {
-		answer.Code = swcode.OutcomeUnknown
-	}
-	return answer
-}
-
 // broken returns the answer to a request whose connection failed.
 func (server *server) broken(connection *connection, subRequest *SubRequest, sent bool, err error) Answer {
 	server.finished(connection)
