Look again at differing boards before they are synchronized

A VM that pushes missed waited for the next probe but one. Adds the tests of Store and the measurement of the time to stop routing to a dead VM.

--- a/internal/swmember/config.go
+++ b/internal/swmember/config.go
@@ -33,6 +33,8 @@
 	// others hold it alive.
 	recheckFirst = 2 * time.Second
 	recheckMax   = 30 * time.Second
+	// settleTime is how long records that came in just now have to reach the others by pushes.
+	settleTime = 300 * time.Millisecond
 	// maxSyncRounds bounds the rounds of one synchronization.
 	maxSyncRounds = 32
 	// syncTimeout bounds a synchronization.
--- a/internal/swmember/directory.go
+++ b/internal/swmember/directory.go
@@ -40,8 +40,6 @@
 	rejoin time.Time
 	// refuted is when this VM last raised its incarnation.
 	refuted time.Time
-	// deferred tells that the last difference between boards was left to the records under way.
-	deferred bool
 
 	subscribersMutex sync.RWMutex
 	subscribers      []func(*View)
--- a/internal/swmember/spread.go
+++ b/internal/swmember/spread.go
@@ -169,16 +169,23 @@
 	return true
 }
 
-// repair synchronizes boards, unless records came in just now and are likely to be under way to the peer as well.
+// repair synchronizes boards that differ. When records came in just now, the difference is likely to be under way to the
+// peer already: it is looked at again a little later.
 func (directory *Directory) repair(ctx context.Context, target netip.AddrPort, name string) {
-	quiet := directory.board.quietFor(time.Now()) > directory.config.ProbeEvery/2
-	directory.mutex.Lock()
-	wait := !quiet && !directory.deferred
-	directory.deferred = wait
-	directory.mutex.Unlock()
-	if !wait {
-		directory.synchronize(ctx, target, name)
+	if directory.board.quietFor(time.Now()) < settleTime {
+		settled := time.NewTimer(settleTime)
+		defer settled.Stop()
+		select {
+		case <-settled.C:
+		case <-ctx.Done():
+			return
+		}
+		reply, err := directory.callProbe(ctx, target, name)
+		if err != nil || reply.Digest == directory.board.digest() {
+			return
+		}
 	}
+	directory.synchronize(ctx, target, name)
 }
 
 // synchronize exchanges the records in which two boards differ, in rounds of bounded messages.
--- a/internal/swrollout/measure_test.go
+++ b/internal/swrollout/measure_test.go
@@ -246,6 +246,55 @@
 	}
 }
 
+// TestMeasureDeath prints how long it takes until the other VMs of the data centre give a VM that died no new work, and
+// until all VMs do.
+func TestMeasureDeath(t *testing.T) {
+	const rounds = 5
+	for _, size := range sizes() {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := newFleet(t)
+			defer fleet.stopAll()
+			fleet.platform.put(KindRules, RulesName, "1")
+			vms := fleet.knowing(size)
+			time.Sleep(2 * time.Minute)
+			var near, all []time.Duration
+			for range rounds {
+				killed := vms[len(vms)-1]
+				vms = vms[:len(vms)-1]
+				killed.stop()
+				nearest, everywhere := fleet.noWork(vms, killed)
+				near, all = append(near, nearest...), append(all, everywhere...)
+				time.Sleep(20 * time.Second)
+			}
+			printDelays(t, "no new work from the same data centre", size, near)
+			printDelays(t, "no new work from any VM", size, all)
+		})
+	}
+}
+
+// noWork returns when each VM stopped preferring a member, for those of its data centre and for all.
+func (fleet *fleet) noWork(vms []*vm, killed *vm) (near, all []time.Duration) {
+	start := time.Now()
+	waiting := slices.Clone(vms)
+	for len(waiting) > 0 && time.Since(start) < time.Minute {
+		time.Sleep(10 * time.Millisecond)
+		waiting = slices.DeleteFunc(waiting, func(vm *vm) bool {
+			if member, ok := vm.directory.View().Member(killed.self.Name); ok && member.State == swmember.Alive {
+				return false
+			}
+			if vm.self.DataCentre == killed.self.DataCentre {
+				near = append(near, time.Since(start))
+			}
+			all = append(all, time.Since(start))
+			return true
+		})
+	}
+	if len(waiting) > 0 {
+		fleet.t.Errorf("%d VMs still give work to a dead one after a minute", len(waiting))
+	}
+	return near, all
+}
+
 // inForce returns when each VM had a version in force, counted from now.
 func (fleet *fleet) inForce(vms []*vm, version uint64) []time.Duration {
 	start := time.Now()
--- /dev/null
+++ b/internal/swrollout/store_test.go
@@ -0,0 +1,206 @@
+package swrollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swmember"
+	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+)
+
+// alone is a view of one VM that reaches nobody.
+type alone struct{}
+
+func (alone) View() *swmember.View {
+	self := swmember.Member{Name: "vm-0", DataCentre: "dc-0"}
+	return swmember.NewView(self, []swmember.Member{self})
+}
+
+func (alone) Call(context.Context, netip.AddrPort, swpeer.Method, any, any) error {
+	return errors.New("nobody is there")
+}
+
+func newStore() (*Store, *swmember.Board) {
+	board := swmember.NewBoard(swmember.BoardConfig{})
+	store := New(Config{Board: board, Members: alone{}, Transport: alone{}, Seed: 1})
+	store.Validate(KindRules, checkValue)
+	return store, board
+}
+
+func TestOffer(t *testing.T) {
+	held := Document{Kind: KindRules, Name: RulesName, Version: 5, Value: []byte("five")}
+	tests := map[string]struct {
+		document Document
+		accepted bool
+		err      error
+	}{
+		"higher version":    {document: Document{Kind: KindRules, Name: RulesName, Version: 7, Value: []byte("seven")}, accepted: true},
+		"same version":      {document: Document{Kind: KindRules, Name: RulesName, Version: 5, Value: []byte("other")}},
+		"lower version":     {document: Document{Kind: KindRules, Name: RulesName, Version: 4}},
+		"bad value":         {document: Document{Kind: KindRules, Name: RulesName, Version: 6, Value: []byte("bad")}, err: ErrInvalid},
+		"unregistered kind": {document: Document{Kind: "Other", Name: "x", Version: 1}, err: ErrUnknownKind},
+		"too large":         {document: Document{Kind: KindRules, Name: RulesName, Version: 6, Value: make([]byte, MaxValue+1)}, err: ErrTooLarge},
+		"version zero":      {document: Document{Kind: KindRules, Name: "new"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			store, _ := newStore()
+			if _, err := store.Offer(held); err != nil {
+				t.Fatal(err)
+			}
+			accepted, err := store.Offer(test.document)
+			if accepted != test.accepted || !errors.Is(err, test.err) {
+				t.Errorf("Offer = %t, %v, want %t, %v", accepted, err, test.accepted, test.err)
+			}
+			want := held
+			if test.accepted {
+				want = test.document
+			}
+			current, _ := store.Current(KindRules, RulesName)
+			if diff := cmp.Diff(want, current); diff != "" {
+				t.Errorf("document in force (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestRejectionShowsInStatusUntilAHigherVersionIsInForce(t *testing.T) {
+	store, _ := newStore()
+	for version, value := range []string{1: "good", 2: "bad"} {
+		_, _ = store.Offer(Document{Kind: KindRules, Name: RulesName, Version: uint64(version), Value: []byte(value)})
+	}
+	want := []DocumentStatus{{
+		Kind: KindRules, Name: RulesName, Version: 1, Announced: 1,
+		Rejected: &Rejection{Version: 2, Reason: "the value is bad"},
+	}}
+	ignoreTimes := cmpopts.IgnoreTypes(time.Time{})
+	if diff := cmp.Diff(want, store.Status(), ignoreTimes); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+	if _, err := store.Offer(Document{Kind: KindRules, Name: RulesName, Version: 3, Value: []byte("good")}); err != nil {
+		t.Fatal(err)
+	}
+	want = []DocumentStatus{{Kind: KindRules, Name: RulesName, Version: 3, Announced: 3}}
+	if diff := cmp.Diff(want, store.Status(), ignoreTimes); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+}
+
+func TestVersionInForceNeverDecreases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store, board := newStore()
+		var delivered []uint64
+		store.Subscribe(KindRules, func(document Document) { delivered = append(delivered, document.Version) })
+		highest := uint64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "offers") {
+			version := rapid.Uint64Range(0, 6).Draw(t, "version")
+			value := rapid.SampledFrom([]string{"good", "bad"}).Draw(t, "value")
+			accepted, _ := store.Offer(Document{Kind: KindRules, Name: RulesName, Version: version, Value: []byte(value)})
+			if want := value == "good" && version > highest; accepted != want {
+				t.Fatalf("Offer of version %d (%s) over %d = %t, want %t", version, value, highest, accepted, want)
+			}
+			if accepted {
+				highest = version
+			}
+		}
+		current, _ := store.Current(KindRules, RulesName)
+		record, _ := board.Get(swmember.TopicDocument, KindRules+"/"+RulesName)
+		if current.Version != highest || record.Version != highest {
+			t.Errorf("version in force %d, announced %d, want %d", current.Version, record.Version, highest)
+		}
+		for i := 1; i < len(delivered); i++ {
+			if delivered[i] <= delivered[i-1] {
+				t.Errorf("subscribers saw the versions %v", delivered)
+			}
+		}
+	})
+}
+
+func TestSubscriberGetsWhatIsAlreadyInForce(t *testing.T) {
+	store, _ := newStore()
+	document := Document{Kind: KindRules, Name: RulesName, Version: 3, Value: []byte("x")}
+	if _, err := store.Offer(document); err != nil {
+		t.Fatal(err)
+	}
+	var received []Document
+	store.Subscribe(KindRules, func(document Document) { received = append(received, document) })
+	if diff := cmp.Diff([]Document{document}, received); diff != "" {
+		t.Errorf("received (-want +got):\n%s", diff)
+	}
+}
+
+// counter counts the fetches that run at once, and never answers them.
+type counter struct {
+	now, most int
+	total     int
+}
+
+func (counter *counter) View() *swmember.View {
+	self := swmember.Member{Name: "vm-0", DataCentre: "dc-0"}
+	return swmember.NewView(self, []swmember.Member{self, {Name: "vm-1", DataCentre: "dc-0"}})
+}
+
+func (counter *counter) Call(ctx context.Context, _ netip.AddrPort, _ swpeer.Method, _, _ any) error {
+	counter.now++
+	counter.total++
+	counter.most = max(counter.most, counter.now)
+	<-ctx.Done()
+	counter.now--
+	return ctx.Err()
+}
+
+func TestOnePullADocumentAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counter := &counter{}
+		board := swmember.NewBoard(swmember.BoardConfig{})
+		store := New(Config{Board: board, Members: counter, Transport: counter, Seed: 1})
+		store.Validate(KindRules, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		group := swgroup.New(ctx)
+		group.Go(store.Run)
+		for version := range uint64(50) {
+			board.Put(swmember.Record{Topic: swmember.TopicDocument, Key: KindRules + "/" + RulesName, Version: version + 1})
+			time.Sleep(100 * time.Millisecond)
+		}
+		cancel()
+		group.Wait()
+		if counter.most != 1 {
+			t.Errorf("%d fetches ran at once, want 1", counter.most)
+		}
+		if counter.total < 2 {
+			t.Errorf("%d fetches ran, want the failed one tried again", counter.total)
+		}
+	})
+}
+
+func TestPackedValueKeepsToTheLimit(t *testing.T) {
+	for _, test := range []struct {
+		size int
+		err  error
+	}{{size: 0}, {size: MaxValue}, {size: MaxValue + 1, err: ErrTooLarge}} {
+		t.Run(fmt.Sprint(test.size), func(t *testing.T) {
+			packed, err := pack(make([]byte, test.size))
+			if err != nil {
+				t.Fatal(err)
+			}
+			value, err := unpack(packed)
+			if !errors.Is(err, test.err) {
+				t.Errorf("unpack of %d bytes: %v, want %v", test.size, err, test.err)
+			}
+			if err == nil && len(value) != test.size {
+				t.Errorf("unpacked %d bytes, want %d", len(value), test.size)
+			}
+		})
+	}
+}
