--- a/cmd/root.go
+++ b/cmd/root.go
@@ -54,5 +54,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newServeCommand(), newSettingsCommand(), newSearchCommand(), newStatusCommand(), newVersionCommand())
+	root.AddCommand(newRulesCommand())
 	return root
 }
--- a/internal/swadmission/queue.go
+++ b/internal/swadmission/queue.go
@@ -250,23 +250,15 @@
 
 func (queue *Queue) remove(waiter *waiter) {
 	waiter.queued = false
-	line := &queue.lines[waiter.work.Priority]
-	line.remove(waiter)
+	queue.lines[waiter.work.Priority].remove(waiter)
 	queue.waiting--
-	if line.length == 0 {
-		queue.shares.idle(waiter.work.Priority)
-	}
 }
 
 // start accounts for work of the priority that takes a slot now.
 func (queue *Queue) start(priority swrule.Priority, wait time.Duration) {
 	queue.running++
 	queue.shedders[priority].started(wait)
-	var backlog [swrule.Priorities]bool
-	for i := range queue.lines {
-		backlog[i] = queue.lines[i].length > 0
-	}
-	queue.shares.charge(priority, &backlog, &queue.service)
+	queue.shares.charge(priority, &queue.service)
 }
 
 // cannotMeet reports whether the work would finish after its deadline, judged by the service times observed. With
@@ -360,17 +352,8 @@
 	elapsed := now.Sub(queue.ticked)
 	queue.ticked = now
 	for i := range queue.shedders {
-		queue.shedders[i].adjust(elapsed, queue.capacity(swrule.Priority(i)))
-	}
-}
-
-// capacity returns how many sub-requests of the priority the slots could run in a second, or zero when unknown.
-func (queue *Queue) capacity(priority swrule.Priority) float64 {
-	service := queue.service.mean(priority)
-	if service <= 0 {
-		return 0
+		queue.shedders[i].adjust(elapsed)
 	}
-	return float64(queue.slots.whole()) / service.Seconds()
 }
 
 // Release gives a slot back. service is the time that the backend server took; result tells what came of the work.
@@ -382,9 +365,9 @@
 	switch result {
 	case Completed:
 		queue.service.add(lease.Work.Priority, service)
-		queue.slots.succeeded()
+		queue.slots.succeeded(now)
 	case ShedByServer:
-		queue.slots.shed(now)
+		queue.slots.shed(now, queue.running+1)
 		queue.shedders[lease.Work.Priority].lost++
 	case Lost:
 		queue.service.censored(lease.Work.Priority, service)
--- a/internal/swbackend/pool.go
+++ b/internal/swbackend/pool.go
@@ -90,12 +90,24 @@
 
 // SetServers replaces the list of servers. Work in flight at a server that is no longer listed goes on.
 func (pool *Pool) SetServers(list []swindex.Server) {
+	// OnLeaving may use the pool, so signs are passed on without the lock.
+	for _, server := range pool.replace(list) {
+		server.setLeaving()
+	}
+}
+
+// replace takes in a list and returns the servers that it says are leaving.
+func (pool *Pool) replace(list []swindex.Server) []*server {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	var leaving []*server
 	listed := make(map[string]bool, len(list))
 	for _, description := range list {
 		listed[description.Name] = true
-		pool.set(description)
+		server := pool.set(description)
+		if description.Leaving {
+			leaving = append(leaving, server)
+		}
 	}
 	for name, server := range pool.servers {
 		if !listed[name] {
@@ -103,9 +115,10 @@
 			server.retire()
 		}
 	}
+	return leaving
 }
 
-func (pool *Pool) set(description swindex.Server) {
+func (pool *Pool) set(description swindex.Server) *server {
 	present := pool.servers[description.Name]
 	if present != nil && present.address() != description.Address {
 		present.retire()
@@ -116,6 +129,7 @@
 		pool.servers[description.Name] = present
 	}
 	present.describe(description, pool.share)
+	return present
 }
 
 // SetShare limits this VM to a part of every server's slots and connections, as when each VM dispatches on its own.
@@ -186,7 +200,7 @@
 }
 
 // Execute waits for a slot of the server, sends the sub-request and returns what came of it. The answer's Ran is No
-// unless a byte may have left for the server.
+// unless a byte may have left for the server. Work that the server itself sheds queues once more.
 func (pool *Pool) Execute(ctx context.Context, subRequest SubRequest) Answer {
 	server := pool.server(subRequest.Server)
 	if server == nil {
@@ -200,11 +214,23 @@
 		defer cancel()
 		ctx = deadlined
 	}
-	lease, err := server.queue.Acquire(ctx, workOf(&subRequest))
+	answer := server.attempt(ctx, &subRequest)
+	if answer.Outcome == Shed && answer.Ran == swcode.RanNo && answer.Service > 0 {
+		return server.attempt(ctx, &subRequest)
+	}
+	return answer
+}
+
+// attempt takes the sub-request through the queue to the server once.
+func (server *server) attempt(ctx context.Context, subRequest *SubRequest) Answer {
+	if err := server.reachable(); err != nil {
+		return server.unreachableAnswer(err)
+	}
+	lease, err := server.queue.Acquire(ctx, workOf(subRequest))
 	if err != nil {
 		return server.refusalAnswer(err)
 	}
-	answer := server.run(ctx, &subRequest)
+	answer := server.run(ctx, subRequest)
 	answer.QueueWait = lease.Wait
 	server.queue.Release(lease, resultOf(&answer))
 	return answer
--- a/internal/swkey/authority.go
+++ b/internal/swkey/authority.go
@@ -25,7 +25,7 @@
 )
 
 // entryOverhead is the memory that an entry takes besides its reply, in bytes.
-const entryOverhead = 256
+const entryOverhead = 384
 
 // bucketWidth is the span of expiry times that are removed from the table together.
 const bucketWidth = time.Second
@@ -188,6 +188,7 @@
 	kept := outcome
 	if int64(len(kept.Reply)) > authority.limits.MaxOutcome {
 		kept.Reply = nil
+		kept.Message = "the reply was too large to keep for repeats"
 	}
 	size := outcomeSize(kept)
 	if outcome.Ran == swcode.RanNo {
