Give a member that does not answer a second probe before it is put behind

One late probe moved an owner behind its substitutes in the prober's view, so that a busy VM lost its servers to a second owner. TestSlowVMKeepsItsPlace pauses a VM for 600 ms twenty times.

--- a/internal/swmember/directory_test.go
+++ b/internal/swmember/directory_test.go
@@ -94,6 +94,47 @@
 	})
 }
 
+func TestSlowVMKeepsItsPlace(t *testing.T) {
+	inBubble(t, func(t *testing.T, network *network) {
+		nodes := network.fleet(1, 5)
+		var demoted []string
+		for _, node := range nodes {
+			node.directory.Subscribe(func(view *View) {
+				if member, ok := view.Member("vm-2"); !ok || member.State != Alive {
+					demoted = append(demoted, node.config.Self.Name)
+				}
+			})
+		}
+		for range 20 {
+			nodes[2].pause()
+			time.Sleep(2 * defaultProbeTimeout)
+			nodes[2].resume()
+			time.Sleep(5 * time.Second)
+		}
+		if diff := cmp.Diff([]string(nil), demoted); diff != "" {
+			t.Errorf("VMs that put the slow one behind others (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestVMThatOnlyOneOtherCannotReachIsNotSuspectedByAll(t *testing.T) {
+	inBubble(t, func(t *testing.T, network *network) {
+		nodes := network.fleet(1, 5)
+		network.mutex.Lock()
+		network.cut = func(a, b *node) bool {
+			return a == nodes[1] && b == nodes[2] || a == nodes[2] && b == nodes[1]
+		}
+		network.mutex.Unlock()
+		nodes[1].directory.ReportSuspect("vm-2")
+		time.Sleep(5 * time.Minute)
+		got := map[string]string{"vm-0": stateOf(nodes[0], "vm-2"), "vm-1": stateOf(nodes[1], "vm-2"), "vm-3": stateOf(nodes[3], "vm-2")}
+		want := map[string]string{"vm-0": "Alive", "vm-1": "Suspect", "vm-3": "Alive"}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("state of vm-2 (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestReplacementWithSameAddressSupersedes(t *testing.T) {
 	tests := map[string]struct {
 		name        string
--- a/internal/swmember/join.go
+++ b/internal/swmember/join.go
@@ -72,12 +72,12 @@
 		directory.replaced(member, reply.Name)
 		return
 	}
-	name, answered := directory.probeVia(ctx, member)
+	second := directory.probeAgain(ctx, member)
 	if ctx.Err() != nil || directory.pausedSince(start, 3*directory.config.ProbeTimeout) {
 		return
 	}
-	if answered {
-		directory.replaced(member, name)
+	if second.answered {
+		directory.replaced(member, second.name)
 		return
 	}
 	directory.state(member, Dead)
--- a/internal/swmember/probe.go
+++ b/internal/swmember/probe.go
@@ -31,10 +31,15 @@
 	return ProbeViaReply{Name: reply.Name}, nil
 }
 
-// callProbe probes an address once. name is the member expected there, if any.
+// callProbe probes an address once within the probe timeout. name is the member expected there, if any.
 func (directory *Directory) callProbe(ctx context.Context, target netip.AddrPort, name string) (ProbeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, directory.config.ProbeTimeout)
 	defer cancel()
+	return directory.exchangeProbe(ctx, target, name)
+}
+
+// exchangeProbe probes an address once within the context.
+func (directory *Directory) exchangeProbe(ctx context.Context, target netip.AddrPort, name string) (ProbeReply, error) {
 	var reply ProbeReply
 	err := directory.config.Transport.Call(ctx, target, swpeer.MethodProbe, directory.probeRequest(name), &reply)
 	if err != nil {
@@ -106,20 +111,24 @@
 	if ctx.Err() != nil || directory.pausedSince(start, directory.config.ProbeTimeout) {
 		return
 	}
-	directory.mutex.Lock()
-	directory.noteUnanswered(member)
-	directory.mutex.Unlock()
-	directory.refresh()
 	start = time.Now()
-	name, answered := directory.probeVia(ctx, member)
+	second := directory.probeAgain(ctx, member)
 	if ctx.Err() != nil || directory.pausedSince(start, 2*directory.config.ProbeTimeout) {
 		return
 	}
-	if answered {
-		directory.replaced(member, name)
+	if second.answered {
+		directory.replaced(member, second.name)
+	}
+	if second.answered && second.direct {
 		return
 	}
-	directory.accuse(member)
+	directory.mutex.Lock()
+	directory.noteUnanswered(member)
+	directory.mutex.Unlock()
+	directory.refresh()
+	if !second.answered {
+		directory.accuse(member)
+	}
 }
 
 // answered settles a probe that was answered.
@@ -172,31 +181,60 @@
 	return directory.resumed.After(start) || time.Since(start) > expected+directory.config.ProbeEvery
 }
 
-// probeVia asks others of the own data centre to probe a member and returns the name that answered there.
-func (directory *Directory) probeVia(ctx context.Context, member Member) (string, bool) {
+// secondProbe is the outcome of probing a member again.
+type secondProbe struct {
+	// answered tells that the member, or another VM at its address, answered to anyone.
+	answered bool
+	// direct tells that it answered this VM.
+	direct bool
+	// name is the VM that answered.
+	name string
+}
+
+// probeAgain gives a member that did not answer a second chance: this VM and others of its data centre probe it. A slow
+// member is thereby told from a dead one, and a broken path from a dead member.
+func (directory *Directory) probeAgain(ctx context.Context, member Member) secondProbe {
 	helpers := directory.helpers(member.Name)
 	ctx, cancel := context.WithTimeout(ctx, 2*directory.config.ProbeTimeout)
 	defer cancel()
-	names := make(chan string, len(helpers))
+	direct := make(chan string, 1)
+	indirect := make(chan string, len(helpers))
 	group := swgroup.New(ctx)
+	group.Go(func(ctx context.Context) {
+		if reply, err := directory.exchangeProbe(ctx, member.Peer, member.Name); err == nil {
+			direct <- reply.Name
+			group.Cancel()
+		}
+	})
 	for _, helper := range helpers {
 		group.Go(func(ctx context.Context) {
-			var reply ProbeViaReply
-			request := ProbeViaRequest{From: directory.config.Self.Name, Target: member.Peer}
-			err := directory.config.Transport.Call(ctx, helper.Peer, swpeer.MethodProbeVia, request, &reply)
-			if err == nil && reply.Name != "" {
-				names <- reply.Name
-				group.Cancel()
+			if name := directory.askHelper(ctx, helper, member); name != "" {
+				indirect <- name
 			}
 		})
 	}
 	group.Wait()
 	select {
-	case name := <-names:
-		return name, true
+	case name := <-direct:
+		return secondProbe{answered: true, direct: true, name: name}
+	default:
+	}
+	select {
+	case name := <-indirect:
+		return secondProbe{answered: true, name: name}
 	default:
-		return "", false
 	}
+	return secondProbe{}
+}
+
+// askHelper has another VM probe a member and returns the name that answered, or an empty string.
+func (directory *Directory) askHelper(ctx context.Context, helper, member Member) string {
+	var reply ProbeViaReply
+	request := ProbeViaRequest{From: directory.config.Self.Name, Target: member.Peer}
+	if directory.config.Transport.Call(ctx, helper.Peer, swpeer.MethodProbeVia, request, &reply) != nil {
+		return ""
+	}
+	return reply.Name
 }
 
 // helpers draws members of the own data centre that may probe for this VM.
