--- a/internal/swadmission/limiter_test.go
+++ b/internal/swadmission/limiter_test.go
@@ -50,6 +50,11 @@
 	return swmember.NewView(self, network.members)
 }
 
+// soleView is the view of a VM that knows no other.
+func (network *limiterNet) soleView() *swmember.View {
+	return swmember.NewView(swmember.Member{Name: "vm-0", DataCentre: testCentre}, nil)
+}
+
 func (network *limiterNet) limiter(i int) *Limiter { return network.limiters[network.members[i].Peer] }
 
 // allocator returns the position of the VM that allocates the rule's tokens.
--- a/internal/swadmission/queue.go
+++ b/internal/swadmission/queue.go
@@ -142,14 +142,14 @@
 // deadline, or ctx ends first.
 func (queue *Queue) Acquire(ctx context.Context, work Work) (Lease, error) {
 	if ctx.Err() != nil {
-		return Lease{}, queue.refuse(&work, contextRefusal(ctx))
+		return Lease{}, queue.refuse(work, contextRefusal(ctx))
 	}
 	queue.mutex.Lock()
 	now := time.Now()
 	waiter, err := queue.enter(now, work)
 	queue.mutex.Unlock()
 	if err != nil {
-		return Lease{}, queue.refuse(&work, err)
+		return Lease{}, queue.refuse(work, err)
 	}
 	if waiter == nil {
 		return queue.granted(work, now, 0), nil
@@ -170,7 +170,7 @@
 	}
 	queue.unused.Put(waiter)
 	if refusal != nil {
-		return Lease{}, queue.refuse(&work, refusal)
+		return Lease{}, queue.refuse(work, refusal)
 	}
 	now := time.Now()
 	return queue.granted(work, now, now.Sub(entered)), nil
@@ -213,16 +213,18 @@
 	return errCallerGone
 }
 
-func (queue *Queue) refuse(work *Work, refusal *swcode.Error) error {
+func (queue *Queue) refuse(work Work, refusal *swcode.Error) error {
 	if queue.observer != nil {
-		queue.observer.Shed(work, refusal.Code)
+		observed := work
+		queue.observer.Shed(&observed, refusal.Code)
 	}
 	return refusal
 }
 
 func (queue *Queue) granted(work Work, now time.Time, wait time.Duration) Lease {
 	if queue.observer != nil {
-		queue.observer.QueueWait(&work, wait)
+		observed := work
+		queue.observer.QueueWait(&observed, wait)
 	}
 	return Lease{Work: work, Wait: wait, started: now}
 }
@@ -390,18 +392,17 @@
 	queue.tick(now)
 	queue.dispatch(now)
 	queue.mutex.Unlock()
-	queue.observe(&lease, service, result)
+	if queue.observer != nil {
+		queue.observe(lease.Work, service, result)
+	}
 }
 
-func (queue *Queue) observe(lease *Lease, service time.Duration, result Result) {
-	if queue.observer == nil {
-		return
-	}
+func (queue *Queue) observe(work Work, service time.Duration, result Result) {
 	switch result {
 	case Completed:
-		queue.observer.Service(&lease.Work, service)
+		queue.observer.Service(&work, service)
 	case Lost:
-		queue.observer.Wasted(&lease.Work, service)
+		queue.observer.Wasted(&work, service)
 	case ShedByServer, Unused:
 	}
 }
--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -69,22 +73,37 @@
 	return encodeHTTP(http.MethodPost, path, host, body)
 }
 
+// requestHeader is the header of every request. It is never changed.
+var requestHeader = http.Header{"Content-Type": {"application/json"}, "User-Agent": {""}}
+
 func encodeHTTP(method, path, host string, body []byte) ([]byte, error) {
-	request, err := http.NewRequest(method, "http://"+host+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+	request := http.Request{
+		Method:        method,
+		URL:           &url.URL{Scheme: "http", Host: host, Path: path},
+		Header:        requestHeader,
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
 	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("User-Agent", "")
-	var buffer bytes.Buffer
-	if err := request.Write(&buffer); err != nil {
+	if len(body) == 0 {
+		request.Body = nil
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, len(body)+requestHeadSize))
+	if err := request.Write(buffer); err != nil {
 		return nil, errors.Wrap(err, "write request")
 	}
 	return buffer.Bytes(), nil
 }
 
+// requestHeadSize is the space kept for a request's first line and header, in bytes.
+const requestHeadSize = 256
+
+// formatID returns the ID as sixteen hexadecimal digits.
 func formatID(id uint64) string {
-	return fmt.Sprintf("%016x", id)
+	var raw [8]byte
+	binary.BigEndian.PutUint64(raw[:], id)
+	var text [16]byte
+	hex.Encode(text[:], raw[:])
+	return string(text[:])
 }
 
 // echoes reports whether the response belongs to the sub-request.
