--- a/internal/swadmission/queue.go
+++ b/internal/swadmission/queue.go
@@ -15,7 +15,7 @@
 // Defaults of settings that are left empty.
 const (
 	// DefaultQueueLimit is the number of sub-requests that may wait for one backend server.
-	DefaultQueueLimit = 128
+	DefaultQueueLimit = 64
 	// DefaultQueueTarget is the queue wait above which whole queries are shed.
 	DefaultQueueTarget = 20 * time.Millisecond
 )
