--- a/lab/internal/swlabcheck/check_test.go
+++ b/lab/internal/swlabcheck/check_test.go
@@ -139,6 +139,10 @@
 			evidence.Results[0].Err = errors.New("connection reset")
 			evidence.Stops = []swlabcheck.Window{{VM: "vm2", From: begin, Until: begin.Add(time.Second)}}
 		}, violations{CutByPlannedStop: 1}},
+		{"run with unknown outcome in a planned stop", func(evidence *swlabcheck.Evidence) {
+			evidence.Results[0].Answer = swclient.SearchReply{Code: swcode.OutcomeUnknown, Ran: swcode.RanUnknown}
+			evidence.Stops = []swlabcheck.Window{{VM: "vm2", From: begin, Until: begin.Add(time.Second)}}
+		}, violations{CutByPlannedStop: 1}},
 		{"connection broken long after a planned stop", func(evidence *swlabcheck.Evidence) {
 			evidence.Results[0].Err = errors.New("connection reset")
 			evidence.Stops = []swlabcheck.Window{{VM: "vm2", From: begin.Add(-time.Hour), Until: begin.Add(-time.Minute)}}
@@ -155,6 +159,17 @@
 			evidence.Rules = append(evidence.Rules, swlabcheck.RuleChange{Version: 8, At: begin})
 			again(evidence, swlabcheck.RuleGrace, 7)
 		}, violations{RuleLate: 1}},
+		{"older rules of the issuer of a run, to which none can arrive", func(evidence *swlabcheck.Evidence) {
+			evidence.CutOff = []swlabcheck.Window{{VM: "vm2", From: begin, Until: begin.Add(time.Hour)}}
+			again(evidence, time.Minute, 9)
+			again(evidence, 2*time.Minute, 8)
+			evidence.Results[2].Key = "k"
+		}, violations{}},
+		{"older rules of a VM while another is cut off", func(evidence *swlabcheck.Evidence) {
+			evidence.CutOff = []swlabcheck.Window{{VM: "vm2", From: begin, Until: begin.Add(time.Hour)}}
+			again(evidence, time.Minute, 9)
+			again(evidence, 2*time.Minute, 8)
+		}, violations{RuleReverted: 1}},
 		{"rules late where none can arrive", func(evidence *swlabcheck.Evidence) {
 			evidence.Rules = append(evidence.Rules, swlabcheck.RuleChange{Version: 8, At: begin})
 			evidence.CutOff = []swlabcheck.Window{{VM: "vm1", From: begin, Until: begin.Add(time.Hour)}}
--- a/lab/internal/swlabcheck/report.go
+++ b/lab/internal/swlabcheck/report.go
@@ -41,9 +41,11 @@
 	// Snapshots counts the answers by index and snapshot.
 	Snapshots     map[string]int64
 	PlatformCalls map[string]int64
-	Violations    Violations
-	Examples      []string `json:",omitempty"`
-	Timeline      []Bucket `json:",omitempty"`
+	// Failures lists the most frequent messages of requests that failed or broke.
+	Failures   []Failure `json:",omitempty"`
+	Violations Violations
+	Examples   []string `json:",omitempty"`
+	Timeline   []Bucket `json:",omitempty"`
 }
 
 // NewReport sums up a run.
@@ -54,6 +56,7 @@
 		SubRequests: len(evidence.Records), ExtraLoad: extraLoad(evidence),
 	}
 	report.Snapshots = answersBySnapshot(evidence)
+	report.Failures = failuresOf(evidence)
 	wasted := wastedBy(evidence)
 	var answered, covered float64
 	for _, line := range lines {
@@ -134,6 +137,9 @@
 		report.Coverage, 100*report.ExtraLoad, report.SubRequests, report.PlatformCalls)
 	fmt.Fprintf(out, "answers by snapshot %v, refusals of backend servers %v\n", report.Snapshots, report.BackendRefusals)
 	fmt.Fprintf(out, "violations %d: %+v\n", report.Violations.Total(), report.Violations)
+	for _, failure := range report.Failures {
+		fmt.Fprintf(out, "  %d times %s\n", failure.Count, failure.Message)
+	}
 	if len(report.Examples) > 0 {
 		fmt.Fprintln(out, "  "+strings.Join(report.Examples, "\n  "))
 	}
