--- a/internal/swmember/directory_test.go
+++ b/internal/swmember/directory_test.go
@@ -81,13 +81,28 @@
 		nodes[0].board.Subscribe(TopicMember, func(record Record) {
 			member, err := decodeMember(record)
 			if err == nil && member.Name != "vm-2" && member.State != Alive {
+				network.mutex.Lock()
+				defer network.mutex.Unlock()
 				accused = append(accused, member.Name)
 			}
 		})
-		nodes[2].pause()
-		time.Sleep(time.Minute)
-		nodes[2].resume()
-		time.Sleep(time.Minute)
+		pauses := 0
+		network.mutex.Lock()
+		network.onSend = func(from *node) {
+			if from != nodes[2] || pauses == 40 {
+				return
+			}
+			pauses++
+			from.pause()
+			network.serving.Go(func(context.Context) {
+				time.Sleep(20 * time.Second)
+				from.resume()
+			})
+		}
+		network.mutex.Unlock()
+		time.Sleep(30 * time.Minute)
+		network.mutex.Lock()
+		defer network.mutex.Unlock()
 		if diff := cmp.Diff([]string(nil), accused); diff != "" {
 			t.Errorf("accused members (-want +got):\n%s", diff)
 		}
--- a/internal/swmember/network_test.go
+++ b/internal/swmember/network_test.go
@@ -33,6 +33,8 @@
 	cut func(a, b *node) bool
 	// immediate makes calls take no time, for measurements of processor time.
 	immediate bool
+	// onSend is told, under the mutex, of each call before it leaves; it may be nil.
+	onSend func(from *node)
 }
 
 // node is one VM on a network.
@@ -118,7 +120,7 @@
 
 func (node *node) pause() {
 	resumed := make(chan struct{})
-	node.paused.Store(&resumed)
+	node.paused.CompareAndSwap(nil, &resumed)
 }
 
 func (node *node) resume() {
@@ -142,14 +144,27 @@
 		return err
 	}
 	node.countHandshake(target)
+	node.network.sending(node)
 	answer, err := node.network.carry(ctx, node, target, method, data)
 	node.hold()
+	if err == nil {
+		// Timers that ended during a pause come before what the socket holds.
+		err = ctx.Err()
+	}
 	if err != nil {
 		return err
 	}
 	return swpeer.Unmarshal(answer, reply)
 }
 
+func (network *network) sending(from *node) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	if network.onSend != nil {
+		network.onSend(from)
+	}
+}
+
 func (node *node) countHandshake(target netip.AddrPort) {
 	const idleTimeout = time.Minute
 	node.mutex.Lock()
