Learn the members before judging whether this VM is a watcher

A VM that starts knew only itself, took itself for a watcher, and listed every kind at the platform and the VMs of all data centres.

--- a/internal/swrollout/rollout_test.go
+++ b/internal/swrollout/rollout_test.go
@@ -322,3 +322,46 @@
 		fleet.awaitVersion([]*vm{added}, fleet.platform.put(KindRules, RulesName, "2"), inForceWithin)
 	})
 }
+
+func TestRestartedVMsReadNothingFromThePlatformThatPeersHave(t *testing.T) {
+	inBubble(t, func(t *testing.T, fleet *fleet) {
+		vms := settled(fleet)
+		var restarted []*vm
+		for number, old := range vms {
+			if old.watcher.Watching() {
+				continue
+			}
+			old.stop()
+			vms[number] = fleet.start(member(number, 3, 2), vms[(number+3)%9].self.Peer, vms[(number+6)%9].self.Peer)
+			restarted = append(restarted, vms[number])
+		}
+		fleet.platform.takeCalls()
+		fleet.awaitVersion(restarted, 1, 10*time.Second)
+		time.Sleep(10 * time.Second)
+		calls := fleet.platform.takeCalls()
+		got := map[string]int{"get": calls["get"], "list": calls["list"]}
+		if diff := cmp.Diff(map[string]int{"get": 0, "list": 0}, got); diff != "" {
+			t.Errorf("calls for %d restarted VMs (-want +got):\n%s", len(restarted), diff)
+		}
+	})
+}
+
+func TestVMsWithoutSeedsFindEachOtherByThePlatformList(t *testing.T) {
+	inBubble(t, func(t *testing.T, fleet *fleet) {
+		fleet.platform.put(KindRules, RulesName, "1")
+		vms := fleet.grow(9, 3)
+		for number, old := range vms {
+			old.stop()
+			vms[number] = fleet.start(member(number, 3, 2))
+		}
+		fleet.eventually(30*time.Second, "all VMs know each other", func() bool {
+			for _, vm := range vms {
+				if vm.directory.View().Len() != len(vms) {
+					return false
+				}
+			}
+			return true
+		})
+		fleet.awaitVersion(vms, 1, 10*time.Second)
+	})
+}
--- /dev/null
+++ b/internal/swrollout/vmlist.go
@@ -0,0 +1,101 @@
+package swrollout
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swmember"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+)
+
+// listLoop reads the VM list and has the members corrected by it.
+func (watcher *Watcher) listLoop(ctx context.Context) {
+	backoff := watcher.backoff()
+	for ctx.Err() == nil {
+		if err := watcher.readVMs(ctx); err != nil {
+			if ctx.Err() == nil {
+				watcher.config.Log.Warn().Err(err).Msg("VM list failed")
+			}
+			if backoff.Wait(ctx) != nil {
+				return
+			}
+			continue
+		}
+		backoff.Reset()
+		period := watcher.config.ListEvery
+		if rank, _ := watcher.config.Directory.View().WatcherRank(); rank > 0 {
+			period *= secondListFactor
+		}
+		wait(ctx, watcher.jittered(period))
+	}
+}
+
+// readVMs reads the list of the own data centre, and that of all when another data centre is out of reach or none is
+// known.
+func (watcher *Watcher) readVMs(ctx context.Context) error {
+	dataCentre := watcher.config.Directory.View().Self.DataCentre
+	if err := watcher.mergeVMs(ctx, dataCentre); err != nil {
+		return err
+	}
+	if !watcher.needsWideList(time.Now()) {
+		return nil
+	}
+	if err := watcher.mergeVMs(ctx, ""); err != nil {
+		return err
+	}
+	watcher.mutex.Lock()
+	watcher.wideList = time.Now()
+	watcher.mutex.Unlock()
+	return nil
+}
+
+func (watcher *Watcher) needsWideList(now time.Time) bool {
+	watcher.mutex.Lock()
+	last := watcher.wideList
+	watcher.mutex.Unlock()
+	if !last.IsZero() && now.Sub(last) < wideListEvery {
+		return false
+	}
+	dataCentres := watcher.config.Directory.View().DataCentres()
+	if len(dataCentres) <= 1 {
+		return true
+	}
+	contacts := watcher.config.Directory.Contacts()
+	return slices.ContainsFunc(dataCentres, func(name string) bool {
+		at, ok := contacts[name]
+		return ok && now.Sub(at) > outOfReachAfter
+	})
+}
+
+// noteServer passes on that a backend server is leaving.
+func (watcher *Watcher) noteServer(vm *swplatform.VM) {
+	if vm.State == swplatform.StateLeaving && watcher.config.OnServerLeaving != nil {
+		watcher.config.OnServerLeaving(vm.Name)
+	}
+}
+
+func (watcher *Watcher) mergeVMs(ctx context.Context, dataCentre string) error {
+	listed, err := watcher.config.Platform.VMs(ctx, dataCentre)
+	if err != nil {
+		return err
+	}
+	watcher.noteReached()
+	vms := make([]swmember.VM, 0, len(listed))
+	for _, vm := range listed {
+		if vm.Role != swplatform.RoleEntry {
+			watcher.noteServer(&vm)
+			continue
+		}
+		vms = append(vms, swmember.VM{
+			Name:       vm.Name,
+			Region:     vm.Region,
+			DataCentre: vm.DataCentre,
+			Peer:       vm.Peer,
+			Caller:     vm.Caller,
+			Leaving:    vm.State == swplatform.StateLeaving,
+		})
+	}
+	watcher.config.Directory.MergeVMs(ctx, dataCentre, vms)
+	return nil
+}
--- a/internal/swrollout/watcher.go
+++ b/internal/swrollout/watcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +39,8 @@
 	relistEvery = 5 * time.Minute
 	// backoffMax bounds the wait between calls while the platform is down.
 	backoffMax = 30 * time.Second
+	// startSpread bounds the random wait of a VM that starts before it asks the platform, in which seeds may answer.
+	startSpread = time.Second
 	// bootstrapAfter is how long a VM that is no watcher waits for rules from its peers before it asks the platform.
 	bootstrapAfter = 3 * time.Second
 	// secondListFactor is how much less often than the first watcher the second reads the VM list.
@@ -164,6 +165,7 @@
 	defer group.Stop()
 	group.Go(watcher.reportLoop)
 	group.Go(watcher.bootstrap)
+	watcher.introduce(ctx)
 	var watches *swgroup.Group
 	for {
 		_, chosen := watcher.config.Directory.View().WatcherRank()
@@ -189,6 +191,19 @@
 	}
 }
 
+// introduce learns who the other members are before this VM judges whether it is a watcher: from its seeds, or else by one
+// reading of the VM list. Without it, each VM that starts would take itself for a watcher.
+func (watcher *Watcher) introduce(ctx context.Context) {
+	wait(ctx, time.Duration((0.5+0.5*watcher.draw())*float64(startSpread)))
+	view := watcher.config.Directory.View()
+	if view.Len() > 1 || ctx.Err() != nil {
+		return
+	}
+	if err := watcher.mergeVMs(ctx, view.Self.DataCentre); err != nil {
+		watcher.config.Log.Warn().Err(err).Msg("VM list failed at the start")
+	}
+}
+
 // watch starts the loops of a watcher.
 func (watcher *Watcher) watch(group *swgroup.Group) {
 	for _, kind := range Kinds() {
@@ -333,94 +348,3 @@
 		}
 	}
 }
-
-// listLoop reads the VM list and has the members corrected by it.
-func (watcher *Watcher) listLoop(ctx context.Context) {
-	backoff := watcher.backoff()
-	for ctx.Err() == nil {
-		if err := watcher.readVMs(ctx); err != nil {
-			if ctx.Err() == nil {
-				watcher.config.Log.Warn().Err(err).Msg("VM list failed")
-			}
-			if backoff.Wait(ctx) != nil {
-				return
-			}
-			continue
-		}
-		backoff.Reset()
-		period := watcher.config.ListEvery
-		if rank, _ := watcher.config.Directory.View().WatcherRank(); rank > 0 {
-			period *= secondListFactor
-		}
-		wait(ctx, watcher.jittered(period))
-	}
-}
-
-// readVMs reads the list of the own data centre, and that of all when another data centre is out of reach or none is
-// known.
-func (watcher *Watcher) readVMs(ctx context.Context) error {
-	dataCentre := watcher.config.Directory.View().Self.DataCentre
-	if err := watcher.mergeVMs(ctx, dataCentre); err != nil {
-		return err
-	}
-	if !watcher.needsWideList(time.Now()) {
-		return nil
-	}
-	if err := watcher.mergeVMs(ctx, ""); err != nil {
-		return err
-	}
-	watcher.mutex.Lock()
-	watcher.wideList = time.Now()
-	watcher.mutex.Unlock()
-	return nil
-}
-
-func (watcher *Watcher) needsWideList(now time.Time) bool {
-	watcher.mutex.Lock()
-	last := watcher.wideList
-	watcher.mutex.Unlock()
-	if !last.IsZero() && now.Sub(last) < wideListEvery {
-		return false
-	}
-	dataCentres := watcher.config.Directory.View().DataCentres()
-	if len(dataCentres) <= 1 {
-		return true
-	}
-	contacts := watcher.config.Directory.Contacts()
-	return slices.ContainsFunc(dataCentres, func(name string) bool {
-		at, ok := contacts[name]
-		return ok && now.Sub(at) > outOfReachAfter
-	})
-}
-
-// noteServer passes on that a backend server is leaving.
-func (watcher *Watcher) noteServer(vm *swplatform.VM) {
-	if vm.State == swplatform.StateLeaving && watcher.config.OnServerLeaving != nil {
-		watcher.config.OnServerLeaving(vm.Name)
-	}
-}
-
-func (watcher *Watcher) mergeVMs(ctx context.Context, dataCentre string) error {
-	listed, err := watcher.config.Platform.VMs(ctx, dataCentre)
-	if err != nil {
-		return err
-	}
-	watcher.noteReached()
-	vms := make([]swmember.VM, 0, len(listed))
-	for _, vm := range listed {
-		if vm.Role != swplatform.RoleEntry {
-			watcher.noteServer(&vm)
-			continue
-		}
-		vms = append(vms, swmember.VM{
-			Name:       vm.Name,
-			Region:     vm.Region,
-			DataCentre: vm.DataCentre,
-			Peer:       vm.Peer,
-			Caller:     vm.Caller,
-			Leaving:    vm.State == swplatform.StateLeaving,
-		})
-	}
-	watcher.config.Directory.MergeVMs(ctx, dataCentre, vms)
-	return nil
-}
