Say that ShedByPriority may come after other shards ran

The replies were true, the table was not: an owner sheds what a root let through on older reports. No behaviour changes.

--- a/pkg/swcode/code.go
+++ b/pkg/swcode/code.go
@@ -130,7 +130,7 @@
 	{Quarantined, "Quarantined", http.StatusForbidden, notRun, false, "Requests with this fingerprint crashed backend servers.", "See the fingerprint in status; release it by a rule when it is fixed."},
 	{NoRuleMatched, "NoRuleMatched", http.StatusForbidden, notRun, false, "No rule matched the request.", "Add a rule for this work."},
 	{QuarantinedByRule, "QuarantinedByRule", http.StatusForbidden, notRun, false, "A rule refuses this fingerprint.", "Ask whom the rule's comment names."},
-	{ShedByPriority, "ShedByPriority", http.StatusServiceUnavailable, notRun, true, "Owners of backend servers that the query needs shed its cohort.", "Send again after RetryAfter."},
+	{ShedByPriority, "ShedByPriority", http.StatusServiceUnavailable, maybeRun, true, "Owners of backend servers that the query needs shed its cohort: at the root, with Ran No, or after other shards were asked.", "Send again after RetryAfter."},
 	{QueueFull, "QueueFull", http.StatusServiceUnavailable, maybeRun, true, "A backend server's queue had no place.", "Send again after RetryAfter."},
 	{CannotMeet, "CannotMeet", http.StatusServiceUnavailable, maybeRun, true, "The work could not have finished by its deadline.", "Send again with a longer Timeout, or after RetryAfter."},
 	{Leaving, "Leaving", http.StatusServiceUnavailable, notRun, true, "This VM is leaving.", "Send again; the balancer chooses another VM."},
