Drop adopted authorities with their last key, and free the memory of idle ones

Cause: each graceful stop handed on every authority that a VM had ever taken over, so rolling restarts would have grown the tables for ever; and a table was purged only when work came under its own keys. Authorities now end with the retention of the last key they issued, tables are purged once a second, and an authority that issued nothing is not handed over.

--- a/internal/swkey/authority.go
+++ b/internal/swkey/authority.go
@@ -39,8 +39,10 @@
 	limits Limits
 
 	sequence atomic.Uint64
-	bytes    *atomic.Int64
-	running  atomic.Int64
+	// latest is the latest expiry of the keys issued, on the authority's clock.
+	latest  atomic.Int64
+	bytes   *atomic.Int64
+	running atomic.Int64
 	// offer identifies the handover that brought the authority here.
 	offer   uint64
 	entries *swtable.Table[uint64, *entry]
@@ -95,9 +97,30 @@
 		Sequence: authority.sequence.Add(1),
 		Expires:  authority.clock.now() + lifetime,
 	}
+	authority.noteExpiry(token.Expires)
 	return token.Encode(authority.secret)
 }
 
+// noteExpiry keeps the latest expiry of the keys issued.
+func (authority *authority) noteExpiry(expires time.Duration) {
+	for {
+		present := authority.latest.Load()
+		if int64(expires) <= present || authority.latest.CompareAndSwap(present, int64(expires)) {
+			return
+		}
+	}
+}
+
+// useful returns how much longer the authority may have something to tell: until the retention of the last key it issued
+// is over. It is zero or less when it has nothing to tell.
+func (authority *authority) useful() time.Duration {
+	latest := time.Duration(authority.latest.Load())
+	if latest == 0 {
+		return 0
+	}
+	return latest + authority.limits.Retention - authority.clock.now()
+}
+
 // begun is what came of an attempt to begin a run.
 type begun struct {
 	// entry is the run to wait for, or nil when refused.
--- a/internal/swkey/failure_test.go
+++ b/internal/swkey/failure_test.go
@@ -166,6 +166,74 @@
 	})
 }
 
+func TestHandoverOfLargeTableInParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t)
+		network.limits.MaxBytes = 64 << 20
+		a, b := network.start("a"), network.start("b")
+		var keys []string
+		for range 2 * chunkSize / entryOverhead {
+			key := network.key(a)
+			keys = append(keys, key)
+			network.send(a, key, "match", testTimeout)
+		}
+		before := network.backend.count("match")
+		check(t, "parts", true, len(a.service.own.export()) > 1)
+		check(t, "handover", nil, a.service.Handover(t.Context()))
+		check(t, "memory", a.service.Bytes(), b.service.Bytes())
+		for _, key := range keys {
+			check(t, "outcome", ranOnce, verdictOf(network.send(b, key, "match", testTimeout)))
+		}
+		check(t, "runs", before, network.backend.count("match"))
+	})
+}
+
+func TestSuccessorWithoutRoomIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t)
+		network.limits.MaxBytes = entryOverhead
+		full := network.start("b")
+		network.limits.MaxBytes = 64 << 10
+		a := network.start("a")
+		network.start("c")
+		key := network.key(a)
+		network.send(a, key, "match", testTimeout)
+		check(t, "handover", nil, a.service.Handover(t.Context()))
+		_, held := full.service.authorities.Get(a.service.self)
+		check(t, "held by the full one", false, held)
+		check(t, "memory of the full one", int64(0), full.service.Bytes())
+		check(t, "outcome", ranOnce, verdictOf(network.send(full, key, "match", testTimeout)))
+		check(t, "runs", 1, network.backend.count("match"))
+	})
+}
+
+func TestAuthorityThatIssuedNothingIsNotHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b")
+		check(t, "handover", nil, network.vms["a"].service.Handover(t.Context()))
+		check(t, "messages", 0, network.messages)
+	})
+}
+
+func TestAdoptedAuthorityGoesWithItsLastKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b")
+		a, b := network.vms["a"], network.vms["b"]
+		key := network.key(a)
+		network.send(a, key, "match", testTimeout)
+		check(t, "handover", nil, a.service.Handover(t.Context()))
+		network.kill("a")
+		time.Sleep(defaultLifetime + defaultRetention - 5*time.Second)
+		check(t, "before its end", ranOnce, verdictOf(network.send(b, key, "match", testTimeout)))
+		time.Sleep(10 * time.Second)
+		network.send(b, network.key(b), "count", testTimeout)
+		check(t, "holders", 0, network.holders(a.service.self))
+		check(t, "memory", outcomeSize(Outcome{Reply: []byte("ran count")}), b.service.Bytes())
+		check(t, "afterwards", unreachable, verdictOf(network.send(b, key, "match", testTimeout)))
+		check(t, "runs", 1, network.backend.count("match"))
+	})
+}
+
 func TestHandoverWaitsForRunsInFlight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := newFakeNetwork(t, "a", "b")
--- a/internal/swkey/fake_test.go
+++ b/internal/swkey/fake_test.go
@@ -37,6 +37,7 @@
 	backend fakeBackend
 	claims  fakeClaims
 	board   fakeBoard
+	limits  Limits
 }
 
 type fakeVM struct {
@@ -68,6 +69,7 @@
 		backend: fakeBackend{runs: make(map[string]int), began: make(map[string]time.Time)},
 		claims:  fakeClaims{values: make(map[string][]byte)},
 		board:   fakeBoard{records: make(map[string]swmember.Record)},
+		limits:  Limits{MaxOutcome: 256, MaxBytes: 64 << 10},
 	}
 	for _, name := range names {
 		network.start(name)
@@ -99,7 +101,7 @@
 		Board:     &network.board,
 		Claims:    &network.claims,
 		Group:     vm.group,
-		Limits:    Limits{MaxOutcome: 256, MaxBytes: 64 << 10},
+		Limits:    network.limits,
 	})
 	if err != nil {
 		network.test.Fatal(err)
--- a/internal/swkey/handover.go
+++ b/internal/swkey/handover.go
@@ -22,8 +22,6 @@
 	drainPoll = 5 * time.Millisecond
 	// commitPause is the time between two commits of which no answer came.
 	commitPause = 50 * time.Millisecond
-	// successorRecordLife is how long the record of a successor stands.
-	successorRecordLife = 2 * time.Hour
 )
 
 // HandoverEntry is a run in a table that moves.
@@ -47,6 +45,8 @@
 	// Commit makes the receiver the holder. Parts is the number of parts that the offer had.
 	Commit bool `cbor:",omitempty"`
 	Parts  int  `cbor:",omitempty"`
+	// Latest is the latest expiry of the keys issued, on the authority's clock.
+	Latest time.Duration `cbor:",omitempty"`
 	// Ahead is what to add to the receiver's clock to get a time that is not before the authority's clock.
 	Ahead time.Duration `cbor:",omitempty"`
 }
@@ -67,8 +67,8 @@
 	expires time.Time
 }
 
-// Handover stops issuing and running, waits for the runs in flight, and hands every authority that this VM holds to one
-// successor. The context bounds the wait; runs that have not finished by then are handed over with an unknown outcome.
+// Handover stops issuing and running, waits for the runs in flight, and hands every authority that this VM holds and that
+// has something to tell to one successor. The context bounds the wait; runs that have not finished by then are handed over with an unknown outcome.
 // After an error the authority that failed belongs to its successor or to no one, never to this VM.
 func (service *Service) Handover(ctx context.Context) error {
 	held := service.stopAll()
@@ -96,6 +96,9 @@
 
 func (service *Service) handOver(ctx context.Context, authority *authority) error {
 	authority.drain(ctx)
+	if authority.useful() <= 0 {
+		return nil
+	}
 	parts := authority.export()
 	err := errors.New("no peer is known that could take them")
 	for _, peer := range service.config.Directory.Successors(service.self.Name) {
@@ -108,7 +111,7 @@
 			continue
 		}
 		authority.relinquish(peer.Name)
-		service.announce(authority.issuer, peer.Name)
+		service.announce(authority, peer.Name)
 		return service.commit(ctx, peer, commit)
 	}
 	return err
@@ -117,7 +120,13 @@
 // offer sends the table to a peer, which must not act on it yet, and returns the message that would commit it.
 func (service *Service) offer(ctx context.Context, authority *authority, peer Peer, parts [][]HandoverEntry) (HandoverMessage, error) {
 	message := HandoverMessage{Issuer: authority.issuer, Offer: randomIncarnation()}
-	commit := HandoverMessage{Issuer: authority.issuer, Offer: message.Offer, Commit: true, Parts: len(parts)}
+	commit := HandoverMessage{
+		Issuer: authority.issuer,
+		Offer:  message.Offer,
+		Commit: true,
+		Parts:  len(parts),
+		Latest: time.Duration(authority.latest.Load()),
+	}
 	for i, entries := range parts {
 		message.Part = i
 		message.Secret = authority.secret
@@ -159,17 +168,19 @@
 	return answer, err
 }
 
-func (service *Service) announce(issuer Issuer, successor string) {
+// announce spreads who holds an authority, for as long as that is of use.
+func (service *Service) announce(authority *authority, successor string) {
 	if service.config.Board == nil {
 		return
 	}
+	issuer := authority.issuer
 	present, _ := service.config.Board.Get(swmember.TopicSuccessor, successorKey(issuer))
 	service.config.Board.Put(swmember.Record{
 		Topic:   swmember.TopicSuccessor,
 		Key:     successorKey(issuer),
 		Version: present.Version + 1,
 		Value:   []byte(successor),
-		Expires: successorRecordLife,
+		Expires: max(authority.useful(), time.Second),
 	})
 }
 
@@ -236,6 +247,7 @@
 // store keeps a part of an offer. It refuses what does not fit into the memory limit.
 func (service *Service) store(message HandoverMessage) bool {
 	service.dropPending()
+	service.maintain()
 	if _, held := service.authorities.Get(message.Issuer); held {
 		return false
 	}
@@ -317,12 +329,13 @@
 	base := service.own.clock.now() + message.Ahead
 	adopted := newAuthority(message.Issuer, taken.secret, base, service.config.Limits, &service.bytes)
 	adopted.offer = message.Offer
+	adopted.noteExpiry(message.Latest)
 	for _, entries := range taken.parts {
 		adopted.restore(entries)
 	}
 	service.authorities.Put(message.Issuer, adopted)
 	service.located.Delete(message.Issuer)
-	service.announce(message.Issuer, service.self.Name)
+	service.announce(adopted, service.self.Name)
 	return true
 }
 
--- a/internal/swkey/service.go
+++ b/internal/swkey/service.go
@@ -118,6 +118,8 @@
 	bytes       atomic.Int64
 	located     *swtable.Table[Issuer, location]
 	pending     *swtable.Table[Issuer, *pendingHandover]
+	// maintained is the Unix time in seconds of the last maintenance.
+	maintained atomic.Int64
 
 	executorMutex sync.RWMutex
 	executor      Executor
@@ -238,6 +240,7 @@
 	if err != nil {
 		return outcomeOfError(err)
 	}
+	service.maintain()
 	authority, held := service.authorities.Get(token.Issuer)
 	if !held {
 		return service.forward(ctx, token.Issuer, request)
