--- a/internal/swadmission/flood_test.go
+++ b/internal/swadmission/flood_test.go
@@ -41,8 +41,10 @@
 
 // scenario is one run of the model.
 type scenario struct {
-	seed     uint64
-	cohorts  bool
+	seed    uint64
+	cohorts bool
+	// direct makes every VM dispatch to all servers itself, with one slot of each.
+	direct   bool
 	loads    []load
 	total    time.Duration
 	counted  time.Duration
@@ -90,8 +92,10 @@
 }
 
 type modelServer struct {
-	name    string
-	queue   *Queue
+	name  string
+	queue *Queue
+	// direct holds a queue for each VM when every VM dispatches itself.
+	direct  []*Queue
 	slow    time.Duration
 	mutex   sync.Mutex
 	owner   int
@@ -112,6 +116,11 @@
 		for replica := range modelReplicas {
 			server := &modelServer{name: fmt.Sprintf("s%d-%d", shard, replica), owner: len(model.servers) % modelVMs, slow: 1}
 			server.queue = newReadyQueue(modelSlots, swsetting.Admission{ShedByCohort: scenario.cohorts})
+			if scenario.direct {
+				for range modelVMs {
+					server.direct = append(server.direct, newReadyQueue(1, swsetting.Admission{ShedByCohort: scenario.cohorts}))
+				}
+			}
 			model.servers = append(model.servers, server)
 			model.byName[server.name] = server
 			replicas = append(replicas, server.name)
@@ -131,7 +140,7 @@
 func (model *model) report(owner int) Report {
 	var report Report
 	for _, server := range model.servers {
-		queue, present := server.queueAndOwner()
+		queue, present := server.queueAndOwner(owner)
 		if present != owner {
 			continue
 		}
@@ -142,7 +151,11 @@
 	return report
 }
 
-func (server *modelServer) queueAndOwner() (*Queue, int) {
+// queueAndOwner returns the queue that work from the root goes through, and the VM that keeps it.
+func (server *modelServer) queueAndOwner(root int) (*Queue, int) {
+	if server.direct != nil {
+		return server.direct[root], root
+	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	return server.queue, server.owner
@@ -198,7 +211,8 @@
 // query runs one query at a random root and reports whether it was answered whole.
 func (model *model) query(ctx context.Context, load load, random *rand.Rand) bool {
 	query := Query{Priority: load.priority, Caller: load.caller, Cohort: uint16(random.Uint32())}
-	gate := model.gates[random.IntN(modelVMs)]
+	root := random.IntN(modelVMs)
+	gate := model.gates[root]
 	counted := time.Since(model.start) > model.scenario.counted
 	if model.scenario.cohorts {
 		if _, admitted := gate.Admit(query, model.shards); !admitted {
@@ -209,7 +223,7 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, modelTimeout)
 	defer cancel()
-	ran, whole := model.scatter(ctx, cancel, gate, query, random)
+	ran, whole := model.scatter(ctx, cancel, root, query, random)
 	model.count(load, counted, func(tally *tally) {
 		tally.offered++
 		tally.ran += ran
@@ -244,13 +258,13 @@
 
 // scatter asks one replica of every shard, and one other for a shard that was refused, within the retry budget. The
 // first shard that fails for good withdraws the rest.
-func (model *model) scatter(ctx context.Context, cancel context.CancelFunc, gate *Gate, query Query, random *rand.Rand) (ran int, whole bool) {
+func (model *model) scatter(ctx context.Context, cancel context.CancelFunc, root int, query Query, random *rand.Rand) (ran int, whole bool) {
 	group := swgroup.New(ctx)
 	results := make([]shardResult, modelShards)
 	for shard := range model.shards {
 		seed := random.Uint64()
 		group.Go(func(ctx context.Context) {
-			results[shard] = model.ask(ctx, gate, query, shard, rand.New(rand.NewPCG(seed, 2)))
+			results[shard] = model.ask(ctx, root, query, shard, rand.New(rand.NewPCG(seed, 2)))
 			if !results[shard].answered {
 				cancel()
 			}
@@ -270,7 +284,8 @@
 	answered bool
 }
 
-func (model *model) ask(ctx context.Context, gate *Gate, query Query, shard int, random *rand.Rand) (result shardResult) {
+func (model *model) ask(ctx context.Context, root int, query Query, shard int, random *rand.Rand) (result shardResult) {
+	gate := model.gates[root]
 	order := random.Perm(modelReplicas)
 	slices.SortStableFunc(order, func(a, b int) int {
 		return model.rank(gate, model.shards[shard][a], query) - model.rank(gate, model.shards[shard][b], query)
@@ -279,7 +294,7 @@
 		if attempt > 0 && !model.mayRetry() {
 			return result
 		}
-		ran, answered := model.send(ctx, gate, query, model.byName[model.shards[shard][replica]], random)
+		ran, answered := model.send(ctx, root, query, model.byName[model.shards[shard][replica]], random)
 		if ran {
 			result.ran++
 		}
@@ -315,11 +330,11 @@
 	return true
 }
 
-func (model *model) send(ctx context.Context, gate *Gate, query Query, server *modelServer, random *rand.Rand) (ran, answered bool) {
+func (model *model) send(ctx context.Context, root int, query Query, server *modelServer, random *rand.Rand) (ran, answered bool) {
 	model.enter(1)
 	defer model.enter(-1)
 	pause(ctx, modelHop)
-	queue, owner := server.queueAndOwner()
+	queue, owner := server.queueAndOwner(root)
 	deadline, _ := ctx.Deadline()
 	work := Work{Priority: query.Priority, Caller: query.Caller, Cohort: query.Cohort, Deadline: deadline.Add(-modelHop)}
 	result := ShedByServer
@@ -335,11 +350,11 @@
 		queue.Release(lease, result)
 	}
 	if result == Unused {
-		model.avoid(gate, server)
+		model.avoid(model.gates[root], server)
 	}
 	report := model.report(owner)
 	pause(ctx, modelHop)
-	gate.Observe(fmt.Sprint(owner), report)
+	model.gates[root].Observe(fmt.Sprint(owner), report)
 	return result == Completed || result == Lost, result == Completed && ctx.Err() == nil
 }
 
@@ -358,7 +373,11 @@
 	if server.lostAt > 0 && time.Since(model.start) > server.lostAt {
 		return Unused
 	}
-	if !server.begin(model.scenario.slots) {
+	slots := model.scenario.slots
+	if model.scenario.direct {
+		slots = modelSlots
+	}
+	if !server.begin(slots) {
 		return ShedByServer
 	}
 	defer server.end()
--- a/internal/swadmission/floods_test.go
+++ b/internal/swadmission/floods_test.go
@@ -173,10 +173,11 @@
 	}
 	fmt.Fprintln(os.Stdout, "| flood | shedding | priority | offered/s | whole/s | refused/s | cut/s | wasted | p99 | most at once |")
 	fmt.Fprintln(os.Stdout, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-	for _, shedding := range []string{"queue alone", "cohort"} {
+	for _, shedding := range []string{"queue alone", "cohort", "cohort, Direct"} {
 		for _, test := range floodCases(1) {
 			t.Run(shedding+"/"+test.name, func(t *testing.T) {
-				test.scenario.cohorts = shedding == "cohort"
+				test.scenario.cohorts = shedding != "queue alone"
+				test.scenario.direct = shedding == "cohort, Direct"
 				tallies, peak := runModel(t, test.scenario)
 				printRows(test.name, shedding, tallies, peak)
 			})
