--- a/internal/swmember/wire_measure_test.go
+++ b/internal/swmember/wire_measure_test.go
@@ -13,6 +13,7 @@
 	"math/big"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -160,6 +161,44 @@
 	group.Stop()
 }
 
+// TestMeasureConnections prints the memory that an open connection takes at both ends together.
+func TestMeasureConnections(t *testing.T) {
+	const connections = 100
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	config := selfSigned(t)
+	client, err := swpeer.Listen(swpeer.Config{Listen: loopback, TLS: config})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	servers := make([]*swpeer.Node, connections)
+	for i := range servers {
+		if servers[i], err = swpeer.Listen(swpeer.Config{Listen: loopback, TLS: config}); err != nil {
+			t.Fatal(err)
+		}
+		defer servers[i].Close()
+		swpeer.HandleCall(servers[i], swpeer.MethodProbe, func(context.Context, string, ProbeRequest) (ProbeReply, error) {
+			return ProbeReply{Name: "vm-1"}, nil
+		})
+		servers[i].Serve()
+	}
+	before := heap()
+	for _, server := range servers {
+		var reply ProbeReply
+		if err := client.Call(t.Context(), server.Address(), swpeer.MethodProbe, ProbeRequest{From: "vm-0"}, &reply); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Logf("%.1f KB of heap a connection, both ends", float64(heap()-before)/connections/1024)
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 func encodedSize(t *testing.T, message any) int {
 	data, err := swpeer.Marshal(message)
 	if err != nil {
