--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -14,17 +18,6 @@
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
-// CancelPolicy is the way in which a request in flight is withdrawn.
-type CancelPolicy int
-
-// The policies.
-const (
-	// CancelByClose closes the request's connection.
-	CancelByClose CancelPolicy = 0
-	// CancelByRequest asks the server over a spare connection and keeps the request's connection.
-	CancelByRequest CancelPolicy = 1
-)
-
 // leavingHeader marks answers of a server that takes no new work.
 const leavingHeader = "Sw-Leaving"
 
@@ -80,22 +73,37 @@
 	return encodeHTTP(http.MethodPost, path, host, body)
 }
 
+// requestHeader is the header of every request. It is never changed.
+var requestHeader = http.Header{"Content-Type": {"application/json"}, "User-Agent": {""}}
+
 func encodeHTTP(method, path, host string, body []byte) ([]byte, error) {
-	request, err := http.NewRequest(method, "http://"+host+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+	request := http.Request{
+		Method:        method,
+		URL:           &url.URL{Scheme: "http", Host: host, Path: path},
+		Header:        requestHeader,
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
 	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("User-Agent", "")
-	var buffer bytes.Buffer
-	if err := request.Write(&buffer); err != nil {
+	if len(body) == 0 {
+		request.Body = nil
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, len(body)+requestHeadSize))
+	if err := request.Write(buffer); err != nil {
 		return nil, errors.Wrap(err, "write request")
 	}
 	return buffer.Bytes(), nil
 }
 
+// requestHeadSize is the space kept for a request's first line and header, in bytes.
+const requestHeadSize = 256
+
+// formatID returns the ID as sixteen hexadecimal digits.
 func formatID(id uint64) string {
-	return fmt.Sprintf("%016x", id)
+	var raw [8]byte
+	binary.BigEndian.PutUint64(raw[:], id)
+	var text [16]byte
+	hex.Encode(text[:], raw[:])
+	return string(text[:])
 }
 
 // echoes reports whether the response belongs to the sub-request.
@@ -122,15 +130,26 @@
 		patience = server.patience(subRequest.Deadline)
 	}
 	answer, silent := server.exchange(ctx, connection, subRequest, patience)
-	if !silent {
+	refused := answer.Outcome == Broken && !answer.Crash && !connection.proven.Load()
+	if !subRequest.Idempotent() || !silent && !refused {
 		return answer
 	}
-	connection, err := server.take(ctx, false)
+	return server.again(ctx, subRequest, answer, refused)
+}
+
+// again sends an idempotent sub-request once more after its connection was silent or refused. On a server that refuses
+// connections only one that works will do.
+func (server *server) again(ctx context.Context, subRequest *SubRequest, first Answer, refused bool) Answer {
+	connection, err := server.take(ctx, refused)
 	if err != nil {
-		answer.Message = "silent connection: " + err.Error()
-		return answer
+		first.Message += ": " + err.Error()
+		return first
+	}
+	answer, _ := server.exchange(ctx, connection, subRequest, 0)
+	if answer.Ran == swcode.RanNo {
+		// The first request may have run.
+		answer.Ran = swcode.RanUnknown
 	}
-	answer, _ = server.exchange(ctx, connection, subRequest, 0)
 	return answer
 }
 
@@ -172,6 +191,7 @@
 	sent, err := connection.send(data, subRequest.Deadline)
 	if err != nil {
 		connection.close()
+		server.tooMany(connection)
 		return server.broken(connection, subRequest, sent, err), false
 	}
 	response, verdict := connection.await(ctx, patience)
@@ -225,24 +245,6 @@
 	}
 }
 
-// withdraw gives up a request in flight whose context ended.
-func (server *server) withdraw(ctx context.Context, connection *connection, subRequest *SubRequest) Answer {
-	server.event(ClosedToCancel)
-	connection.close()
-	server.finished(connection)
-	server.warm()
-	answer := Answer{Outcome: Cancelled, Ran: swcode.RanUnknown, Code: swcode.CallerGone, Message: "withdrawn from " + server.name}
-	if ctx.Err() == context.DeadlineExceeded {
-		answer.Outcome = Late
-		answer.Code = swcode.DeadlineExceeded
-		answer.Message = server.name + " did not answer by the deadline"
-	}
-	if !subRequest.Idempotent() {
-		answer.Code = swcode.OutcomeUnknown
-	}
-	return answer
-}
-
 // broken returns the answer to a request whose connection failed.
 func (server *server) broken(connection *connection, subRequest *SubRequest, sent bool, err error) Answer {
 	server.finished(connection)
--- a/internal/swbackend/fake_test.go
+++ b/internal/swbackend/fake_test.go
@@ -28,7 +28,15 @@
 	conns    []net.Conn
 	requests []string
 	dialWait time.Duration
+	// open is the number of connections that the client holds, and mostOpen the highest it was.
+	open     int
+	mostOpen int
 	dialErr  error
+	// health is the state that the health endpoint tells.
+	health string
+	// refuseFrom is the number of the first connection that is closed after the accept; none when negative.
+	refuseFrom int
+	running    map[string]chan struct{}
 	// swallowed marks connections whose requests vanish.
 	swallowed map[int]bool
 }
@@ -45,12 +53,17 @@
 }
 
 func newFakeServer(t *testing.T) *fakeServer {
-	fake := &fakeServer{group: swgroup.New(context.Background()), swallowed: make(map[int]bool)}
-	fake.answer = func(_ int, _ string, request searchRequest) *fakeAnswer { return echo(request) }
+	fake := startFakeServer()
 	t.Cleanup(fake.close)
 	return fake
 }
 
+func startFakeServer() *fakeServer {
+	fake := &fakeServer{group: swgroup.New(context.Background()), swallowed: make(map[int]bool), running: make(map[string]chan struct{}), health: "Ready", refuseFrom: -1}
+	fake.answer = func(_ int, _ string, request searchRequest) *fakeAnswer { return echo(request) }
+	return fake
+}
+
 func echo(request searchRequest) *fakeAnswer {
 	return &fakeAnswer{status: http.StatusOK, body: searchResponse{
 		QueryID: request.QueryID, Attempt: request.Attempt, Snapshot: request.Snapshot, Shard: request.Shard,
@@ -74,8 +87,38 @@
 	near, far := net.Pipe()
 	number := len(fake.conns)
 	fake.conns = append(fake.conns, far)
-	fake.group.Go(func(context.Context) { fake.serve(number, far) })
-	return near, nil
+	fake.open++
+	fake.mostOpen = max(fake.mostOpen, fake.open)
+	refused := fake.refuseFrom >= 0 && number >= fake.refuseFrom
+	fake.group.Go(func(context.Context) {
+		if !refused {
+			fake.serve(number, far)
+			return
+		}
+		// A byte of a request may leave before the client sees that the connection was closed.
+		defer far.Close()
+		if far.SetReadDeadline(time.Now().Add(time.Millisecond)) == nil {
+			_, _ = far.Read(make([]byte, 1))
+		}
+	})
+	return &countedConn{Conn: near, fake: fake}, nil
+}
+
+// countedConn counts when the client closes it.
+type countedConn struct {
+	net.Conn
+	fake *fakeServer
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (conn *countedConn) Close() error {
+	conn.once.Do(func() {
+		conn.fake.mutex.Lock()
+		defer conn.fake.mutex.Unlock()
+		conn.fake.open--
+	})
+	return conn.Conn.Close()
 }
 
 func (fake *fakeServer) serve(number int, conn net.Conn) {
@@ -106,19 +149,25 @@
 	fake.mutex.Lock()
 	fake.requests = append(fake.requests, path)
 	swallowed := fake.swallowed[number]
-	answer := fake.answer
+	answer, health := fake.answer, fake.health
 	fake.mutex.Unlock()
 	if swallowed {
 		return true
 	}
 	if path == "/health" {
-		return write(conn, &fakeAnswer{status: http.StatusOK, body: healthResponse{State: "Ready"}})
+		return write(conn, &fakeAnswer{status: http.StatusOK, body: healthResponse{State: health}})
+	}
+	if path == "/cancel" {
+		fake.cancel(request)
+		return write(conn, &fakeAnswer{status: http.StatusOK, body: searchResponse{}})
 	}
 	reply := answer(number, path, request)
 	if reply == nil {
 		return true
 	}
-	time.Sleep(reply.wait)
+	if !fake.wait(request, reply.wait) {
+		reply = &fakeAnswer{status: 499, body: searchResponse{Code: "Cancelled"}}
+	}
 	if reply.hangUp {
 		return false
 	}
@@ -130,6 +179,33 @@
 	return true
 }
 
+// wait lasts for the duration and returns false when the request is cancelled before.
+func (fake *fakeServer) wait(request searchRequest, duration time.Duration) bool {
+	cancelled := make(chan struct{})
+	key := request.QueryID + request.Attempt
+	fake.mutex.Lock()
+	fake.running[key] = cancelled
+	fake.mutex.Unlock()
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-cancelled:
+		return false
+	}
+}
+
+func (fake *fakeServer) cancel(request searchRequest) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	key := request.QueryID + request.Attempt
+	if cancelled, ok := fake.running[key]; ok {
+		close(cancelled)
+		delete(fake.running, key)
+	}
+}
+
 func write(conn net.Conn, answer *fakeAnswer) bool {
 	data, err := json.Marshal(answer.body)
 	if err != nil {
@@ -162,6 +238,24 @@
 	fake.answer = answer
 }
 
+func (fake *fakeServer) setHealth(state string) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	fake.health = state
+}
+
+func (fake *fakeServer) setRefuseFrom(number int) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	fake.refuseFrom = number
+}
+
+func (fake *fakeServer) openNow() int {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	return fake.open
+}
+
 // count returns how many requests for path arrived.
 func (fake *fakeServer) count(path string) int {
 	fake.mutex.Lock()
@@ -198,9 +292,14 @@
 
 // newFakePool returns a pool whose one server is fake.
 func newFakePool(t *testing.T, fake *fakeServer, config Config) *Pool {
+	pool := startFakePool(fake, config)
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+func startFakePool(fake *fakeServer, config Config) *Pool {
 	config.Dial = fake.dial
 	pool := NewPool(config)
-	t.Cleanup(pool.Close)
 	pool.SetServers([]swindex.Server{{
 		Name: serverName, Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 2, Connections: 25,
 	}})
--- a/internal/swbackend/server.go
+++ b/internal/swbackend/server.go
@@ -35,13 +35,18 @@
 	connections map[*connection]struct{}
 	idle        []*connection
 	dialing     int
+	// freed is closed when a connection may have come free; nil when nobody waits for one.
+	freed       chan struct{}
 	retired     bool
 	listLeaving bool
 	leavingSeen time.Time
 	announced   bool
-	latency     latency
-	outage      outage
-	crash       crashEvidence
+	// accepted bounds the connections until acceptedUntil, after the server refused one.
+	accepted      int
+	acceptedUntil time.Time
+	latency       latency
+	outage        outage
+	crash         crashEvidence
 }
 
 func newServer(pool *Pool, description swindex.Server) *server {
@@ -82,10 +87,16 @@
 
 func (server *server) setShare(share share) {
 	server.mutex.Lock()
+	defer server.mutex.Unlock()
 	server.share = share
-	slots := server.usableSlots()
-	server.mutex.Unlock()
-	server.queue.SetSlots(slots)
+	server.queue.SetSlots(server.usableSlots())
+}
+
+// refreshSlots tells the queue how many slots this VM may use at present.
+func (server *server) refreshSlots() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.queue.SetSlots(server.usableSlots())
 }
 
 // usableSlots returns this VM's part of the slots, no more than its connections.
@@ -97,8 +108,11 @@
 // usableConnections returns how many connections this VM may hold.
 func (server *server) usableConnections() int {
 	limit := server.description.Connections
-	usable := limit - limit/reservedFraction
-	return max(1, usable*server.share.numerator/server.share.denominator)
+	usable := (limit - limit/reservedFraction) * server.share.numerator / server.share.denominator
+	if time.Now().Before(server.acceptedUntil) {
+		usable = min(usable, server.accepted)
+	}
+	return max(1, usable)
 }
 
 func (server *server) isLeaving() bool {
