Let search and status prove their caller's name by certificate

Cause: with TLS at the listener the command line could not be used. One set of options serves both commands.

--- a/cmd/search.go
+++ b/cmd/search.go
@@ -13,7 +13,7 @@
 
 // searchCommand sends one search and prints the answer.
 type searchCommand struct {
-	address     string
+	vm          vmOptions
 	output      outputOptions
 	minCoverage float64
 	timeout     time.Duration
@@ -32,7 +32,7 @@
 		},
 	}
 	flags := command.Flags()
-	flags.StringVar(&search.address, "address", "http://127.0.0.1:8080", "URL of a VM or of the balancer")
+	search.vm.register(command)
 	search.output.register(command)
 	flags.StringVar(&search.request.Caller, "caller", "", "caller's name, where no client certificate gives it")
 	flags.StringVar(&search.request.Kind, "kind", "search", "kind of work, as rules match it")
@@ -46,7 +46,7 @@
 func (search *searchCommand) run(command *cobra.Command) error {
 	search.request.MinCoverage = &search.minCoverage
 	search.request.Timeout = swclient.Duration(search.timeout)
-	reply, err := postSearch(command.Context(), search.address, search.request)
+	reply, err := search.vm.postSearch(command.Context(), search.request)
 	if err != nil {
 		return err
 	}
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -11,8 +11,8 @@
 
 // statusCommand prints what one VM knows of itself and of the system.
 type statusCommand struct {
-	address string
-	output  outputOptions
+	vm     vmOptions
+	output outputOptions
 }
 
 func newStatusCommand() *cobra.Command {
@@ -23,14 +23,14 @@
 		Args:  cobra.NoArgs,
 		RunE:  status.run,
 	}
-	command.Flags().StringVar(&status.address, "address", "http://127.0.0.1:8080", "URL of a VM")
+	status.vm.register(command)
 	status.output.register(command)
 	return command
 }
 
 func (status *statusCommand) run(command *cobra.Command, _ []string) error {
 	var report swapp.Status
-	if err := getJSON(command.Context(), status.address, "/v1/status", &report); err != nil {
+	if err := status.vm.getJSON(command.Context(), "/v1/status", &report); err != nil {
 		return err
 	}
 	return status.output.print(command, report, func(out io.Writer) { printStatus(out, &report, time.Now()) })
