--- a/internal/swapp/app.go
+++ b/internal/swapp/app.go
@@ -39,10 +39,9 @@
 			newBoard, newDirectory, newStore, newPlatform, newWatcher,
 			newRuleBook, newPool, newGate, newLimiter, newQuarantine,
 			newEngine, newKeyService, newRunService, newLifeState, newServer,
-			newParts,
 		),
 		fx.Invoke(bindHandlers, bindDocuments, bindRecords, bindReplacedPeers, bindLifecycle),
-		fx.Populate(&app.parts),
+		fx.Invoke(func(parts parts) { app.parts = &parts }),
 	)
 	if err := app.fx.Err(); err != nil {
 		return nil, errors.Wrap(err, "build the VM's parts")
--- a/internal/swapp/lifecycle.go
+++ b/internal/swapp/lifecycle.go
@@ -21,27 +21,8 @@
 	"github.com/sycamorewall/sycamorewall/internal/swrollout"
 )
 
-// parts are the pieces that start and stop.
+// parts are the pieces that start and stop. fx fills them by type.
 type parts struct {
-	Config    Config
-	Log       zerolog.Logger
-	Group     *swgroup.Group
-	Node      *swpeer.Node
-	Directory *swmember.Directory
-	Store     *swrollout.Store
-	Watcher   *swrollout.Watcher
-	Platform  *swplatform.Client
-	Pool      *swbackend.Pool
-	Limiter   *swadmission.Limiter
-	Engine    *swquery.Engine
-	Keys      *swkey.Service
-	Server    *swhttp.Server
-	Recorder  *swmetric.Recorder
-	Life      *lifeState
-}
-
-// partsIn lets fx fill parts by type.
-type partsIn struct {
 	fx.In
 
 	Config    Config
@@ -61,15 +42,7 @@
 	Life      *lifeState
 }
 
-func newParts(in partsIn) *parts {
-	return &parts{
-		Config: in.Config, Log: in.Log, Group: in.Group, Node: in.Node, Directory: in.Directory, Store: in.Store,
-		Watcher: in.Watcher, Platform: in.Platform, Pool: in.Pool, Limiter: in.Limiter, Engine: in.Engine, Keys: in.Keys, Server: in.Server,
-		Recorder: in.Recorder, Life: in.Life,
-	}
-}
-
-func bindLifecycle(lifecycle fx.Lifecycle, parts *parts) {
+func bindLifecycle(lifecycle fx.Lifecycle, parts parts) {
 	lifecycle.Append(fx.Hook{OnStart: parts.start, OnStop: parts.stop})
 }
 
--- a/internal/swapp/replaced.go
+++ b/internal/swapp/replaced.go
@@ -37,7 +37,7 @@
 }
 
 // bindReplacedPeers drops stale connections at each change of the members.
-func bindReplacedPeers(parts *parts) {
+func bindReplacedPeers(parts parts) {
 	replaced := &replacedPeers{}
 	parts.Directory.Subscribe(func(view *swmember.View) {
 		for _, address := range replaced.update(view) {
