Tell an unknown outcome only once nothing can begin any more

Cause: the callers' library returned Ran Unknown as soon as a resend told it so, while an earlier send under the key was still on its way: with 24 callers and VMs paused, killed and restarted one run began 13 ms after its caller had been told that the outcome was unknown (1 of 154). A caller that checks its books then would match twice. Run now waits for the deadline unless the run has ended, asks for a start a margin before it, and the issuer ends a run at StartBefore.

--- a/internal/swkey/pass.go
+++ b/internal/swkey/pass.go
@@ -38,7 +38,7 @@
 	request := passing.request
 	passing.startBy = time.Now().Add(startWithin * passing.service.config.Limits.LocateTimeout)
 	if deadline, ok := ctx.Deadline(); ok {
-		request.EndBefore = location.on(deadline)
+		request.EndBefore = earlier(passing.request.StartBefore, location.on(deadline))
 		if deadline.Before(passing.startBy) {
 			passing.startBy = deadline
 		}
--- a/internal/swkey/service.go
+++ b/internal/swkey/service.go
@@ -97,7 +97,8 @@
 	Caller string
 	// Fingerprint identifies the body; another body under the same key is refused.
 	Fingerprint uint64
-	// StartBefore is the issuer's clock time from which the run must not begin; zero leaves the context's deadline.
+	// StartBefore is the issuer's clock time from which the run must not begin; zero leaves the context's deadline. Where
+	// EndBefore is zero it also ends the run.
 	StartBefore time.Duration
 	// EndBefore is the issuer's clock time at which a run that was passed on is given up; zero leaves the context's deadline.
 	EndBefore time.Duration
@@ -271,6 +272,11 @@
 	if !begun.first {
 		return begun.entry.wait(ctx), false
 	}
+	if request.StartBefore > 0 && request.EndBefore == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, request.StartBefore-authority.clock.now())
+		defer cancel()
+	}
 	return service.execute(ctx, authority, token, begun.entry, execute), false
 }
 
@@ -316,6 +322,9 @@
 
 // wait returns the recorded outcome once it is known, or RunInProgress when the context ends first.
 func (entry *entry) wait(ctx context.Context) Outcome {
+	if entry.finished() {
+		return entry.outcome
+	}
 	select {
 	case <-entry.done:
 		return entry.outcome
--- a/pkg/swclient/client_test.go
+++ b/pkg/swclient/client_test.go
@@ -169,6 +169,28 @@
 	}
 }
 
+func TestUnknownOutcomeIsToldOnceNothingCanBegin(t *testing.T) {
+	tests := []struct {
+		name    string
+		runs    []step
+		settles bool
+	}{
+		{"the issuer is gone after a lost answer", []step{lost(), refused(swcode.IssuerGone, swcode.RanUnknown)}, true},
+		{"the run has ended", []step{lost(), refused(swcode.OutcomeUnknown, swcode.RanUnknown)}, false},
+		{"nothing ran", []step{refused(swcode.RefusedByRule, swcode.RanNo)}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				_, err := newTestClient(t, &fakeTier{runs: test.runs}).Run(t.Context(), RunRequest{})
+				check(t, "failed", true, err != nil)
+				check(t, "returned at the deadline", test.settles, time.Since(began) == defaultTimeout)
+			})
+		})
+	}
+}
+
 func TestRunThatNoOneAnswersIsUnknownAtTheDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tier := &fakeTier{runs: []step{{silent: true}}}
@@ -191,8 +213,8 @@
 		defer cancel()
 		_, err := client.Run(ctx, RunRequest{})
 		check(t, "error", nil, err)
-		drift := 10 * time.Millisecond
-		check(t, "start before", Duration(time.Hour+11*time.Second-drift), tier.last.StartBefore)
+		drift, margin := 10*time.Millisecond, 50*time.Millisecond
+		check(t, "start before", Duration(time.Hour+11*time.Second-drift-margin), tier.last.StartBefore)
 	})
 }
 
--- a/pkg/swclient/keys.go
+++ b/pkg/swclient/keys.go
@@ -11,6 +11,9 @@
 	expiryMargin = 10 * time.Second
 	// driftDivisor bounds the drift between two clocks: one part in so many of the time since they were compared.
 	driftDivisor = 1000
+	// startMarginDivisor is the part of the time left by which a run must begin before the deadline, up to maxStartMargin.
+	startMarginDivisor = 20
+	maxStartMargin     = 50 * time.Millisecond
 )
 
 // key is a key taken ahead.
@@ -22,10 +25,12 @@
 	expires time.Time
 }
 
-// startBefore returns a time on the issuer's clock that is not later than the local time deadline.
+// startBefore returns a time on the issuer's clock that is a margin before the local time deadline. The margin is for a run
+// to reach the backend server.
 func (key *key) startBefore(deadline time.Time) Duration {
 	drift := time.Since(key.taken) / driftDivisor
-	return Duration(max(key.clock+deadline.Sub(key.taken)-drift, 1))
+	margin := min(time.Until(deadline)/startMarginDivisor, maxStartMargin)
+	return Duration(max(key.clock+deadline.Sub(key.taken)-drift-margin, 1))
 }
 
 // keyReserve holds keys taken ahead.
--- a/pkg/swclient/message.go
+++ b/pkg/swclient/message.go
@@ -71,8 +71,8 @@
 	Key string
 	// Route is the routing value whose shard alone runs the work; all shards run it when empty.
 	Route string `json:",omitempty"`
-	// StartBefore is the issuer's clock time, as in KeysReply.Clock, after which the issuer must not begin the run;
-	// zero leaves only Timeout, counted from when a VM reads the request.
+	// StartBefore is the issuer's clock time, as in KeysReply.Clock, after which the issuer must not begin the run and gives
+	// it up; zero leaves only Timeout, counted from when a VM reads the request.
 	StartBefore Duration `json:",omitempty"`
 }
 
--- a/pkg/swclient/run.go
+++ b/pkg/swclient/run.go
@@ -11,7 +11,8 @@
 // Run runs non-idempotent work at most once. It takes a key unless the request has one, and sends the work again under
 // the same key until its outcome is known or the context's deadline passes. The error is a *swcode.Error whose Ran holds
 // for all the sends together: with Ran No nothing ran and nothing will, so the work may be given to Run anew; with Ran
-// Unknown the books must be checked first. No run begins after the deadline under a key that Run took.
+// Unknown the books must be checked first. Under a key that Run took, no run begins once Run has returned, unless the
+// context was cancelled before its deadline; so with Ran Unknown it may return only at the deadline.
 func (client *Client) Run(ctx context.Context, request RunRequest) (SearchReply, error) {
 	ctx, cancel := client.bound(ctx)
 	defer cancel()
@@ -42,11 +43,24 @@
 			return reply, nil
 		}
 		if !run.again(err) || !wait(ctx, attempt, err) {
+			run.settle(ctx, err)
 			return reply, run.outcome(err)
 		}
 	}
 }
 
+// settle waits until no send can begin a run any more, when the outcome is unknown for a reason other than a run that
+// has ended.
+func (run *run) settle(ctx context.Context, err error) {
+	var refused *swcode.Error
+	if errors.As(err, &refused) && (refused.Code == swcode.OutcomeUnknown || refused.Code == swcode.PartialRun) {
+		return
+	}
+	if run.uncertain {
+		<-ctx.Done()
+	}
+}
+
 // prepare takes a key when the run has none.
 func (run *run) prepare(ctx context.Context) error {
 	if run.request.Key != "" {
