--- a/lab/internal/swlabscenario/process_test.go
+++ b/lab/internal/swlabscenario/process_test.go
@@ -165,6 +165,56 @@
 	expectScan(t, fleet, fleet.Targets()[0], &user.Streams[0], "levy")
 }
 
+func TestDataCentreCutOffGoesOnServingAndCatchesUp(t *testing.T) {
+	user := findUser(t, "avellana")
+	fleet := start(t, user, nil)
+	awaitReady(t, fleet, len(fleet.VMs))
+	cutOff := user.DataCentres[0].Name
+	fleet.Partition(cutOff, true)
+	fleet.PartitionPlatform(cutOff, true)
+	if err := fleet.SetRules("refuse Caller=nobody   # lab\n" + user.Rules); err != nil {
+		t.Fatal(err)
+	}
+	for _, target := range fleet.Targets() {
+		for i := range user.Streams {
+			expectScan(t, fleet, target, &user.Streams[i], "levy")
+		}
+	}
+	fleet.Partition(cutOff, false)
+	fleet.PartitionPlatform(cutOff, false)
+	changes := fleet.RuleChanges()
+	accepted := changes[len(changes)-1].Version
+	for _, target := range fleet.Targets() {
+		for version := uint64(0); version < accepted; {
+			answer := search(t, fleet, target, &user.Streams[0], "levy")
+			if answer.RuleVersion < version || t.Failed() {
+				t.Fatalf("%s went back from version %d to %d", target.Name, version, answer.RuleVersion)
+			}
+			version = answer.RuleVersion
+		}
+	}
+}
+
+func TestPausedVMDoesNotStopTheOthers(t *testing.T) {
+	user := findUser(t, "kowhai")
+	fleet := start(t, user, nil)
+	awaitReady(t, fleet, len(fleet.VMs))
+	paused := fleet.VM(1, 0)
+	if err := fleet.PauseVM(paused, true); err != nil {
+		t.Fatal(err)
+	}
+	for _, target := range fleet.Targets() {
+		if target.Name != paused.Name {
+			expectScan(t, fleet, target, &user.Streams[0], "levy")
+		}
+	}
+	if err := fleet.PauseVM(paused, false); err != nil {
+		t.Fatal(err)
+	}
+	awaitReady(t, fleet, len(fleet.VMs))
+	expectScan(t, fleet, fleet.Targets()[3], &user.Streams[0], "levy")
+}
+
 func TestVMsStartWhenThePlatformReturns(t *testing.T) {
 	user := findUser(t, "kowhai")
 	fleet := start(t, user, func(config *swlabfleet.Config) {
@@ -198,6 +248,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	group := swgroup.New(t.Context())
 	var results collector
+	begin := time.Now()
 	group.Go(func(context.Context) {
 		swlabload.Run(t.Context(), swlabload.Config{
 			Balancer: fleet.Balancer, Streams: []*swlabload.Stream{&user.Streams[0], &user.Streams[1]},
@@ -217,6 +268,7 @@
 	group.Wait()
 	verdict := swlabcheck.Check(&swlabcheck.Evidence{
 		Results: results.list, Records: fleet.Journal.Records(), Arrivals: fleet.Journal.Arrivals(), Snapshots: fleet.Snapshots,
+		Stops: []swlabcheck.Window{{VM: "each in turn", From: begin, Until: time.Now()}},
 	})
 	if diff := cmp.Diff(swlabcheck.Violations{}, verdict.Violations); diff != "" {
 		t.Errorf("%s%v", diff, verdict.Examples)
