Overtake a silent owner instead of giving its work up

The losses also moved ownership, which slowed owners further. Ruled out: dead owners (none was killed), the queues (43 sheds by servers). Change: silence sends one more attempt for shards that wait on it alone, within the budget; the first attempt stays and counts when it answers. Only a stream that broke ends attempts. Runs that were never let begin still go elsewhere. Conclusion: an overloaded owner costs a hedge.

--- a/internal/swquery/gather_send.go
+++ b/internal/swquery/gather_send.go
@@ -37,6 +37,40 @@
 	return gather.orders
 }
 
+// Overtake sends one more attempt for each shard that waits only for attempts that match, such as those of an owner that
+// is silent. The attempts themselves stay: an owner that was only slow still counts, and a shard for which the budget
+// grants nothing goes on waiting for it.
+func (gather *Gather) Overtake(now time.Time, matches func(attemptID uint64, target Target) bool) Orders {
+	gather.reset()
+	if !gather.config.Idempotent || gather.suspect() || gather.closed {
+		return gather.orders
+	}
+	for position := range gather.shards {
+		shard := &gather.shards[position]
+		if shard.state != shardRunning || !gather.waitsOnlyFor(position, matches) || !shard.hasTarget() {
+			continue
+		}
+		if gather.config.Budget.Take() && gather.send(now, position, true) {
+			gather.Retries++
+		}
+	}
+	return gather.orders
+}
+
+// waitsOnlyFor reports whether a shard has attempts without an outcome and all of them match.
+func (gather *Gather) waitsOnlyFor(position int, matches func(attemptID uint64, target Target) bool) bool {
+	shard := &gather.shards[position]
+	if shard.running == 0 {
+		return false
+	}
+	for i := range shard.attempts {
+		if !shard.attempts[i].ended && !matches(gather.attemptID(position, i), shard.attempts[i].target) {
+			return false
+		}
+	}
+	return true
+}
+
 // NextTick returns a time no later than the next hedge, or the zero time when none is due.
 func (gather *Gather) NextTick() time.Time {
 	return gather.nextTick
--- a/internal/swquery/gather_test.go
+++ b/internal/swquery/gather_test.go
@@ -55,7 +55,7 @@
 		accepted := make(map[int]bool)
 		for range rapid.IntRange(0, 40).Draw(t, "events") {
 			now = now.Add(time.Millisecond)
-			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0, 1:
 				command := rapid.SampledFrom(sent).Draw(t, "attempt")
 				orders, _, known := gather.Answer(now, command.Attempt, command.Target.Server, answered(1))
@@ -72,6 +72,9 @@
 				record(gather.Lose(now, swcode.RanUnknown, func(_ uint64, target Target) bool { return target.Owner == owner }))
 			case 4:
 				record(gather.Tick(now))
+			case 5:
+				owner := fmt.Sprintf("vm%d", rapid.IntRange(0, replicas-1).Draw(t, "silent"))
+				record(gather.Overtake(now, func(_ uint64, target Target) bool { return target.Owner == owner }))
 			}
 			checkGather(t, gather, shards, accepted)
 		}
@@ -171,6 +174,36 @@
 	}
 }
 
+// TestSilentOwnerWithoutBudgetIsWaitedFor checks that an owner that is only slow does not cost the query its answer when no
+// further attempt is granted, and that it is overtaken once when one is.
+func TestSilentOwnerWithoutBudgetIsWaitedFor(t *testing.T) {
+	cases := map[string]struct {
+		budget Budget
+		want   int
+	}{"no budget": {grantNone{}, 0}, "budget": {grantAll{}, 1}}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			gather := NewGather(GatherConfig{Shards: testPlan(1, 3), Idempotent: true, Budget: test.budget})
+			now := time.Unix(0, 0)
+			first := gather.Start(now, 0, 1).Send[0]
+			silent := func(_ uint64, target Target) bool { return target.Owner == first.Target.Owner }
+			if diff := cmp.Diff(test.want, len(gather.Overtake(now, silent).Send)); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(0, len(gather.Overtake(now, silent).Send)); diff != "" {
+				t.Error("the shard is overtaken twice: " + diff)
+			}
+			if gather.Done() {
+				t.Fatal("the shard was given up")
+			}
+			gather.Answer(now, first.Attempt, first.Target.Server, answered(7))
+			if diff := cmp.Diff(map[string]int64{"n": 7}, mergeCounts(gather.shards)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestRetryNeedsBudgetUnlessTheServerSpentNothing checks what an empty budget still allows.
 func TestRetryNeedsBudgetUnlessTheServerSpentNothing(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/swquery/scatter.go
+++ b/internal/swquery/scatter.go
@@ -18,6 +18,8 @@
 	heard time.Time
 	// lost marks a link whose attempts were given up.
 	lost bool
+	// overtaken marks a link whose owner was silent, so that its attempts were sent elsewhere as well.
+	overtaken bool
 	// held marks a batch that its owner holds until it is told to begin.
 	held bool
 	// started is set once the owner was told to begin a batch that it held.
@@ -196,6 +198,12 @@
 	return link.held && !link.started && !link.local()
 }
 
+// carries reports whether the attempt went over this link and has no outcome.
+func (link *link) carries(attempt uint64, _ Target) bool {
+	_, on := link.attempts[attempt]
+	return on
+}
+
 // answered takes an attempt off its link and reports whether it was on it.
 func (link *link) answered(attempt uint64) bool {
 	if _, ok := link.attempts[attempt]; !ok {
--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -212,10 +212,7 @@
 			continue
 		}
 		link.lost = true
-		gatherWait.execution.gather.Lose(now, swcode.RanNo, func(attempt uint64, _ Target) bool {
-			_, on := link.attempts[attempt]
-			return on
-		})
+		gatherWait.execution.gather.Lose(now, swcode.RanNo, link.carries)
 	}
 }
 
@@ -310,17 +307,32 @@
 	if link.unstarted() {
 		ran = swcode.RanNo
 	}
-	gatherWait.engine.config.Recorder.Event("lost_owners", 1)
+	gatherWait.distrust(link, "lost_owners")
+	orders := gatherWait.execution.gather.Lose(now, ran, link.carries)
+	gatherWait.engine.carryOut(now, gatherWait.execution, orders)
+	gatherWait.checkCanary(now)
+}
+
+// overtake sends the attempts of a link whose owner is silent elsewhere as well. Work that the owner was never told to
+// begin is given up instead, since it cannot have run.
+func (gatherWait *gatherWait) overtake(now time.Time, link *link) {
+	if link.unstarted() {
+		gatherWait.lose(now, link, swcode.RanNo)
+		return
+	}
+	link.overtaken = true
+	gatherWait.distrust(link, "silent_owners")
+	orders := gatherWait.execution.gather.Overtake(now, link.carries)
+	gatherWait.engine.carryOut(now, gatherWait.execution, orders)
+}
+
+// distrust has the owner probed and makes the next batch to it go over a fresh connection.
+func (gatherWait *gatherWait) distrust(link *link, event string) {
+	gatherWait.engine.config.Recorder.Event(event, 1)
 	gatherWait.engine.config.Members.ReportSuspect(link.owner.Name)
 	if link.line != nil {
 		gatherWait.engine.lines.forget(link.line)
 	}
-	orders := gatherWait.execution.gather.Lose(now, ran, func(attempt uint64, _ Target) bool {
-		_, on := link.attempts[attempt]
-		return on
-	})
-	gatherWait.engine.carryOut(now, gatherWait.execution, orders)
-	gatherWait.checkCanary(now)
 }
 
 // nextWake returns how long to wait for the next hedge or the next owner that is due to be heard.
@@ -344,7 +356,7 @@
 // mayLose reports whether silence on the link may move its attempts elsewhere. Non-idempotent work that was told to begin
 // stays where it is.
 func (gatherWait *gatherWait) mayLose(link *link) bool {
-	if link.lost || link.local() || len(link.attempts) == 0 {
+	if link.lost || link.overtaken || link.local() || len(link.attempts) == 0 {
 		return false
 	}
 	return gatherWait.execution.query.Idempotent() || link.unstarted()
@@ -374,7 +386,7 @@
 	}
 	for _, link := range execution.scatter.links {
 		if gatherWait.mayLose(link) && now.Sub(link.heard) >= gatherWait.silence() {
-			gatherWait.lose(now, link, swcode.RanUnknown)
+			gatherWait.overtake(now, link)
 		}
 	}
 	orders := execution.gather.Tick(now)
