--- a/internal/swquery/engine_test.go
+++ b/internal/swquery/engine_test.go
@@ -48,6 +48,7 @@
 				delete(world.servers[name("a", shard)].held, "s2")
 			}
 		}, "s2"},
+		"a server answers for the wrong snapshot": {func(world *world) { world.servers["a3"].wrong = true }, "s1"},
 		"answers come twice": {func(world *world) {
 			world.forge = func(reply *Reply) { reply.Answers = append(reply.Answers, reply.Answers...) }
 		}, "s1"},
--- a/internal/swquery/fault_test.go
+++ b/internal/swquery/fault_test.go
@@ -14,20 +14,6 @@
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
-// killLocal loses every backend server of the root's data centre, so that the work goes through other VMs.
-func (world *world) killLocal() {
-	for shard := range testShards {
-		world.servers[name("a", shard)].dead = true
-	}
-}
-
-// drop takes a snapshot from one replica of a shard in each of the data centres.
-func (world *world) drop(snapshot string, shard int, dataCentres ...string) {
-	for _, dataCentre := range dataCentres {
-		delete(world.servers[name(dataCentre, shard)].held, snapshot)
-	}
-}
-
 // TestSnapshotMissingAtSomeReplicasWithOthersLostRestartsTheQuery joins a publication in progress with a lost replica.
 func TestSnapshotMissingAtSomeReplicasWithOthersLostRestartsTheQuery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -58,7 +44,9 @@
 				world := newWorld(testShards)
 				defer world.group.Stop()
 				world.publish("s2", testShards)
-				world.registry.Catalogue("books").Snapshots[0].Retired = !test.another
+				if !test.another {
+					world.retire("s1")
+				}
 				world.drop("s2", 0, dataCentres...)
 				for shard := 5; shard < testShards; shard++ {
 					world.servers[name("a", shard)].delay = 50 * time.Millisecond
--- a/internal/swquery/world_test.go
+++ b/internal/swquery/world_test.go
@@ -32,6 +32,8 @@
 	dead  bool
 	// crashes makes the server fail with crash evidence.
 	crashes bool
+	// wrong makes the server answer for another snapshot, which its owner finds out.
+	wrong bool
 }
 
 // world holds three data centres with one VM and one replica of each shard in each, joined by memory.
@@ -55,6 +57,9 @@
 	mute   map[netip.AddrPort]bool
 	// muteOnceRunning mutes all VMs when a backend server begins to run work.
 	muteOnceRunning bool
+	// gone VMs take no new streams, and streams holds those that are open.
+	gone    map[netip.AddrPort]bool
+	streams map[netip.AddrPort][]*memoryExchange
 	// forge alters replies on their way to the root.
 	forge func(reply *Reply)
 }
@@ -72,6 +77,8 @@
 		events:    make(map[string]int64),
 		silent:    make(map[netip.AddrPort]bool),
 		mute:      make(map[netip.AddrPort]bool),
+		gone:      make(map[netip.AddrPort]bool),
+		streams:   make(map[netip.AddrPort][]*memoryExchange),
 	}
 	members := make([]swmember.Member, len(dataCentres))
 	for i, name := range dataCentres {
@@ -91,6 +98,8 @@
 
 // publish adds a snapshot that every replica holds.
 func (world *world) publish(id string, shards int) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
 	snapshot := swindex.Snapshot{ID: id}
 	world.documents[id] = make(map[int]int64)
 	lists := make(map[string][]swindex.Server)
@@ -120,6 +129,40 @@
 	}
 }
 
+// retire marks a snapshot as taking no new queries.
+func (world *world) retire(id string) {
+	present := world.registry.Catalogue("books")
+	catalogue := &swindex.Catalogue{Index: "books", Snapshots: slices.Clone(present.Snapshots)}
+	for i := range catalogue.Snapshots {
+		catalogue.Snapshots[i].Retired = catalogue.Snapshots[i].Retired || catalogue.Snapshots[i].ID == id
+	}
+	world.registry.SetCatalogue(catalogue)
+}
+
+// drop takes a snapshot from one replica of a shard in each of the data centres.
+func (world *world) drop(snapshot string, shard int, dataCentres ...string) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	for _, dataCentre := range dataCentres {
+		delete(world.servers[name(dataCentre, shard)].held, snapshot)
+	}
+}
+
+// killLocal loses every backend server of the root's data centre, so that the work goes through other VMs.
+func (world *world) killLocal() {
+	for shard := range testShards {
+		world.servers[name("a", shard)].dead = true
+	}
+}
+
+// kill makes a VM take no new streams and breaks those that are open.
+func (world *world) kill(target netip.AddrPort) {
+	world.mutex.Lock()
+	world.gone[target] = true
+	world.mutex.Unlock()
+	world.breakStreams(target)
+}
+
 // total returns the number of documents in a snapshot, which is what a whole answer counts.
 func (world *world) total(id string) int64 {
 	var total int64
@@ -214,11 +257,12 @@
 	world := backends.world
 	world.mutex.Lock()
 	server := *world.servers[subRequest.Server]
+	held := server.held[subRequest.Snapshot]
 	if server.dead {
 		world.mutex.Unlock()
 		return swbackend.Answer{Outcome: swbackend.Unreachable, Message: subRequest.Server + " refuses connections"}
 	}
-	if !server.held[subRequest.Snapshot] {
+	if !held {
 		world.mutex.Unlock()
 		return swbackend.Answer{Outcome: swbackend.SnapshotNotHeld, Message: subRequest.Server + " does not hold the snapshot"}
 	}
@@ -233,6 +277,9 @@
 	if server.crashes {
 		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Crash: true}
 	}
+	if server.wrong {
+		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Message: "answer to another request"}
+	}
 	timer := time.NewTimer(server.delay)
 	defer timer.Stop()
 	select {
@@ -242,6 +289,9 @@
 		world.mutex.Lock()
 		world.cancelled++
 		world.mutex.Unlock()
+		if ctx.Err() == context.DeadlineExceeded {
+			return swbackend.Answer{Outcome: swbackend.Late, Ran: swcode.RanUnknown, Code: swcode.DeadlineExceeded}
+		}
 		return swbackend.Answer{Outcome: swbackend.Cancelled, Ran: swcode.RanUnknown}
 	}
 }
@@ -256,9 +306,18 @@
 // Open joins a root to the owner at target by two queues of encoded messages.
 func (dialer worldDialer) Open(ctx context.Context, target netip.AddrPort, _ swpeer.Method) (Exchange, error) {
 	world := dialer.world
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	if world.gone[target] {
+		return nil, errors.New("no VM answers at " + target.String())
+	}
 	shared, cancel := context.WithCancel(context.Background())
 	toOwner, toRoot := make(chan []byte, 1024), make(chan []byte, 1024)
 	root := &memoryExchange{world: world, ctx: shared, cancel: cancel, in: toRoot, out: toOwner, peer: target, isRoot: true}
+	world.streams[target] = append(world.streams[target], root)
 	reading, endReading := context.WithCancel(shared)
 	owner := &memoryExchange{world: world, ctx: reading, cancel: cancel, in: toOwner, out: toRoot, peer: target}
 	world.group.Go(func(context.Context) {
@@ -266,7 +325,7 @@
 		defer close(toRoot)
 		_ = world.engines[string(rune(target.Addr().As4()[3]))].Owner().Serve(shared, owner)
 	})
-	return root, ctx.Err()
+	return root, nil
 }
 
 type memoryExchange struct {
@@ -277,11 +336,34 @@
 	out    chan []byte
 	peer   netip.AddrPort
 	isRoot bool
+	// lost drops what is sent; the stream itself stays open.
+	lost bool
+}
+
+// breakStreams ends the open streams to a VM, as its death does.
+func (world *world) breakStreams(target netip.AddrPort) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	for _, stream := range world.streams[target] {
+		stream.cancel()
+	}
+	world.streams[target] = nil
+}
+
+// silenceStreams makes the open streams of all VMs drop what roots send for good, while new ones work.
+func (world *world) silenceStreams() {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	for _, streams := range world.streams {
+		for _, stream := range streams {
+			stream.lost = true
+		}
+	}
 }
 
 func (exchange *memoryExchange) Send(messages ...any) error {
 	exchange.world.mutex.Lock()
-	dropped := exchange.world.silent[exchange.peer] || !exchange.isRoot && exchange.world.mute[exchange.peer]
+	dropped := exchange.lost || exchange.world.silent[exchange.peer] || !exchange.isRoot && exchange.world.mute[exchange.peer]
 	forge := exchange.world.forge
 	exchange.world.mutex.Unlock()
 	for _, message := range messages {
