--- a/internal/swquery/fault_test.go
+++ b/internal/swquery/fault_test.go
@@ -180,9 +180,10 @@
 		defer world.group.Stop()
 		engine := world.engines["a"]
 		now := time.Now()
-		execution := &execution{query: &Query{}, snapshot: &world.registry.Catalogue("books").Snapshots[0]}
+		execution := &execution{query: &Query{}, snapshot: &world.registry.Catalogue("books").Snapshots[0], view: world.view["a"]}
 		execution.gather = NewGather(GatherConfig{Shards: testPlan(2, 1), Idempotent: true, Budget: grantAll{}})
 		execution.scatter = newScatter(engine)
+		defer execution.scatter.close()
 		sent := execution.gather.Start(now, 0, 2).Send
 		for _, command := range sent {
 			link := &link{owner: swmember.Member{Name: "vm-b"}, attempts: map[uint64]struct{}{command.Attempt: {}}, heard: now}
--- a/internal/swquery/gather.go
+++ b/internal/swquery/gather.go
@@ -320,6 +320,7 @@
 		attempt.lost = true
 		shard.running--
 		shard.noteRan(lost.Ran)
+		shard.tryAgainLast(attempt.target)
 		lost.Message = "owner " + attempt.target.Owner + " of backend server " + attempt.target.Server + " was lost"
 		if shard.state == shardRunning {
 			gather.attemptFailed(now, position, lost)
@@ -327,6 +328,19 @@
 	}
 }
 
+// tryAgainLast adds a target that was lost with its stream to the end, once: the server lives, and a fresh stream may work.
+func (shard *gatherShard) tryAgainLast(target Target) {
+	count := 0
+	for _, known := range shard.plan.Targets {
+		if known == target {
+			count++
+		}
+	}
+	if count == 1 {
+		shard.plan.Targets = append(shard.plan.Targets, target)
+	}
+}
+
 // Withdraw returns the attempts that have no outcome, to be cancelled.
 func (gather *Gather) Withdraw() Orders {
 	gather.reset()
--- a/internal/swquery/world_test.go
+++ b/internal/swquery/world_test.go
@@ -311,7 +311,7 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	if world.gone[target] {
+	if world.gone[target] || !target.IsValid() {
 		return nil, errors.New("no VM answers at " + target.String())
 	}
 	shared, cancel := context.WithCancel(context.Background())
