Show backend servers in a VM's status

Cause: on call, a refusal names a server and nothing told what its owner sees of it. Status lists the servers that the VM sends to with learned limit, queue, connections, service time and state. The golden table shows them.

--- a/cmd/status_table.go
+++ b/cmd/status_table.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swapp"
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
 	"github.com/sycamorewall/sycamorewall/internal/swrollout"
 )
@@ -28,9 +29,33 @@
 	printDocuments(out, report.Documents, now)
 	printContacts(out, report.Contacts, now)
 	printMembers(out, report.Members)
+	printServers(out, report.Servers)
 	printSuspects(out, report.Quarantine)
 }
 
+func printServers(out io.Writer, servers []swbackend.ServerStatus) {
+	if len(servers) == 0 {
+		return
+	}
+	fmt.Fprintf(out, "\nBACKEND SERVER\tSLOTS\tLIMIT\tRUNNING\tWAITING\tCONNECTIONS\tSERVICE\tSTATE\n")
+	for i := range servers {
+		server := &servers[i]
+		fmt.Fprintf(out, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", server.Name, server.Slots, server.Limit, server.Running, server.Waiting,
+			server.Connections, server.Service.Round(time.Millisecond), serverState(server))
+	}
+}
+
+func serverState(server *swbackend.ServerStatus) string {
+	switch {
+	case server.Leaving:
+		return "Leaving"
+	case server.Shedding:
+		return "Shedding"
+	default:
+		return "Serving"
+	}
+}
+
 func age(at, now time.Time) string {
 	if at.IsZero() {
 		return "never"
--- a/cmd/status_table_test.go
+++ b/cmd/status_table_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamorewall/sycamorewall/internal/swapp"
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
 	"github.com/sycamorewall/sycamorewall/internal/swrollout"
 )
@@ -26,6 +27,10 @@
 		},
 		Contacts: map[string]time.Time{"wellington": now.Add(-2 * time.Second), "christchurch": now.Add(-time.Hour)},
 		Members:  []swapp.MemberStatus{{Name: "auckland-1", DataCentre: "auckland", State: "Alive", Caller: "127.0.0.1:8080"}},
+		Servers: []swbackend.ServerStatus{
+			{Name: "ledger-1", Slots: 3, Limit: 2, Running: 2, Waiting: 5, Connections: 4, Service: 21 * time.Millisecond, Shedding: true},
+			{Name: "ledger-3", Slots: 3, Limit: 3, Connections: 1, Service: 20 * time.Millisecond, Leaving: true},
+		},
 		Quarantine: []swquarantine.Suspect{
 			{Fingerprint: "00ff00ff00ff00ff", Quarantined: true, Deaths: 2, Score: 1.96, Since: 90 * time.Second, Trials: 1},
 			{Fingerprint: "11ff00ff00ff00ff", Deaths: 1, Score: 0.5, Since: time.Second},
--- a/internal/swapp/life.go
+++ b/internal/swapp/life.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
 	"github.com/sycamorewall/sycamorewall/internal/swindex"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
@@ -21,9 +22,10 @@
 	directory  *swmember.Directory
 	store      *swrollout.Store
 	quarantine *swquarantine.Register
+	pool       *swbackend.Pool
 }
 
-func newLifeState(config Config, rules *ruleBook, registry *swindex.Registry, directory *swmember.Directory, store *swrollout.Store, quarantine *swquarantine.Register) *lifeState {
+func newLifeState(config Config, rules *ruleBook, registry *swindex.Registry, directory *swmember.Directory, store *swrollout.Store, quarantine *swquarantine.Register, pool *swbackend.Pool) *lifeState {
 	return &lifeState{
 		config:     config,
 		started:    time.Now(),
@@ -32,6 +34,7 @@
 		directory:  directory,
 		store:      store,
 		quarantine: quarantine,
+		pool:       pool,
 	}
 }
 
@@ -82,6 +85,8 @@
 	Contacts map[string]time.Time
 	// Draining names backend servers that take no new work.
 	Draining []string
+	// Servers describes the backend servers that this VM sends to.
+	Servers []swbackend.ServerStatus
 	// Quarantine lists suspect and refused fingerprints.
 	Quarantine []swquarantine.Suspect
 }
@@ -112,6 +117,7 @@
 		Documents:   lifeState.store.Status(),
 		Contacts:    lifeState.directory.Contacts(),
 		Draining:    lifeState.registry.DrainingServers(),
+		Servers:     lifeState.pool.Status(),
 		Quarantine:  lifeState.quarantine.Suspects(),
 	}
 	if err := lifeState.Ready(); err != nil {
