Name the part that cannot be built, without the wiring around it

Cause: a missing certificate was reported with the names and source paths of three constructors before the file's name. Test: the whole message.

--- a/internal/swapp/app.go
+++ b/internal/swapp/app.go
@@ -7,6 +7,7 @@
 	"net/netip"
 
 	"github.com/pkg/errors"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -44,7 +45,7 @@
 		fx.Invoke(func(parts parts) { app.parts = &parts }),
 	)
 	if err := app.fx.Err(); err != nil {
-		return nil, errors.Wrap(err, "build the VM's parts")
+		return nil, errors.Wrap(dig.RootCause(err), "build the VM's parts")
 	}
 	return app, nil
 }
