Show the keys that a VM answers for in status, and refuse line breaks in keys

base64 passes over line breaks, so a key with one in it named the same run; it was harmless, as the table goes by sequence, and is refused as altered now.

--- a/internal/swapp/life.go
+++ b/internal/swapp/life.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swindex"
+	"github.com/sycamorewall/sycamorewall/internal/swkey"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
 	"github.com/sycamorewall/sycamorewall/internal/swrollout"
@@ -21,9 +22,10 @@
 	directory  *swmember.Directory
 	store      *swrollout.Store
 	quarantine *swquarantine.Register
+	keys       *swkey.Service
 }
 
-func newLifeState(config Config, rules *ruleBook, registry *swindex.Registry, directory *swmember.Directory, store *swrollout.Store, quarantine *swquarantine.Register) *lifeState {
+func newLifeState(config Config, rules *ruleBook, registry *swindex.Registry, directory *swmember.Directory, store *swrollout.Store, quarantine *swquarantine.Register, keys *swkey.Service) *lifeState {
 	return &lifeState{
 		config:     config,
 		started:    time.Now(),
@@ -32,6 +34,7 @@
 		directory:  directory,
 		store:      store,
 		quarantine: quarantine,
+		keys:       keys,
 	}
 }
 
@@ -84,6 +87,8 @@
 	Draining []string
 	// Quarantine lists suspect and refused fingerprints.
 	Quarantine []swquarantine.Suspect
+	// Keys describes the keys of non-idempotent work that this VM answers for.
+	Keys swkey.Status
 }
 
 // MemberStatus is one VM as this VM sees it.
@@ -113,6 +118,7 @@
 		Contacts:    lifeState.directory.Contacts(),
 		Draining:    lifeState.registry.DrainingServers(),
 		Quarantine:  lifeState.quarantine.Suspects(),
+		Keys:        lifeState.keys.Status(),
 	}
 	if err := lifeState.Ready(); err != nil {
 		status.Ready, status.Reason = false, err.Error()
--- a/internal/swkey/failure_test.go
+++ b/internal/swkey/failure_test.go
@@ -229,6 +229,12 @@
 		network.send(b, network.key(b), "count", testTimeout)
 		check(t, "holders", 0, network.holders(a.service.self))
 		check(t, "memory", outcomeSize(Outcome{Reply: []byte("ran count")}), b.service.Bytes())
+		check(t, "status", []IssuerStatus{{
+			Name:        "b",
+			Incarnation: b.service.Status().Issuers[0].Incarnation,
+			Runs:        1,
+			Until:       defaultLifetime + defaultRetention,
+		}}, b.service.Status().Issuers)
 		check(t, "afterwards", unreachable, verdictOf(network.send(b, key, "match", testTimeout)))
 		check(t, "runs", 1, network.backend.count("match"))
 	})
--- a/internal/swkey/property_test.go
+++ b/internal/swkey/property_test.go
@@ -232,3 +232,34 @@
 	}
 	t.Logf("%d runs, %d messages between VMs", runs, passedOn)
 }
+
+func TestAnyAlteredKeyIsRefused(t *testing.T) {
+	secret := newSecret()
+	rapid.Check(t, func(t *rapid.T) {
+		token := Token{
+			Issuer:   Issuer{Name: rapid.StringN(1, 16, maxNameSize).Draw(t, "name"), Incarnation: rapid.Uint64().Draw(t, "incarnation")},
+			Sequence: rapid.Uint64().Draw(t, "sequence"),
+			Expires:  time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "expires")) * time.Millisecond,
+		}
+		key := token.Encode(secret)
+		parsed, err := ParseToken(key)
+		if err != nil || parsed != token || !verify(key, secret) {
+			t.Fatalf("key %s of %v: parsed as %v, %v", key, token, parsed, err)
+		}
+		at := rapid.IntRange(0, len(key)-1).Draw(t, "at")
+		altered := key[:at] + rapid.StringN(0, 2, 4).Draw(t, "text") + key[at+1:]
+		if altered != key && verify(altered, secret) {
+			t.Fatalf("altered key %q of %q passed", altered, key)
+		}
+	})
+}
+
+func TestAnyTextIsParsedOrRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.OneOf(rapid.String(), rapid.StringMatching(`swk1-[A-Za-z0-9_-]{0,80}`)).Draw(t, "text")
+		token, err := ParseToken(text)
+		if err == nil && (token.Issuer.Name == "" || len(token.Issuer.Name) > maxNameSize || token.Expires < 0) {
+			t.Fatalf("%q was parsed as %v", text, token)
+		}
+	})
+}
--- a/internal/swkey/token.go
+++ b/internal/swkey/token.go
@@ -98,7 +98,7 @@
 
 // split separates a key's fields from its authentication code.
 func split(key string) (fields, mac []byte, err error) {
-	if len(key) > MaxKeySize || !IsIssued(key) {
+	if len(key) > MaxKeySize || !IsIssued(key) || strings.ContainsAny(key, "\r\n") {
 		return nil, nil, invalidKey("it has not the form of an issued key")
 	}
 	data, err := base64.RawURLEncoding.Strict().DecodeString(key[len(tokenPrefix):])
