--- a/internal/swapp/life.go
+++ b/internal/swapp/life.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swbackend"
 	"github.com/sycamorewall/sycamorewall/internal/swindex"
+	"github.com/sycamorewall/sycamorewall/internal/swkey"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
 	"github.com/sycamorewall/sycamorewall/internal/swrollout"
@@ -23,9 +24,12 @@
 	store      *swrollout.Store
 	quarantine *swquarantine.Register
 	pool       *swbackend.Pool
+	keys       *swkey.Service
 }
 
-func newLifeState(config Config, rules *ruleBook, registry *swindex.Registry, directory *swmember.Directory, store *swrollout.Store, quarantine *swquarantine.Register, pool *swbackend.Pool) *lifeState {
+func newLifeState(config Config, rules *ruleBook, registry *swindex.Registry, directory *swmember.Directory, store *swrollout.Store,
+	quarantine *swquarantine.Register, pool *swbackend.Pool, keys *swkey.Service,
+) *lifeState {
 	return &lifeState{
 		config:     config,
 		started:    time.Now(),
@@ -35,6 +39,7 @@
 		store:      store,
 		quarantine: quarantine,
 		pool:       pool,
+		keys:       keys,
 	}
 }
 
@@ -89,6 +94,8 @@
 	Servers []swbackend.ServerStatus
 	// Quarantine lists suspect and refused fingerprints.
 	Quarantine []swquarantine.Suspect
+	// Keys describes the keys of non-idempotent work that this VM answers for.
+	Keys swkey.Status
 }
 
 // MemberStatus is one VM as this VM sees it.
@@ -119,6 +126,7 @@
 		Draining:    lifeState.registry.DrainingServers(),
 		Servers:     lifeState.pool.Status(),
 		Quarantine:  lifeState.quarantine.Suspects(),
+		Keys:        lifeState.keys.Status(),
 	}
 	if err := lifeState.Ready(); err != nil {
 		status.Ready, status.Reason = false, err.Error()
