--- a/internal/swquarantine/register.go
+++ b/internal/swquarantine/register.go
@@ -188,15 +188,6 @@
 	return register.known.has(fingerprint) && register.MayRetry(fingerprint)
 }
 
-// Quarantined reports whether a fingerprint is quarantined, so that what waits in queues can be refused. It spends no
-// trial.
-func (register *Register) Quarantined(fingerprint uint64) bool {
-	register.mutex.Lock()
-	defer register.mutex.Unlock()
-	subject, ok := register.subjects[fingerprint]
-	return ok && subject.score() >= quarantineScore
-}
-
 // Death takes the evidence of a server that died with requests in flight, whose fingerprints are given.
 func (register *Register) Death(server string, inFlight []uint64) {
 	shares := blame(inFlight, register.known.has)
--- a/internal/swquarantine/register_test.go
+++ b/internal/swquarantine/register_test.go
@@ -182,7 +182,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				register := New(Config{Name: "vm"})
 				test.deaths(register)
-				check(t, "innocent quarantined", false, register.Quarantined(popular))
+				check(t, "innocent quarantined", false, register.Check(popular, false) == Refused)
 				check(t, "innocent may retry", true, register.MayRetry(popular))
 				check(t, "query of death", test.bad, register.Check(bad, false))
 			})
--- a/internal/swquery/gather.go
+++ b/internal/swquery/gather.go
@@ -61,7 +61,9 @@
 	MayRetry func() bool
 	// MayRetryCrashed forbids, when false, a retry after a server died with the request in flight; nil allows it.
 	MayRetryCrashed func() bool
-	Budget          Budget
+	// Canary forbids hedges until a shard has answered.
+	Canary bool
+	Budget Budget
 	// HedgeAfter returns the wait before a shard is hedged, or zero for never.
 	HedgeAfter func(shard int, target Target) time.Duration
 }
--- a/internal/swquery/gather_crash_test.go
+++ b/internal/swquery/gather_crash_test.go
@@ -92,6 +92,32 @@
 	}
 }
 
+func TestGatherHedgesACanaryOnlyOnceItAnswered(t *testing.T) {
+	for _, canary := range []bool{false, true} {
+		gather := NewGather(GatherConfig{
+			Shards:     testPlan(2, 2),
+			Idempotent: true,
+			Canary:     canary,
+			Budget:     grantAll{},
+			HedgeAfter: func(int, Target) time.Duration { return time.Millisecond },
+		})
+		now := time.Unix(0, 0)
+		sent := append([]Command(nil), gather.Start(now, 0, 1).Send...)
+		gather.Tick(now.Add(time.Second))
+		before := gather.Hedges
+		gather.Answer(now, sent[0].Attempt, sent[0].Target.Server, answered(1))
+		gather.Start(now, 1, 2)
+		gather.Tick(now.Add(time.Second))
+		want := []int{1, 2}
+		if canary {
+			want = []int{0, 1}
+		}
+		if diff := cmp.Diff(want, []int{before, gather.Hedges}); diff != "" {
+			t.Errorf("canary %t: hedges before and after the first answer (-want +got):\n%s", canary, diff)
+		}
+	}
+}
+
 // TestGatherWithCrashesEnds answers every attempt in random order, with crashes among the answers: the gather must be
 // done when no attempt is left.
 func TestGatherWithCrashesEnds(t *testing.T) {
--- a/internal/swquery/gather_send.go
+++ b/internal/swquery/gather_send.go
@@ -14,7 +14,7 @@
 		return gather.orders
 	}
 	gather.nextTick = time.Time{}
-	if !gather.config.Idempotent || gather.suspect() {
+	if !gather.config.Idempotent || gather.suspect() || (gather.config.Canary && !gather.answered) {
 		return gather.orders
 	}
 	for position := range gather.shards {
--- a/internal/swquery/step_scatter.go
+++ b/internal/swquery/step_scatter.go
@@ -21,6 +21,7 @@
 		Shards:     execution.plan,
 		Epoch:      execution.epoch,
 		Idempotent: execution.query.Idempotent(),
+		Canary:     execution.verdict == swquarantine.Canary,
 		MayRetry:   func() bool { return engine.config.Quarantine.MayRetry(execution.query.Fingerprint) },
 		Budget:     engine.budget,
 		HedgeAfter: engine.hedgeAfter(execution.query.Index),
--- a/lab/internal/swlabkeys/keys_test.go
+++ b/lab/internal/swlabkeys/keys_test.go
@@ -319,20 +319,28 @@
 
 func TestCrashingRequestOnRealProcesses(t *testing.T) {
 	for _, every := range []time.Duration{0, 100 * time.Millisecond} {
-		t.Run(fmt.Sprintf("sent every %v", every), func(t *testing.T) { newTrial(t).crash(every) })
+		t.Run(fmt.Sprintf("sent every %v", every), func(t *testing.T) { newTrial(t).crash("crasher", every) })
 	}
+	t.Run("while a crash is recent", func(t *testing.T) {
+		trial := newTrial(t)
+		trial.crash("crasher", 100*time.Millisecond)
+		trial.crash("second-crasher", 100*time.Millisecond)
+		const shards = 10
+		trial.check("fewer servers than a fan-out", true, trial.crashes("second-crasher") < shards)
+	})
 }
 
-func (trial *trial) crash(every time.Duration) {
+// crash sends a request of that kind that crashes servers through all VMs in turn.
+func (trial *trial) crash(kind string, every time.Duration) {
 	const sends = 50
 	ticker := time.NewTicker(max(every, 1))
 	defer ticker.Stop()
-	request := swclient.SearchRequest{Caller: "treasurer-desk", Kind: "crasher", Index: "desk", Query: "kit crash:lab", Timeout: swclient.Duration(time.Second)}
+	request := swclient.SearchRequest{Caller: "treasurer-desk", Kind: kind, Index: "desk", Query: "kit crash:lab", Timeout: swclient.Duration(time.Second)}
 	refused := 0
 	crashesBefore := make([]int, sends+1)
 	for send := range sends {
 		<-ticker.C
-		crashesBefore[send] = trial.crashes()
+		crashesBefore[send] = trial.crashes(kind)
 		var reply swclient.SearchReply
 		if err := trial.post(send%len(trial.callers), swclient.PathSearch, enough, request, &reply); err != nil {
 			trial.Error(err)
@@ -342,16 +350,16 @@
 			refused++
 		}
 	}
-	crashesBefore[sends] = trial.crashes()
+	crashesBefore[sends] = trial.crashes(kind)
 	trial.Logf("%d of %d sends refused, %d servers crashed; before each send: %v", refused, sends, crashesBefore[sends], crashesBefore)
 	trial.check("crashes during the second half", 0, crashesBefore[sends]-crashesBefore[sends/2])
 	trial.check("refusals at least in the second half", true, refused >= sends/2)
 }
 
-func (trial *trial) crashes() int {
+func (trial *trial) crashes(kind string) int {
 	count := 0
 	for _, record := range trial.fleet.Journal.Records() {
-		if record.Outcome == swlabbackend.Crashed {
+		if record.Kind == kind && record.Outcome == swlabbackend.Crashed {
 			count++
 		}
 	}
