--- a/internal/swquery/owner.go
+++ b/internal/swquery/owner.go
@@ -30,7 +30,7 @@
 	heartbeat time.Duration
 	busy      atomic.Int64
 	served    atomic.Uint64
-	// onAnswered is told the fingerprint of each attempt that a backend server answered; it may be nil.
+	// onAnswered is told the fingerprint of each batch of which a backend server answered an attempt; it may be nil.
 	onAnswered func(fingerprint uint64)
 }
 
@@ -55,6 +55,8 @@
 	// emit takes each answer as it comes; it does not block.
 	emit func(work *batchWork, answer ItemAnswer)
 	left atomic.Int64
+	// noted is set once an answer was told to onAnswered.
+	noted atomic.Bool
 	// cancelAll withdraws every attempt.
 	cancelAll context.CancelFunc
 
@@ -80,6 +82,7 @@
 		item := &batch.Items[i]
 		owner.group.Go(func(context.Context) {
 			answer := owner.execute(contexts[i], batch, item, deadline)
+			owner.noteAnswered(work, &answer)
 			last := work.left.Add(-1) == 0
 			work.emit(work, answer)
 			if last {
@@ -90,6 +93,16 @@
 	return work
 }
 
+// noteAnswered tells once a batch that its request did not crash a backend server.
+func (owner *Owner) noteAnswered(work *batchWork, answer *ItemAnswer) {
+	if owner.onAnswered == nil || answer.Answer.Outcome != swbackend.Answered {
+		return
+	}
+	if work.noted.CompareAndSwap(false, true) {
+		owner.onAnswered(work.batch.Fingerprint)
+	}
+}
+
 func (owner *Owner) execute(ctx context.Context, batch *Batch, item *Item, deadline time.Time) ItemAnswer {
 	answer := owner.backends.Execute(ctx, swbackend.SubRequest{
 		Server:      item.Server,
@@ -108,9 +121,6 @@
 		RunKey:      batch.RunKey,
 		Deadline:    deadline,
 	})
-	if answer.Outcome == swbackend.Answered && owner.onAnswered != nil {
-		owner.onAnswered(batch.Fingerprint)
-	}
 	return ItemAnswer{
 		QueryID:  batch.QueryID,
 		Attempt:  item.Attempt,
