--- a/lab/internal/swlabkeys/keys_test.go
+++ b/lab/internal/swlabkeys/keys_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	// The program under test is built by TestMain; the import makes its changes void cached results of these tests.
+	_ "github.com/sycamorewall/sycamorewall/cmd"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbackend"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabfleet"
