Keep time for the handover itself when a run outlasts the stop

Cause: the wait for runs in flight used up the whole time of the stop, so one slow run lost the keys of all others.

--- a/internal/swkey/failure_test.go
+++ b/internal/swkey/failure_test.go
@@ -256,6 +256,23 @@
 	})
 }
 
+func TestRunThatOutlastsTheStopIsHandedOverAsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b")
+		network.backend.takes = time.Minute
+		key := network.key(network.vms["a"])
+		network.group.Go(func(context.Context) { network.send(network.vms["a"], key, "match", testTimeout) })
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+		defer cancel()
+		check(t, "handover", nil, network.vms["a"].service.Handover(ctx))
+		network.kill("a")
+		unknown := verdict{Code: swcode.OutcomeUnknown, Ran: swcode.RanUnknown}
+		check(t, "repeat", unknown, verdictOf(network.send(network.vms["b"], key, "match", testTimeout)))
+		check(t, "runs", 1, network.backend.count("match"))
+	})
+}
+
 func TestLostMessagesOfHandoverLeaveAtMostOneAuthority(t *testing.T) {
 	for lost := 1; lost <= handoverMessages; lost++ {
 		for _, answer := range []bool{false, true} {
--- a/internal/swkey/handover.go
+++ b/internal/swkey/handover.go
@@ -184,8 +184,14 @@
 	})
 }
 
-// drain waits until no run is in flight or the context ends.
+// drain waits until no run is in flight, or the context's time is used up but for what the handover itself takes.
 func (authority *authority) drain(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		reserve := min(time.Until(deadline)/2, 2*callTimeout)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-reserve))
+		defer cancel()
+	}
 	for authority.running.Load() > 0 {
 		if !pause(ctx, drainPoll) {
 			return
