Lower levels on lasting or severe overload only

Cause: with about eight starts an interval, one lost sub-request or one burst of waits cut a level, and the lowest threshold of 30 queues rules.

--- a/internal/swadmission/shedder.go
+++ b/internal/swadmission/shedder.go
@@ -17,16 +17,20 @@
 	leastFraction = 0.004
 	// lossTolerated is the share of arrivals that may be lost before the level is lowered.
 	lossTolerated = 0.02
+	// lossSevere is the share of arrivals whose loss lowers the level at once.
+	lossSevere = 0.2
+	// waitSevere is the multiple of the target that lowers the level at once when the mean queue wait exceeds it.
+	waitSevere = 2
 	// cutTo is the part of the load served to which an overload lowers the level.
 	cutTo = 0.95
 	// steepestCut is the largest reduction of a level in one adjustment after the first.
 	steepestCut = 0.7
 	// growthBase is the growth of the level in an adjustment soon after a cut.
-	growthBase = 0.03
+	growthBase = 0.02
 	// growthSlope is the additional growth for each second since the last cut.
-	growthSlope = 0.10
+	growthSlope = 0.06
 	// growthMost bounds the growth of a level in one adjustment.
-	growthMost = 0.15
+	growthMost = 0.10
 	// bindingPart is the part of a fraction that must be in use for the level to count as binding.
 	bindingPart = 0.8
 	// unboundAfter is the time after which a level that does not bind is dropped.
@@ -41,6 +45,8 @@
 	demandGain = 0.2
 	// demandJump is the factor above which the latest interval replaces a caller's load.
 	demandJump = 2
+	// overloadGain is the weight of the latest interval in the loss and the queue wait.
+	overloadGain = 0.3
 	// servedGain is the weight of the latest interval in the load served.
 	servedGain = 0.3
 )
@@ -59,8 +65,11 @@
 	starts   int
 	lost     int
 	waited   time.Duration
-	sinceCut time.Duration
-	unbound  time.Duration
+	// lossShare and meanWait are the smoothed share of arrivals that were lost, and queue wait.
+	lossShare float64
+	meanWait  time.Duration
+	sinceCut  time.Duration
+	unbound   time.Duration
 }
 
 // callerDemand is the load of one caller.
@@ -158,14 +167,26 @@
 	return demand.rate / demand.arriving()
 }
 
+// overloaded reports whether the load is far too high in this interval, or too high both in this interval and in the
+// smoothed past, so that neither a short burst nor an overload that is over lowers the level.
 func (shedder *shedder) overloaded() bool {
 	if shedder.arrivals < shedSamples {
 		return false
 	}
-	if float64(shedder.lost) > lossTolerated*float64(shedder.arrivals) {
+	loss := float64(shedder.lost) / float64(shedder.arrivals)
+	shedder.lossShare += overloadGain * (loss - shedder.lossShare)
+	wait := shedder.target / 2
+	if shedder.starts > 0 {
+		wait = shedder.waited / time.Duration(shedder.starts)
+	}
+	shedder.meanWait += time.Duration(overloadGain * float64(wait-shedder.meanWait))
+	if loss > lossSevere || wait > waitSevere*shedder.target {
+		return true
+	}
+	if loss > lossTolerated && shedder.lossShare > lossTolerated {
 		return true
 	}
-	return shedder.starts > 0 && shedder.waited/time.Duration(shedder.starts) > shedder.target
+	return wait > shedder.target && shedder.meanWait > shedder.target
 }
 
 // cut lowers the level to what was served.
