--- a/internal/swadmission/flood_test.go
+++ b/internal/swadmission/flood_test.go
@@ -91,18 +91,6 @@
 	present int
 }
 
-type modelServer struct {
-	name  string
-	queue *Queue
-	// direct holds a queue for each VM when every VM dispatches itself.
-	direct  []*Queue
-	slow    time.Duration
-	mutex   sync.Mutex
-	owner   int
-	running int
-	lostAt  time.Duration
-}
-
 func newModel(scenario scenario) *model {
 	model := &model{
 		scenario: scenario, start: time.Now(), byName: make(map[string]*modelServer),
@@ -151,16 +139,6 @@
 	return report
 }
 
-// queueAndOwner returns the queue that work from the root goes through, and the VM that keeps it.
-func (server *modelServer) queueAndOwner(root int) (*Queue, int) {
-	if server.direct != nil {
-		return server.direct[root], root
-	}
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	return server.queue, server.owner
-}
-
 func (model *model) run() map[string]*tally {
 	group := swgroup.New(context.Background())
 	for i, load := range model.scenario.loads {
@@ -400,22 +378,6 @@
 	server string
 }
 
-func (server *modelServer) begin(slots int) bool {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	if slots > 0 && server.running >= slots {
-		return false
-	}
-	server.running++
-	return true
-}
-
-func (server *modelServer) end() {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	server.running--
-}
-
 // pause sleeps and reports whether ctx lasted that long.
 func pause(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
