Judge silence by the kind of work and the highest recent latency

Cause: one latency a server and a quickly forgotten deviation made slow requests among quick ones pass for silent connections, and each was sent twice. TestSlowRequestsAmongQuickOnesAreNotSentTwice fails without it.

--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -127,7 +127,7 @@
 	}
 	patience := time.Duration(0)
 	if subRequest.Idempotent() {
-		patience = server.patience(subRequest.Deadline)
+		patience = server.patience(subRequest)
 	}
 	answer, silent := server.exchange(ctx, connection, subRequest, patience)
 	refused := answer.Outcome == Broken && !answer.Crash && !connection.proven.Load()
@@ -205,7 +205,7 @@
 		server.event(Silent)
 		connection.close()
 		server.finished(connection)
-		server.latencyOf(service)
+		server.observeLatency(subRequest.Kind, service)
 		server.distrust(start)
 		answer, silent = server.broken(connection, subRequest, true, errors.New("connection is silent")), true
 	}
@@ -275,7 +275,7 @@
 		return answer
 	}
 	if answer.Outcome == Answered {
-		server.latencyOf(service)
+		server.observeLatency(subRequest.Kind, service)
 	}
 	if response.close {
 		connection.close()
--- a/internal/swbackend/server.go
+++ b/internal/swbackend/server.go
@@ -44,7 +44,7 @@
 	// accepted bounds the connections until acceptedUntil, after the server refused one.
 	accepted      int
 	acceptedUntil time.Time
-	latency       latency
+	latencies     map[string]*latency
 	outage        outage
 	crash         crashEvidence
 }
@@ -56,6 +56,7 @@
 		description: description,
 		share:       pool.share,
 		connections: make(map[*connection]struct{}),
+		latencies:   make(map[string]*latency),
 	}
 	queueConfig := swadmission.QueueConfig{Slots: server.usableSlots(), Settings: pool.config.Admission}
 	if pool.config.Observer != nil {
--- a/internal/swbackend/silence_test.go
+++ b/internal/swbackend/silence_test.go
@@ -286,3 +286,38 @@
 		}
 	})
 }
+
+func TestSlowRequestsAmongQuickOnesAreNotSentTwice(t *testing.T) {
+	tests := map[string]func(i int) string{
+		"of their own kind":  func(i int) string { return []string{"balance-check", "audit-export"}[i%20/19] },
+		"of the quick kind":  func(int) string { return "balance-check" },
+		"each of a new kind": func(i int) string { return formatID(uint64(i)) },
+	}
+	for name, kind := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := newFakeServer(t)
+				fake.answer = func(_ int, _ string, request searchRequest) *fakeAnswer {
+					wait := 4 * time.Millisecond
+					if request.Query == "slow" {
+						wait = 60 * time.Millisecond
+					}
+					return answerAfter(wait)(0, "", request)
+				}
+				pool := newFakePool(t, fake, Config{})
+				const requests = 600
+				for i := range requests {
+					subRequest := newSubRequest(200 * time.Millisecond)
+					subRequest.QueryID, subRequest.Kind = uint64(i), kind(i)
+					if i%20 == 19 {
+						subRequest.Query = "slow"
+					}
+					pool.Execute(t.Context(), subRequest)
+				}
+				if sent := fake.count("/search"); sent > requests*101/100 {
+					t.Errorf("%d requests were sent %d times", requests, sent)
+				}
+			})
+		})
+	}
+}
