Admit a little more at the roots than the lowest threshold

Cause: the lowest of the shards' thresholds left a fifth of the capacity unused, though every queue sheds the same cohorts first by itself. Roots now admit up to 1.15 times the reported fractions. Conclusion: 1.15 kept.

--- a/internal/swadmission/gate.go
+++ b/internal/swadmission/gate.go
@@ -15,6 +15,9 @@
 	reportStale = time.Second
 	// reportRecovery is the further age after which a report no longer sheds anything.
 	reportRecovery = 5 * time.Second
+	// rootHeadroom is the multiple of the reported fractions up to which a root admits. Queues shed in the order of cohorts
+	// themselves, so what they could have taken is not lost to the lowest of many thresholds.
+	rootHeadroom = 1.15
 	// retryBase is the shortest mean RetryAfter of a shed query.
 	retryBase = 250 * time.Millisecond
 	// retryMost is the longest mean RetryAfter of a shed query.
@@ -138,7 +141,7 @@
 	if admitted == AllCohorts {
 		return allAdmitted
 	}
-	fraction := max(leastFraction, float64(admitted)/AllCohorts)
+	fraction := max(leastFraction, rootHeadroom*float64(admitted)/AllCohorts)
 	stale := now.Sub(entry.heard) - reportStale
 	if stale <= 0 {
 		return fraction
