Push to a watcher only what began at this VM

TestMeasureControl at 300 VMs with changes: busiest VM 2,094 B/s before, 1,896 after. TestMeasureInForce at 300 VMs by watch: p99 767 ms and max 1.298 s before, 171 ms and 829 ms after, as the pushes that went to watchers in vain go to neighbours.

--- a/internal/swmember/spread.go
+++ b/internal/swmember/spread.go
@@ -52,7 +52,8 @@
 		if len(fresh) == 0 {
 			return
 		}
-		for _, target := range directory.pushTargets() {
+		own := slices.ContainsFunc(fresh, func(entry *entry) bool { return entry.source == "" })
+		for _, target := range directory.pushTargets(own) {
 			records := outgoing(fresh, target.Name)
 			if len(records) > 0 {
 				group.Go(func(ctx context.Context) { directory.send(ctx, target, records) })
@@ -83,15 +84,15 @@
 	}
 }
 
-// pushTargets draws three neighbours, and for a watcher a watcher in each of three other data centres. Other VMs count a
-// watcher of their own data centre among the three, so that what they know leaves the data centre at once.
-func (directory *Directory) pushTargets() []Member {
+// pushTargets draws three neighbours, and for a watcher a watcher in each of three other data centres. With records of its
+// own, another VM counts a watcher of its data centre among the three, so that they leave the data centre at once.
+func (directory *Directory) pushTargets(own bool) []Member {
 	view := directory.View()
 	rank, watching := view.WatcherRank()
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	var targets []Member
-	if !watching {
+	if own && !watching {
 		if watchers := view.Watchers(view.Self.DataCentre); len(watchers) > 0 {
 			targets = append(targets, watchers[directory.random.IntN(len(watchers))])
 		}
