--- a/internal/swapp/app.go
+++ b/internal/swapp/app.go
@@ -7,6 +7,7 @@
 	"net/netip"
 
 	"github.com/pkg/errors"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -39,13 +40,12 @@
 			newBoard, newDirectory, newStore, newPlatform, newWatcher,
 			newRuleBook, newPool, newGate, newLimiter, newQuarantine,
 			newEngine, newKeyService, newRunService, newLifeState, newServer,
-			newParts,
 		),
 		fx.Invoke(bindHandlers, bindDocuments, bindRecords, bindReplacedPeers, bindLifecycle),
-		fx.Populate(&app.parts),
+		fx.Invoke(func(parts parts) { app.parts = &parts }),
 	)
 	if err := app.fx.Err(); err != nil {
-		return nil, errors.Wrap(err, "build the VM's parts")
+		return nil, errors.Wrap(dig.RootCause(err), "build the VM's parts")
 	}
 	return app, nil
 }
--- a/internal/swapp/life.go
+++ b/internal/swapp/life.go
@@ -5,7 +5,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
 	"github.com/sycamorewall/sycamorewall/internal/swindex"
+	"github.com/sycamorewall/sycamorewall/internal/swkey"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
 	"github.com/sycamorewall/sycamorewall/internal/swrollout"
@@ -21,9 +23,13 @@
 	directory  *swmember.Directory
 	store      *swrollout.Store
 	quarantine *swquarantine.Register
+	pool       *swbackend.Pool
+	keys       *swkey.Service
 }
 
-func newLifeState(config Config, rules *ruleBook, registry *swindex.Registry, directory *swmember.Directory, store *swrollout.Store, quarantine *swquarantine.Register) *lifeState {
+func newLifeState(config Config, rules *ruleBook, registry *swindex.Registry, directory *swmember.Directory, store *swrollout.Store,
+	quarantine *swquarantine.Register, pool *swbackend.Pool, keys *swkey.Service,
+) *lifeState {
 	return &lifeState{
 		config:     config,
 		started:    time.Now(),
@@ -32,6 +38,8 @@
 		directory:  directory,
 		store:      store,
 		quarantine: quarantine,
+		pool:       pool,
+		keys:       keys,
 	}
 }
 
@@ -82,8 +90,12 @@
 	Contacts map[string]time.Time
 	// Draining names backend servers that take no new work.
 	Draining []string
+	// Servers describes the backend servers that this VM sends to.
+	Servers []swbackend.ServerStatus
 	// Quarantine lists suspect and refused fingerprints.
 	Quarantine []swquarantine.Suspect
+	// Keys describes the keys of non-idempotent work that this VM answers for.
+	Keys swkey.Status
 }
 
 // MemberStatus is one VM as this VM sees it.
@@ -112,7 +124,9 @@
 		Documents:   lifeState.store.Status(),
 		Contacts:    lifeState.directory.Contacts(),
 		Draining:    lifeState.registry.DrainingServers(),
+		Servers:     lifeState.pool.Status(),
 		Quarantine:  lifeState.quarantine.Suspects(),
+		Keys:        lifeState.keys.Status(),
 	}
 	if err := lifeState.Ready(); err != nil {
 		status.Ready, status.Reason = false, err.Error()
--- a/internal/swkey/fake_test.go
+++ b/internal/swkey/fake_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -37,6 +35,7 @@
 	backend fakeBackend
 	claims  fakeClaims
 	board   fakeBoard
+	limits  Limits
 }
 
 type fakeVM struct {
@@ -68,6 +67,7 @@
 		backend: fakeBackend{runs: make(map[string]int), began: make(map[string]time.Time)},
 		claims:  fakeClaims{values: make(map[string][]byte)},
 		board:   fakeBoard{records: make(map[string]swmember.Record)},
+		limits:  Limits{MaxOutcome: 256, MaxBytes: 64 << 10},
 	}
 	for _, name := range names {
 		network.start(name)
@@ -99,7 +99,7 @@
 		Board:     &network.board,
 		Claims:    &network.claims,
 		Group:     vm.group,
-		Limits:    Limits{MaxOutcome: 256, MaxBytes: 64 << 10},
+		Limits:    network.limits,
 	})
 	if err != nil {
 		network.test.Fatal(err)
@@ -324,110 +324,3 @@
 	}
 	return swpeer.Marshal(answer)
 }
-
-type fakeDirectory struct {
-	network *fakeNetwork
-	self    string
-}
-
-func (directory *fakeDirectory) Peer(name string) (netip.AddrPort, bool) {
-	directory.network.mutex.Lock()
-	defer directory.network.mutex.Unlock()
-	vm, ok := directory.network.vms[name]
-	if !ok {
-		return netip.AddrPort{}, false
-	}
-	return vm.address, true
-}
-
-func (directory *fakeDirectory) Successors(name string) []Peer {
-	directory.network.mutex.Lock()
-	defer directory.network.mutex.Unlock()
-	var peers []Peer
-	for _, vm := range directory.network.vms {
-		if vm.name != name {
-			peers = append(peers, Peer{Name: vm.name, Address: vm.address})
-		}
-	}
-	slices.SortFunc(peers, func(a, b Peer) int { return int(a.Address.Addr().As4()[3]) - int(b.Address.Addr().As4()[3]) })
-	return peers
-}
-
-type fakeBoard struct {
-	mutex   sync.Mutex
-	records map[string]swmember.Record
-}
-
-func (board *fakeBoard) Put(record swmember.Record) bool {
-	board.mutex.Lock()
-	defer board.mutex.Unlock()
-	board.records[record.Topic+"\x00"+record.Key] = record
-	return true
-}
-
-func (board *fakeBoard) Get(topic, key string) (swmember.Record, bool) {
-	board.mutex.Lock()
-	defer board.mutex.Unlock()
-	record, ok := board.records[topic+"\x00"+key]
-	return record, ok
-}
-
-// fakeClaims stands for the platform.
-type fakeClaims struct {
-	mutex  sync.Mutex
-	values map[string][]byte
-	down   bool
-	// loseAnswers is the number of creates whose answer is lost after the effect.
-	loseAnswers int
-	listed      []string
-}
-
-func (claims *fakeClaims) Create(_ context.Context, name string, value []byte) error {
-	claims.mutex.Lock()
-	defer claims.mutex.Unlock()
-	if claims.down {
-		return errors.New("platform is down")
-	}
-	if _, ok := claims.values[name]; ok {
-		return ErrClaimExists
-	}
-	claims.values[name] = value
-	if claims.loseAnswers > 0 {
-		claims.loseAnswers--
-		return errLost
-	}
-	return nil
-}
-
-func (claims *fakeClaims) Get(_ context.Context, name string) ([]byte, error) {
-	claims.mutex.Lock()
-	defer claims.mutex.Unlock()
-	if claims.down {
-		return nil, errors.New("platform is down")
-	}
-	value, ok := claims.values[name]
-	if !ok {
-		return nil, ErrNoClaim
-	}
-	return value, nil
-}
-
-func (claims *fakeClaims) Delete(_ context.Context, name string) error {
-	claims.mutex.Lock()
-	defer claims.mutex.Unlock()
-	delete(claims.values, name)
-	return nil
-}
-
-func (claims *fakeClaims) List(_ context.Context, prefix string) ([]string, error) {
-	claims.mutex.Lock()
-	defer claims.mutex.Unlock()
-	var names []string
-	for name := range claims.values {
-		if len(name) >= len(prefix) && name[:len(prefix)] == prefix {
-			names = append(names, name)
-		}
-	}
-	claims.listed = append(claims.listed, prefix+fmt.Sprint(len(names)))
-	return names, nil
-}
--- a/internal/swkey/service.go
+++ b/internal/swkey/service.go
@@ -97,7 +97,8 @@
 	Caller string
 	// Fingerprint identifies the body; another body under the same key is refused.
 	Fingerprint uint64
-	// StartBefore is the issuer's clock time from which the run must not begin; zero leaves the context's deadline.
+	// StartBefore is the issuer's clock time from which the run must not begin; zero leaves the context's deadline. Where
+	// EndBefore is zero it also ends the run.
 	StartBefore time.Duration
 	// EndBefore is the issuer's clock time at which a run that was passed on is given up; zero leaves the context's deadline.
 	EndBefore time.Duration
@@ -118,6 +119,8 @@
 	bytes       atomic.Int64
 	located     *swtable.Table[Issuer, location]
 	pending     *swtable.Table[Issuer, *pendingHandover]
+	// maintained is the Unix time in seconds of the last maintenance.
+	maintained atomic.Int64
 
 	executorMutex sync.RWMutex
 	executor      Executor
@@ -238,6 +241,7 @@
 	if err != nil {
 		return outcomeOfError(err)
 	}
+	service.maintain()
 	authority, held := service.authorities.Get(token.Issuer)
 	if !held {
 		return service.forward(ctx, token.Issuer, request)
@@ -268,6 +272,11 @@
 	if !begun.first {
 		return begun.entry.wait(ctx), false
 	}
+	if request.StartBefore > 0 && request.EndBefore == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, request.StartBefore-authority.clock.now())
+		defer cancel()
+	}
 	return service.execute(ctx, authority, token, begun.entry, execute), false
 }
 
@@ -313,6 +322,9 @@
 
 // wait returns the recorded outcome once it is known, or RunInProgress when the context ends first.
 func (entry *entry) wait(ctx context.Context) Outcome {
+	if entry.finished() {
+		return entry.outcome
+	}
 	select {
 	case <-entry.done:
 		return entry.outcome
