Bound the probes that one reading of the VM list causes

Members that the list lacks were probed one after another, up to 0.9 s each, which held up the next reading, and with it the signs of leaving servers. Now 16 at most are probed at once.

--- a/internal/swmember/directory_test.go
+++ b/internal/swmember/directory_test.go
@@ -327,3 +327,27 @@
 		}
 	})
 }
+
+func TestEmptyPlatformListCostsFewProbesAndNoMember(t *testing.T) {
+	inBubble(t, func(t *testing.T, network *network) {
+		nodes := network.fleet(1, 40)
+		sent := 0
+		network.mutex.Lock()
+		network.onSend = func(from *node) {
+			if from == nodes[0] {
+				sent++
+			}
+		}
+		network.mutex.Unlock()
+		nodes[0].directory.MergeVMs(t.Context(), "dc-0", nil)
+		network.mutex.Lock()
+		defer network.mutex.Unlock()
+		// The regular probe may fall into the time of the merge.
+		if sent > verifyLimit+1 {
+			t.Errorf("%d calls for an empty list, want at most %d", sent, verifyLimit+1)
+		}
+		if got := len(alive(nodes[0])); got != len(nodes) {
+			t.Errorf("%d members alive after an empty list, want %d", got, len(nodes))
+		}
+	})
+}
--- a/internal/swmember/join.go
+++ b/internal/swmember/join.go
@@ -4,12 +4,16 @@
 	"context"
 	"net/netip"
 	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 )
 
 const (
 	// joinFirst and joinMax bound the time between two rounds of asking the seeds.
 	joinFirst = 200 * time.Millisecond
 	joinMax   = 15 * time.Second
+	// verifyLimit bounds the members that are probed because one reading of the platform's list lacks them.
+	verifyLimit = 16
 )
 
 // VM is an entry VM as the platform lists it.
@@ -42,12 +46,15 @@
 		}))
 	}
 	directory.receive("", records)
+	group := swgroup.New(ctx)
 	for _, member := range directory.unlisted(dataCentre, listed) {
-		directory.verify(ctx, member)
+		group.Go(func(ctx context.Context) { directory.verify(ctx, member) })
 	}
+	group.Wait()
 }
 
-// unlisted returns the members of a data centre, or of all, that the list lacks or calls leaving.
+// unlisted draws members of a data centre, or of all, that the list lacks or calls leaving. They are few, so that a list
+// that is wrongly empty does not make this VM probe all members.
 func (directory *Directory) unlisted(dataCentre string, listed map[string]bool) []Member {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
@@ -61,7 +68,8 @@
 		}
 		members = append(members, member)
 	}
-	return members
+	directory.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:min(len(members), verifyLimit)]
 }
 
 // verify probes a member that the list does not have, and declares it dead when neither this VM nor others reach it.
