Keep work local, find stragglers by late attempts in a row, hedge at the 98th percentile

Cause: replicas that were not observed lately were expected to answer in a fixed 4, 8 or 40 ms, so roots left their own data centre for servers that they knew nothing of, and met in queues; one slow shard raised the percentile of its index and put its own hedges off; a hedge that the budget denied was never asked for again; a lagging server was avoided for all its work. Change: what is not observed is expected to take the index's average plus the distance; another data centre is chosen only when the own is half as slow again; four late attempts in a row make a straggler until an answer comes in time; the cap on a hedge's wait comes from the index's median; a denied hedge asks again; the default percentile is 98.

--- a/internal/swquery/fault_test.go
+++ b/internal/swquery/fault_test.go
@@ -89,8 +89,8 @@
 		world.drop("s2", 3, "a")
 		first := world.run(t.Context(), Query{MinCoverage: 1})
 		second := world.run(t.Context(), Query{MinCoverage: 1, ID: 78})
-		expected := world.engines["a"].latencies.Expect(time.Now(), "a3", localPrior)
-		if diff := cmp.Diff([]any{1, 0, localPrior}, []any{first.Retries, second.Retries, expected}); diff != "" {
+		expected := world.engines["a"].latencies.Expect(time.Now(), "a3", time.Millisecond)
+		if diff := cmp.Diff([]any{1, 0, time.Millisecond}, []any{first.Retries, second.Retries, expected}); diff != "" {
 			t.Errorf("retries of two queries, expected time of other work at the server (-want +got):\n%s", diff)
 		}
 	})
--- a/internal/swquery/gather.go
+++ b/internal/swquery/gather.go
@@ -64,6 +64,8 @@
 	Budget          Budget
 	// HedgeAfter returns the wait before a shard is hedged, or zero for never.
 	HedgeAfter func(shard int, target Target) time.Duration
+	// OnLate is told once of each attempt that is due for a hedge, whether it is granted or not; it may be nil.
+	OnLate func(server string, age time.Duration)
 }
 
 // Gather decides which attempts to send for each shard and which answer counts. It does no I/O and takes the time as
@@ -123,6 +125,8 @@
 	// lost marks an attempt that ended with the loss of its owner; its answer still counts when it comes after all.
 	lost  bool
 	hedge bool
+	// late marks an attempt that OnLate was told of.
+	late bool
 	// useless marks a server that cannot answer whoever asks it.
 	useless bool
 }
--- a/internal/swquery/gather_send.go
+++ b/internal/swquery/gather_send.go
@@ -26,15 +26,48 @@
 			gather.noteTick(shard.hedgeAt)
 			continue
 		}
-		shard.hedgeAt = time.Time{}
-		if !shard.hasTarget() {
+		gather.hedge(now, position)
+	}
+	return gather.orders
+}
+
+// hedge sends one more attempt for a shard that is late. Without budget it asks again later, since a shard that stays late
+// needs the hedge more than one that is only just late.
+func (gather *Gather) hedge(now time.Time, position int) {
+	shard := &gather.shards[position]
+	shard.hedgeAt = time.Time{}
+	gather.noteLate(now, shard)
+	if !shard.hasTarget() {
+		return
+	}
+	if gather.config.Budget.Take() && gather.send(now, position, true) {
+		gather.Hedges++
+		return
+	}
+	gather.scheduleHedge(now, shard, shard.plan.Targets[shard.nextTarget])
+}
+
+// noteLate tells of the attempts of a shard that are late.
+func (gather *Gather) noteLate(now time.Time, shard *gatherShard) {
+	for i := range shard.attempts {
+		attempt := &shard.attempts[i]
+		if attempt.ended || attempt.late || gather.config.OnLate == nil {
 			continue
 		}
-		if gather.config.Budget.Take() && gather.send(now, position, true) {
-			gather.Hedges++
-		}
+		attempt.late = true
+		gather.config.OnLate(attempt.target.Server, now.Sub(attempt.sentAt))
+	}
+}
+
+// scheduleHedge sets the time of the next hedge of a shard.
+func (gather *Gather) scheduleHedge(now time.Time, shard *gatherShard, target Target) {
+	if gather.config.HedgeAfter == nil {
+		return
+	}
+	if wait := gather.config.HedgeAfter(shard.plan.Number, target); wait > 0 {
+		shard.hedgeAt = now.Add(wait)
+		gather.noteTick(shard.hedgeAt)
 	}
-	return gather.orders
 }
 
 // Overtake sends one more attempt for each shard that waits only for attempts that match, such as those of an owner that
@@ -94,12 +127,7 @@
 	shard.running++
 	gather.Attempts++
 	shard.hedgeAt = time.Time{}
-	if gather.config.HedgeAfter != nil {
-		if wait := gather.config.HedgeAfter(shard.plan.Number, target); wait > 0 {
-			shard.hedgeAt = now.Add(wait)
-			gather.noteTick(shard.hedgeAt)
-		}
-	}
+	gather.scheduleHedge(now, shard, target)
 	gather.orders.Send = append(gather.orders.Send, Command{
 		Attempt: gather.attemptID(position, len(shard.attempts)-1),
 		Shard:   shard.plan.Number,
--- a/internal/swquery/latency.go
+++ b/internal/swquery/latency.go
@@ -13,10 +13,24 @@
 	latencyWeight = 0.2
 	// latencyMemory is the time after which a server's average has gone half the way back to its prior.
 	latencyMemory = 5 * time.Second
+	// median is the percentile taken over a whole index.
+	median = 0.5
+	// medianFactor is the multiple of the median after which any attempt is late.
+	medianFactor = 3
+	// typicalWeight is the weight of a new observation in the moving average over an index.
+	typicalWeight = 0.02
+	// typicalStart is the average over an index before the first observation.
+	typicalStart = 5 * time.Millisecond
+	// slowInRow is the number of attempts without an answer in time, one after another, that make a server a straggler.
+	slowInRow = 4
+	// stragglerFactor is what a straggler counts as, in multiples of the time of its last attempt.
+	stragglerFactor = 8
 	// failurePenalty is what a failed attempt counts as, in place of its latency.
 	failurePenalty = 250 * time.Millisecond
 	// quantileStep is the step of the percentile estimate, as a part of its value.
 	quantileStep = 0.05
+	// wholeStep is the same for the estimate over a whole index, which many more observations feed.
+	wholeStep = 0.01
 	// quantileStart is the estimate before the first observation.
 	quantileStart = 50 * time.Millisecond
 	// quantileFloor is the lowest estimate.
@@ -28,6 +42,8 @@
 	mutex   sync.Mutex
 	average time.Duration
 	seen    time.Time
+	// slow counts attempts without an answer in time since the last answer.
+	slow int
 }
 
 // Latencies keeps what this VM observes of answers: an average a server, which orders replicas, and a high percentile a
@@ -36,6 +52,7 @@
 	percentile float64
 	servers    *swtable.Table[string, *serverLatency]
 	shards     *swtable.Table[shardKey, *quantile]
+	typical    *swtable.Table[string, *typicalLatency]
 }
 
 type shardKey struct {
@@ -43,7 +60,7 @@
 	shard int
 }
 
-// wholeIndex is the shard number under which the percentile over all shards of an index stands.
+// wholeIndex is the shard number under which the median over all shards of an index stands.
 const wholeIndex = -1
 
 // NewLatencies returns an empty record. The percentile is between 0 and 100.
@@ -52,26 +69,43 @@
 		percentile: percentile / 100,
 		servers:    swtable.New[string, *serverLatency](),
 		shards:     swtable.New[shardKey, *quantile](),
+		typical:    swtable.New[string, *typicalLatency](),
 	}
 }
 
 // Observe takes the age of an answered attempt.
 func (latencies *Latencies) Observe(now time.Time, index string, shard int, server string, age time.Duration) {
-	latencies.server(server).observe(now, age)
+	latencies.server(server).observe(now, age, age > latencies.HedgeAfter(index, shard))
 	latencies.shard(index, shard).observe(age, latencies.percentile)
-	latencies.shard(index, wholeIndex).observe(age, latencies.percentile)
+	latencies.shard(index, wholeIndex).observe(age, median)
+	latencies.typicalOf(index).observe(age)
 }
 
 // ObserveFailure makes a server less attractive for a while.
 func (latencies *Latencies) ObserveFailure(now time.Time, server string) {
-	latencies.server(server).observe(now, failurePenalty)
+	latencies.server(server).observeFailure(now)
 }
 
-// ObserveSlow takes the age of an attempt that has no answer yet, when that age is already above the average.
-func (latencies *Latencies) ObserveSlow(now time.Time, server string, age time.Duration) {
+// ObserveLate takes the age of an attempt that is late and goes on.
+func (latencies *Latencies) ObserveLate(now time.Time, server string, age time.Duration) {
 	latencies.server(server).observeSlow(now, age)
 }
 
+// ObserveWithdrawn takes the age of an attempt that was withdrawn without an answer.
+func (latencies *Latencies) ObserveWithdrawn(index string, shard int, age time.Duration) {
+	latencies.shard(index, shard).observeAbove(age, latencies.percentile)
+	latencies.shard(index, wholeIndex).observeAbove(age, median)
+}
+
+// Typical returns the average time of an answer over all servers of an index.
+func (latencies *Latencies) Typical(index string) time.Duration {
+	return latencies.typicalOf(index).value()
+}
+
+func (latencies *Latencies) typicalOf(index string) *typicalLatency {
+	return latencies.typical.GetOrPut(index, func() *typicalLatency { return &typicalLatency{average: typicalStart} })
+}
+
 // Expect estimates what an answer of the server would take now. prior is the estimate for a server not observed lately.
 func (latencies *Latencies) Expect(now time.Time, server string, prior time.Duration) time.Duration {
 	known, ok := latencies.servers.Get(server)
@@ -81,11 +115,12 @@
 	return known.expect(now, prior)
 }
 
-// HedgeAfter returns the wait after which an attempt for the shard is unusually late: the shard's own percentile, or
-// twice the whole index's where that is lower, since a shard whose every replica answers late gains from an early hedge.
+// HedgeAfter returns the wait after which an attempt for the shard is unusually late: the shard's own percentile, or a
+// multiple of the whole index's median where that is lower, since a shard whose every replica answers late gains from an
+// early hedge. One bad shard hardly moves the median.
 func (latencies *Latencies) HedgeAfter(index string, shard int) time.Duration {
 	own := latencies.shard(index, shard).value()
-	whole := 2 * latencies.shard(index, wholeIndex).value()
+	whole := medianFactor * latencies.shard(index, wholeIndex).value()
 	return max(min(own, whole), quantileFloor)
 }
 
@@ -95,31 +130,74 @@
 
 func (latencies *Latencies) shard(index string, shard int) *quantile {
 	return latencies.shards.GetOrPut(shardKey{index: index, shard: shard}, func() *quantile {
-		return &quantile{estimate: float64(quantileStart)}
+		step := quantileStep
+		if shard == wholeIndex {
+			step = wholeStep
+		}
+		return &quantile{estimate: float64(quantileStart), step: step}
 	})
 }
 
-func (serverLatency *serverLatency) observe(now time.Time, age time.Duration) {
+// observe takes the age of an answer. A late answer does not clear a straggler.
+func (serverLatency *serverLatency) observe(now time.Time, age time.Duration, late bool) {
 	serverLatency.mutex.Lock()
 	defer serverLatency.mutex.Unlock()
-	if serverLatency.seen.IsZero() {
+	if serverLatency.seen.IsZero() || serverLatency.slow >= slowInRow {
 		serverLatency.average = age
 	} else {
 		serverLatency.average += time.Duration(latencyWeight * float64(age-serverLatency.average))
 	}
 	serverLatency.seen = now
+	if !late {
+		serverLatency.slow = 0
+	}
 }
 
+func (serverLatency *serverLatency) observeFailure(now time.Time) {
+	serverLatency.mutex.Lock()
+	defer serverLatency.mutex.Unlock()
+	serverLatency.raise(now, failurePenalty)
+}
+
+// observeSlow takes the age of an attempt that might have taken longer still. One such age means little, as every server
+// has a tail; several in a row mark a straggler.
 func (serverLatency *serverLatency) observeSlow(now time.Time, age time.Duration) {
 	serverLatency.mutex.Lock()
 	defer serverLatency.mutex.Unlock()
 	if age <= serverLatency.average {
 		return
 	}
-	serverLatency.average += time.Duration(latencyWeight * float64(age-serverLatency.average))
+	serverLatency.raise(now, age)
+}
+
+func (serverLatency *serverLatency) raise(now time.Time, age time.Duration) {
+	serverLatency.slow++
+	if serverLatency.slow >= slowInRow {
+		serverLatency.average = max(serverLatency.average, stragglerFactor*age)
+	} else {
+		serverLatency.average += time.Duration(latencyWeight * float64(age-serverLatency.average))
+	}
 	serverLatency.seen = now
 }
 
+// typicalLatency is a moving average.
+type typicalLatency struct {
+	mutex   sync.Mutex
+	average time.Duration
+}
+
+func (typicalLatency *typicalLatency) observe(age time.Duration) {
+	typicalLatency.mutex.Lock()
+	defer typicalLatency.mutex.Unlock()
+	typicalLatency.average += time.Duration(typicalWeight * float64(age-typicalLatency.average))
+}
+
+func (typicalLatency *typicalLatency) value() time.Duration {
+	typicalLatency.mutex.Lock()
+	defer typicalLatency.mutex.Unlock()
+	return typicalLatency.average
+}
+
 func (serverLatency *serverLatency) expect(now time.Time, prior time.Duration) time.Duration {
 	serverLatency.mutex.Lock()
 	defer serverLatency.mutex.Unlock()
@@ -132,12 +210,14 @@
 type quantile struct {
 	mutex    sync.Mutex
 	estimate float64
+	// step is the greatest change of the estimate by one observation, as a part of it.
+	step float64
 }
 
 func (quantile *quantile) observe(age time.Duration, percentile float64) {
 	quantile.mutex.Lock()
 	defer quantile.mutex.Unlock()
-	step := quantileStep * quantile.estimate
+	step := quantile.step * quantile.estimate
 	if float64(age) > quantile.estimate {
 		quantile.estimate += step * percentile
 	} else {
@@ -146,6 +226,13 @@
 	quantile.estimate = max(quantile.estimate, float64(quantileFloor)/2)
 }
 
+// observeAbove takes an age that would have grown further; below the estimate it tells nothing.
+func (quantile *quantile) observeAbove(age time.Duration, percentile float64) {
+	if age > quantile.value() {
+		quantile.observe(age, percentile)
+	}
+}
+
 func (quantile *quantile) value() time.Duration {
 	quantile.mutex.Lock()
 	defer quantile.mutex.Unlock()
--- a/internal/swquery/plan.go
+++ b/internal/swquery/plan.go
@@ -14,15 +14,15 @@
 const (
 	// maxReplicas bounds the replicas of a shard that a plan considers, nearest first.
 	maxReplicas = 4
-	// localPrior is the expected time of an answer from this VM's data centre before any was observed.
-	localPrior = 4 * time.Millisecond
-	// regionPrior is the same for another data centre of this VM's region.
-	regionPrior = 8 * time.Millisecond
-	// remotePrior is the same for another region.
-	remotePrior = 40 * time.Millisecond
-	// jitterLow and jitterSpan scale an expectation at random, so that roots do not all prefer one replica.
-	jitterLow  = 0.85
-	jitterSpan = 0.3
+	// regionDistance is what an answer from another data centre of this VM's region is expected to take longer, before any
+	// was observed.
+	regionDistance = 2 * time.Millisecond
+	// remoteDistance is the same for another region.
+	remoteDistance = 40 * time.Millisecond
+	// remoteLow and remoteSpan scale the expectation of another data centre, so that work leaves its own only when that is
+	// clearly slower, and then at random, so that roots do not all prefer one replica.
+	remoteLow  = 1.5
+	remoteSpan = 0.3
 )
 
 // Placement chooses which VM sends to a backend server.
@@ -63,7 +63,7 @@
 type replica struct {
 	server     string
 	local      bool
-	prior      time.Duration
+	distance   time.Duration
 	owner      string
 	substitute string
 }
@@ -107,20 +107,21 @@
 }
 
 // Plan orders the ways to each shard of the snapshot by expected time of answer, leaving out draining servers.
-func (planner *Planner) Plan(now time.Time, snapshot *swindex.Snapshot, view *swmember.View) []ShardPlan {
+func (planner *Planner) Plan(now time.Time, index string, snapshot *swindex.Snapshot, view *swmember.View) []ShardPlan {
 	template := planner.template(snapshot, view)
+	typical := planner.latencies.Typical(index)
 	plan := make([]ShardPlan, len(template.shards))
 	targets := make([]Target, 0, 2*maxReplicas*len(template.shards))
 	for i := range template.shards {
 		shard := &template.shards[i]
 		first := len(targets)
-		targets = planner.appendTargets(targets, now, snapshot, shard)
+		targets = planner.appendTargets(targets, now, typical, snapshot, shard)
 		plan[i] = ShardPlan{Number: shard.number, Documents: shard.documents, Targets: targets[first:len(targets):len(targets)]}
 	}
 	return plan
 }
 
-func (planner *Planner) appendTargets(targets []Target, now time.Time, snapshot *swindex.Snapshot, shard *shardTemplate) []Target {
+func (planner *Planner) appendTargets(targets []Target, now time.Time, typical time.Duration, snapshot *swindex.Snapshot, shard *shardTemplate) []Target {
 	var order [maxReplicas]int
 	var score [maxReplicas]float64
 	count := 0
@@ -129,9 +130,11 @@
 		if planner.registry.Draining(replica.server) {
 			continue
 		}
-		expected := planner.latencies.Expect(now, replica.server, replica.prior)
+		score[i] = float64(planner.latencies.Expect(now, replica.server, typical+replica.distance))
 		order[count] = i
-		score[i] = float64(expected) * (jitterLow + jitterSpan*rand.Float64())
+		if !replica.local {
+			score[i] *= remoteLow + remoteSpan*rand.Float64()
+		}
 		if planner.lacking.has(now, snapshot, replica.server) {
 			score[i] += float64(lackingPenalty)
 		}
@@ -202,10 +205,10 @@
 	return shardTemplate{number: shard.Number, documents: shard.Documents, replicas: replicas}
 }
 
-// candidate is a replica with the time that an answer is expected to take before any was observed.
+// candidate is a replica with the time that an answer is expected to take longer than one of this data centre.
 type candidate struct {
-	server swindex.Server
-	prior  time.Duration
+	server   swindex.Server
+	distance time.Duration
 }
 
 // nearest returns the replicas of a shard that take work, nearest first, at most maxReplicas.
@@ -214,31 +217,31 @@
 	for _, name := range shard.Replicas {
 		server, known := servers.Server(name)
 		if known && !server.Leaving {
-			candidates = append(candidates, candidate{server: server, prior: prior(view, server.DataCentre)})
+			candidates = append(candidates, candidate{server: server, distance: distance(view, server.DataCentre)})
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.prior, b.prior) })
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.distance, b.distance) })
 	return candidates[:min(len(candidates), maxReplicas)]
 }
 
-// prior returns the expected time of an answer from a data centre before any was observed.
-func prior(view *swmember.View, dataCentre string) time.Duration {
+// distance returns what an answer from a data centre is expected to take longer than one of this VM's own.
+func distance(view *swmember.View, dataCentre string) time.Duration {
 	if dataCentre == view.Self.DataCentre {
-		return localPrior
+		return 0
 	}
 	members := view.Members(dataCentre)
 	if len(members) > 0 && members[0].Region == view.Self.Region {
-		return regionPrior
+		return regionDistance
 	}
-	return remotePrior
+	return remoteDistance
 }
 
 func newReplica(view *swmember.View, candidate candidate, senders []swmember.Member) replica {
 	replica := replica{
-		server: candidate.server.Name,
-		local:  candidate.server.DataCentre == view.Self.DataCentre,
-		prior:  candidate.prior,
-		owner:  senders[0].Name,
+		server:   candidate.server.Name,
+		local:    candidate.server.DataCentre == view.Self.DataCentre,
+		distance: candidate.distance,
+		owner:    senders[0].Name,
 	}
 	if len(senders) > 1 {
 		replica.substitute = senders[1].Name
--- a/internal/swquery/plan_test.go
+++ b/internal/swquery/plan_test.go
@@ -53,7 +53,7 @@
 func TestPlanPrefersTheOwnDataCentre(t *testing.T) {
 	registry, view := planWorld(3, 3, 4)
 	planner := NewPlanner(registry, OwnerPlacement{}, NewLatencies(95))
-	plan := planner.Plan(time.Now(), &registry.Catalogue("books").Snapshots[0], view)
+	plan := planner.Plan(time.Now(), "books", &registry.Catalogue("books").Snapshots[0], view)
 	if diff := cmp.Diff([]string{"dc00-s0", "dc00-s1", "dc00-s2", "dc00-s3"}, firstServers(plan)); diff != "" {
 		t.Error(diff)
 	}
@@ -68,21 +68,53 @@
 		latencies.Observe(now, "books", 0, "dc00-s0", 400*time.Millisecond)
 	}
 	snapshot := &registry.Catalogue("books").Snapshots[0]
-	slow := firstServers(planner.Plan(now, snapshot, view))
+	slow := firstServers(planner.Plan(now, "books", snapshot, view))
 	if diff := cmp.Diff([]string{"dc01-s0", "dc00-s1"}, slow); diff != "" {
 		t.Error(diff)
 	}
-	later := firstServers(planner.Plan(now.Add(10*latencyMemory), snapshot, view))
+	later := firstServers(planner.Plan(now.Add(10*latencyMemory), "books", snapshot, view))
 	if diff := cmp.Diff([]string{"dc00-s0", "dc00-s1"}, later); diff != "" {
 		t.Error("a server that was slow is not tried again: " + diff)
 	}
 }
 
+// TestPlanStaysInTheOwnDataCentreUnlessThatIsClearlySlower compares a local replica with unobserved and faster ones.
+func TestPlanStaysInTheOwnDataCentreUnlessThatIsClearlySlower(t *testing.T) {
+	cases := map[string]struct {
+		local, remote time.Duration
+		want          string
+	}{
+		"the others were never observed":   {30 * time.Millisecond, 0, "dc00-s0"},
+		"the others are a little faster":   {30 * time.Millisecond, 25 * time.Millisecond, "dc00-s0"},
+		"another is several times as fast": {300 * time.Millisecond, 25 * time.Millisecond, "dc01-s0"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			registry, view := planWorld(2, 2, 1)
+			latencies := NewLatencies(98)
+			planner := NewPlanner(registry, OwnerPlacement{}, latencies)
+			now := time.Now()
+			for range 200 {
+				latencies.Observe(now, "books", 0, "dc00-s0", test.local)
+				if test.remote > 0 {
+					latencies.Observe(now, "books", 0, "dc01-s0", test.remote)
+				}
+			}
+			for range 50 {
+				got := firstServers(planner.Plan(now, "books", &registry.Catalogue("books").Snapshots[0], view))
+				if diff := cmp.Diff([]string{test.want}, got); diff != "" {
+					t.Fatal(diff)
+				}
+			}
+		})
+	}
+}
+
 func TestPlanLeavesOutServersThatTakeNoNewWork(t *testing.T) {
 	registry, view := planWorld(2, 2, 1)
 	planner := NewPlanner(registry, OwnerPlacement{}, NewLatencies(95))
 	registry.SetDraining("dc00-s0", time.Minute)
-	plan := planner.Plan(time.Now(), &registry.Catalogue("books").Snapshots[0], view)
+	plan := planner.Plan(time.Now(), "books", &registry.Catalogue("books").Snapshots[0], view)
 	for _, target := range plan[0].Targets {
 		if target.Server == "dc00-s0" {
 			t.Errorf("a draining server is a target: %+v", target)
@@ -95,7 +127,7 @@
 	alone := swmember.NewView(view.Self, view.Members("dc00"))
 	registry.SetDraining("dc00-s0", time.Minute)
 	planner := NewPlanner(registry, OwnerPlacement{}, NewLatencies(95))
-	plan := planner.Plan(time.Now(), &registry.Catalogue("books").Snapshots[0], alone)
+	plan := planner.Plan(time.Now(), "books", &registry.Catalogue("books").Snapshots[0], alone)
 	if len(plan[0].Targets) == 0 || plan[0].Targets[0].Server != "dc01-s0" {
 		t.Errorf("the other data centre's replica is out of reach: %+v", plan[0].Targets)
 	}
@@ -104,7 +136,7 @@
 func TestDirectPlacementSendsFromThisVM(t *testing.T) {
 	registry, view := planWorld(2, 3, 3)
 	planner := NewPlanner(registry, DirectPlacement{}, NewLatencies(95))
-	for _, shard := range planner.Plan(time.Now(), &registry.Catalogue("books").Snapshots[0], view) {
+	for _, shard := range planner.Plan(time.Now(), "books", &registry.Catalogue("books").Snapshots[0], view) {
 		for _, target := range shard.Targets {
 			if diff := cmp.Diff(view.Self.Name, target.Owner); diff != "" {
 				t.Error(diff)
@@ -120,7 +152,7 @@
 	snapshot := &registry.Catalogue("books").Snapshots[0]
 	b.ReportAllocs()
 	for b.Loop() {
-		planner.Plan(time.Now(), snapshot, view)
+		planner.Plan(time.Now(), "books", snapshot, view)
 	}
 }
 
@@ -135,6 +167,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		planner.Plan(time.Now(), snapshot, swmember.NewView(view.Self, members))
+		planner.Plan(time.Now(), "books", snapshot, swmember.NewView(view.Self, members))
 	}
 }
--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -282,7 +282,7 @@
 	case swbackend.SnapshotNotHeld:
 		gatherWait.engine.planner.NoteLacking(now, gatherWait.execution.snapshot, item.Server)
 	case swbackend.Cancelled:
-		latencies.ObserveSlow(now, item.Server, age)
+		latencies.ObserveWithdrawn(gatherWait.execution.query.Index, item.Shard, age)
 	default:
 		latencies.ObserveFailure(now, item.Server)
 	}
--- a/internal/swquery/step_plan.go
+++ b/internal/swquery/step_plan.go
@@ -21,7 +21,7 @@
 func (planStep *planStep) Run(_ context.Context, execution *execution) error {
 	engine := planStep.engine
 	execution.view = engine.config.Members.View()
-	execution.plan = engine.planner.Plan(time.Now(), execution.snapshot, execution.view)
+	execution.plan = engine.planner.Plan(time.Now(), execution.query.Index, execution.snapshot, execution.view)
 	execution.routeToOneShard()
 	if !engine.config.ShedByCohort {
 		return nil
--- a/internal/swquery/step_scatter.go
+++ b/internal/swquery/step_scatter.go
@@ -24,6 +24,7 @@
 		MayRetry:   func() bool { return engine.config.Quarantine.MayRetry(execution.query.Fingerprint) },
 		Budget:     engine.budget,
 		HedgeAfter: engine.hedgeAfter(execution.query.Index),
+		OnLate:     func(server string, age time.Duration) { engine.latencies.ObserveLate(time.Now(), server, age) },
 	})
 	if engine.config.Crashes != nil {
 		execution.gather.config.MayRetryCrashed = func() bool {
--- /dev/null
+++ b/internal/swquery/straggler_test.go
@@ -0,0 +1,165 @@
+package swquery
+
+import (
+	"context"
+	"flag"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamorewall/sycamorewall/internal/swadmission"
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+var stragglerTable = flag.Bool("straggler.table", false, "print the latencies and extra load beside a straggler")
+
+const (
+	stragglerSeed    = 20261204
+	stragglerSlower  = 20
+	stragglerMedian  = 20 * time.Millisecond
+	stragglerQueries = 4000
+	// stragglerEvery is the mean time between two queries of one root.
+	stragglerEvery = 25 * time.Millisecond
+	stragglerSlots = 2
+)
+
+// slottedBackends runs work in the slots of simulated servers: log-normal service times with a tail, and one straggler.
+type slottedBackends struct {
+	mutex     sync.Mutex
+	random    *rand.Rand
+	slots     map[string]chan struct{}
+	straggler string
+	// ran counts the sub-requests that took a slot.
+	ran int
+}
+
+func (*slottedBackends) Report() swadmission.Report { return swadmission.Report{} }
+
+func (backends *slottedBackends) begin(server string) (chan struct{}, time.Duration) {
+	backends.mutex.Lock()
+	defer backends.mutex.Unlock()
+	if backends.slots[server] == nil {
+		backends.slots[server] = make(chan struct{}, stragglerSlots)
+	}
+	factor := math.Exp(0.3 * backends.random.NormFloat64())
+	if backends.random.Float64() < 0.01 {
+		factor *= 4
+	}
+	if server == backends.straggler {
+		factor *= stragglerSlower
+	}
+	return backends.slots[server], time.Duration(factor * float64(stragglerMedian))
+}
+
+func (backends *slottedBackends) Execute(ctx context.Context, subRequest swbackend.SubRequest) swbackend.Answer {
+	slots, service := backends.begin(subRequest.Server)
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		return swbackend.Answer{Outcome: swbackend.Cancelled, Code: swcode.CallerGone}
+	}
+	defer func() { <-slots }()
+	backends.mutex.Lock()
+	backends.ran++
+	backends.mutex.Unlock()
+	timer := time.NewTimer(service)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return swbackend.Answer{Outcome: swbackend.Answered, Ran: swcode.RanYes}
+	case <-ctx.Done():
+		return swbackend.Answer{Outcome: swbackend.Cancelled, Ran: swcode.RanUnknown}
+	}
+}
+
+// stragglerResult is what one run of the table measures.
+type stragglerResult struct {
+	latencies []time.Duration
+	hedges    int
+	extra     float64
+	remote    float64
+}
+
+// percentile returns the latency that the given part of the queries stayed below.
+func (result *stragglerResult) percentile(part float64) time.Duration {
+	return result.latencies[min(len(result.latencies)-1, int(part*float64(len(result.latencies))))]
+}
+
+// runStraggler sends queries from the roots of all data centres in virtual time.
+func runStraggler(t *testing.T, seed uint64, distance time.Duration, straggler string, hedgePercent, percentile float64) stragglerResult {
+	world := newWorld(testShards)
+	defer world.group.Stop()
+	world.distance = distance
+	backends := &slottedBackends{random: rand.New(rand.NewPCG(seed, 1)), slots: make(map[string]chan struct{}), straggler: straggler}
+	for _, dataCentre := range dataCentres {
+		config := world.engines[dataCentre].config
+		config.Backends, config.HedgePercent, config.HedgePercentile = backends, hedgePercent, percentile
+		world.engines[dataCentre] = New(config)
+	}
+	var result stragglerResult
+	var mutex sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 2))
+	for id := range uint64(stragglerQueries) {
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(stragglerEvery) / float64(len(dataCentres))))
+		root := dataCentres[random.IntN(len(dataCentres))]
+		world.group.Go(func(ctx context.Context) {
+			query := Query{ID: id + 1, Caller: "desk", Kind: "check", Index: "books", Limit: 10, MinCoverage: 1, Timeout: 2 * time.Second}
+			answer := world.engines[root].Run(ctx, query)
+			mutex.Lock()
+			defer mutex.Unlock()
+			result.latencies = append(result.latencies, answer.Took)
+			result.hedges += answer.Hedges
+		})
+	}
+	time.Sleep(10 * time.Second)
+	mutex.Lock()
+	defer mutex.Unlock()
+	result.extra = float64(backends.ran)/(stragglerQueries*testShards) - 1
+	for _, dataCentre := range dataCentres {
+		result.remote += float64(world.engines[dataCentre].owner.Served())
+	}
+	result.remote /= stragglerQueries
+	slices.Sort(result.latencies)
+	return result
+}
+
+// TestExtraLoadBesideAStragglerKeepsToTheBudget also prints, with -straggler.table, latencies and extra load with and without
+// a straggler for several ways to hedge.
+func TestExtraLoadBesideAStragglerKeepsToTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		result := runStraggler(t, stragglerSeed, time.Millisecond, "a3", 5, 98)
+		allowed := len(dataCentres)*budgetReserve + stragglerQueries*testShards*5/100
+		if result.hedges > allowed {
+			t.Errorf("%d hedges exceed the budget of %d", result.hedges, allowed)
+		}
+		if diff := cmp.Diff(stragglerQueries, len(result.latencies)); diff != "" {
+			t.Error("queries that ended: " + diff)
+		}
+	})
+	if *stragglerTable {
+		printStragglerTable(t)
+	}
+}
+
+func printStragglerTable(t *testing.T) {
+	t.Log("| between data centres | straggler | hedge percent | percentile | p50 | p99 | p99.9 | hedges | extra load | batches to others a query |")
+	for _, distance := range []time.Duration{500 * time.Microsecond, 10 * time.Millisecond} {
+		for _, straggler := range []string{"", "a3"} {
+			for _, hedge := range []struct{ percent, percentile float64 }{{0, 95}, {5, 95}, {5, 98}, {5, 99}} {
+				synctest.Test(t, func(t *testing.T) {
+					result := runStraggler(t, stragglerSeed, distance, straggler, hedge.percent, hedge.percentile)
+					t.Logf("| %s | %s | %v | %v | %.0f ms | %.0f ms | %.0f ms | %.1f%% | %.1f%% | %.2f |", distance, straggler, hedge.percent, hedge.percentile,
+						result.percentile(0.5).Seconds()*1000, result.percentile(0.99).Seconds()*1000, result.percentile(0.999).Seconds()*1000,
+						100*float64(result.hedges)/(stragglerQueries*testShards), 100*result.extra, result.remote)
+				})
+			}
+		}
+	}
+}
--- a/internal/swquery/world_test.go
+++ b/internal/swquery/world_test.go
@@ -57,6 +57,8 @@
 	mute   map[netip.AddrPort]bool
 	// muteOnceRunning mutes all VMs when a backend server begins to run work.
 	muteOnceRunning bool
+	// distance is the one-way delay between data centres.
+	distance time.Duration
 	// gone VMs take no new streams, and streams holds those that are open.
 	gone    map[netip.AddrPort]bool
 	streams map[netip.AddrPort][]*memoryExchange
@@ -315,7 +317,7 @@
 		return nil, errors.New("no VM answers at " + target.String())
 	}
 	shared, cancel := context.WithCancel(context.Background())
-	toOwner, toRoot := make(chan []byte, 1024), make(chan []byte, 1024)
+	toOwner, toRoot := make(chan packet, 1024), make(chan packet, 1024)
 	root := &memoryExchange{world: world, ctx: shared, cancel: cancel, in: toRoot, out: toOwner, peer: target, isRoot: true}
 	world.streams[target] = append(world.streams[target], root)
 	reading, endReading := context.WithCancel(shared)
@@ -328,12 +330,18 @@
 	return root, nil
 }
 
+// packet is a message on its way.
+type packet struct {
+	data []byte
+	due  time.Time
+}
+
 type memoryExchange struct {
 	world  *world
 	ctx    context.Context
 	cancel context.CancelFunc
-	in     chan []byte
-	out    chan []byte
+	in     chan packet
+	out    chan packet
 	peer   netip.AddrPort
 	isRoot bool
 	// lost drops what is sent; the stream itself stays open.
@@ -379,7 +387,7 @@
 			continue
 		}
 		select {
-		case exchange.out <- data:
+		case exchange.out <- packet{data: data, due: time.Now().Add(exchange.world.distance)}:
 		case <-exchange.ctx.Done():
 			return exchange.ctx.Err()
 		}
@@ -389,11 +397,12 @@
 
 func (exchange *memoryExchange) Receive(message any) error {
 	select {
-	case data, ok := <-exchange.in:
+	case packet, ok := <-exchange.in:
 		if !ok {
 			return io.EOF
 		}
-		return errors.Wrap(swpeer.Unmarshal(data, message), "decode")
+		time.Sleep(time.Until(packet.due))
+		return errors.Wrap(swpeer.Unmarshal(packet.data, message), "decode")
 	case <-exchange.ctx.Done():
 		return exchange.ctx.Err()
 	}
--- a/internal/swsetting/default.go
+++ b/internal/swsetting/default.go
@@ -19,7 +19,7 @@
 			DefaultTimeout:  2 * time.Second,
 			MaxTimeout:      time.Minute,
 			HedgePercent:    5,
-			HedgePercentile: 95,
+			HedgePercentile: 98,
 			AckTimeout:      100 * time.Millisecond,
 		},
 		Admission: Admission{
