Give each VM its part of slots and connections under Direct

Cause: under Query.Placement Direct every VM used all slots and connections of every backend server. swapp now sets the pool's share to one of the live VMs at each change of the members. Owner is unchanged.

--- a/internal/swapp/app.go
+++ b/internal/swapp/app.go
@@ -41,7 +41,7 @@
 			newRuleBook, newPool, newGate, newLimiter, newQuarantine,
 			newEngine, newKeyService, newRunService, newLifeState, newServer,
 		),
-		fx.Invoke(bindHandlers, bindDocuments, bindRecords, bindReplacedPeers, bindLifecycle),
+		fx.Invoke(bindShare, bindHandlers, bindDocuments, bindRecords, bindReplacedPeers, bindLifecycle),
 		fx.Invoke(func(parts parts) { app.parts = &parts }),
 	)
 	if err := app.fx.Err(); err != nil {
--- a/internal/swapp/bind.go
+++ b/internal/swapp/bind.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 	"github.com/sycamorewall/sycamorewall/internal/swquery"
 	"github.com/sycamorewall/sycamorewall/internal/swrollout"
+	"github.com/sycamorewall/sycamorewall/internal/swsetting"
 )
 
 // drainingFor is how long a sign that a backend server takes no new work holds without another sign.
@@ -79,6 +80,15 @@
 	log.Info().Str("Document", document.Key()).Uint64("Version", document.Version).Msg("document in force")
 }
 
+// bindShare gives this VM its part of every backend server's slots and connections where each VM sends for itself.
+func bindShare(config Config, directory *swmember.Directory, pool *swbackend.Pool) {
+	if config.Settings.Query.Placement != swsetting.PlacementDirect {
+		return
+	}
+	pool.SetShare(1, directory.View().Len())
+	directory.Subscribe(func(view *swmember.View) { pool.SetShare(1, view.Len()) })
+}
+
 // bindRecords acts on records that gossip brings.
 func bindRecords(board *swmember.Board, registry *swindex.Registry, pool *swbackend.Pool) {
 	board.Subscribe(swmember.TopicDraining, func(record swmember.Record) {
