--- a/internal/swquery/straggler_test.go
+++ b/internal/swquery/straggler_test.go
@@ -121,6 +121,8 @@
 	time.Sleep(10 * time.Second)
 	mutex.Lock()
 	defer mutex.Unlock()
+	backends.mutex.Lock()
+	defer backends.mutex.Unlock()
 	result.extra = float64(backends.ran)/(stragglerQueries*testShards) - 1
 	for _, dataCentre := range dataCentres {
 		result.remote += float64(world.engines[dataCentre].owner.Served())
