Keep the read buffer of a peer's stream, and make one deadline a sub-request

Cause: the profile of BenchmarkQuery/owners=67 showed a buffer for each message received; the pool put a deadline on a context that already had it.

--- a/internal/swbackend/pool.go
+++ b/internal/swbackend/pool.go
@@ -209,7 +209,7 @@
 	if server.isLeaving() {
 		return server.leavingAnswer()
 	}
-	if !subRequest.Deadline.IsZero() {
+	if ends, ok := ctx.Deadline(); !subRequest.Deadline.IsZero() && (!ok || ends.After(subRequest.Deadline)) {
 		deadlined, cancel := context.WithDeadline(ctx, subRequest.Deadline)
 		defer cancel()
 		ctx = deadlined
--- a/internal/swpeer/frame.go
+++ b/internal/swpeer/frame.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -53,18 +54,26 @@
 	return append(buffer, data...), nil
 }
 
-func readFrame(reader io.Reader, message any) error {
+// keptBuffer is the largest read buffer in bytes that a stream keeps for its next message.
+const keptBuffer = 16 << 10
+
+// readFrame reads one message into buffer, grown where it must be, and decodes it. It returns the buffer for the next
+// message; nothing in the decoded message refers to it.
+func readFrame(reader io.Reader, buffer []byte, message any) ([]byte, error) {
 	var header [frameHeader]byte
 	if _, err := io.ReadFull(reader, header[:]); err != nil {
-		return err
+		return buffer, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > MaxFrame {
-		return errors.Errorf("message of %d bytes exceeds the limit of %d", size, MaxFrame)
+		return buffer, errors.Errorf("message of %d bytes exceeds the limit of %d", size, MaxFrame)
+	}
+	data := slices.Grow(buffer[:0], int(size))[:size]
+	if size <= keptBuffer {
+		buffer = data
 	}
-	data := make([]byte, size)
 	if _, err := io.ReadFull(reader, data); err != nil {
-		return errors.Wrap(err, "read message")
+		return buffer, errors.Wrap(err, "read message")
 	}
-	return errors.Wrap(decoding.Unmarshal(data, message), "decode message")
+	return buffer, errors.Wrap(decoding.Unmarshal(data, message), "decode message")
 }
--- a/internal/swpeer/stream.go
+++ b/internal/swpeer/stream.go
@@ -46,6 +46,9 @@
 	reader *bufio.Reader
 	remote *x509.Certificate
 
+	// received is the read buffer, kept between messages.
+	received []byte
+
 	mutex  sync.Mutex
 	buffer []byte
 }
@@ -84,7 +87,9 @@
 
 // Receive reads the next message. It returns io.EOF after the last.
 func (stream *Stream) Receive(message any) error {
-	return readFrame(stream.reader, message)
+	var err error
+	stream.received, err = readFrame(stream.reader, stream.received, message)
+	return err
 }
 
 // CloseSend tells the other end that no more messages follow.
