--- a/internal/swquery/engine.go
+++ b/internal/swquery/engine.go
@@ -166,6 +166,7 @@
 		var restart *restartError
 		if errors.As(err, &restart) {
 			engine.absent.add(execution.query.Index, restart.Snapshot)
+			engine.config.Recorder.Event("snapshot_restarts", 1)
 			execution.reset()
 			i = engine.pinPosition() - 1
 			continue
--- a/internal/swquery/fault_test.go
+++ b/internal/swquery/fault_test.go
@@ -23,7 +23,8 @@
 		world.drop("s2", 3, "a", "b")
 		world.servers["c3"].dead = true
 		result := world.run(t.Context(), Query{MinCoverage: 1})
-		if diff := cmp.Diff([]any{swcode.OK, "s1"}, []any{result.Code, result.Snapshot}); diff != "" {
+		got := []any{result.Code, result.Snapshot, world.events["snapshot_restarts"]}
+		if diff := cmp.Diff([]any{swcode.OK, "s1", int64(1)}, got); diff != "" {
 			t.Error(diff)
 		}
 	})
