Try a straggler by one query every five seconds

Cause: a straggler's expected time faded, and all queries of a root came back to it at once; 15 queries met it before it was known again, spent the reserve of the budget, and waited up to a second.

--- a/internal/swquery/latency.go
+++ b/internal/swquery/latency.go
@@ -22,9 +22,11 @@
 	// typicalStart is the average over an index before the first observation.
 	typicalStart = 5 * time.Millisecond
 	// slowInRow is the number of attempts without an answer in time, one after another, that make a server a straggler.
-	slowInRow = 4
+	slowInRow = 6
 	// stragglerFactor is what a straggler counts as, in multiples of the time of its last attempt.
 	stragglerFactor = 8
+	// stragglerProbe is the time after which a straggler is tried by one query.
+	stragglerProbe = 5 * time.Second
 	// failurePenalty is what a failed attempt counts as, in place of its latency.
 	failurePenalty = 250 * time.Millisecond
 	// quantileStep is the step of the percentile estimate, as a part of its value.
@@ -44,6 +46,8 @@
 	seen    time.Time
 	// slow counts attempts without an answer in time since the last answer.
 	slow int
+	// probeAt is when a straggler is tried again.
+	probeAt time.Time
 }
 
 // Latencies keeps what this VM observes of answers: an average a server, which orders replicas, and a high percentile a
@@ -174,12 +178,23 @@
 	serverLatency.slow++
 	if serverLatency.slow >= slowInRow {
 		serverLatency.average = max(serverLatency.average, stragglerFactor*age)
+		serverLatency.probeAt = now.Add(stragglerProbe)
 	} else {
 		serverLatency.average += time.Duration(latencyWeight * float64(age-serverLatency.average))
 	}
 	serverLatency.seen = now
 }
 
+// expectStraggler keeps a straggler out of use, but for one query every while that finds out whether it still is one. The
+// caller holds the mutex.
+func (serverLatency *serverLatency) expectStraggler(now time.Time, prior time.Duration) time.Duration {
+	if now.Before(serverLatency.probeAt) {
+		return max(prior, serverLatency.average)
+	}
+	serverLatency.probeAt = now.Add(stragglerProbe)
+	return prior
+}
+
 // typicalLatency is a moving average.
 type typicalLatency struct {
 	mutex   sync.Mutex
@@ -201,6 +216,9 @@
 func (serverLatency *serverLatency) expect(now time.Time, prior time.Duration) time.Duration {
 	serverLatency.mutex.Lock()
 	defer serverLatency.mutex.Unlock()
+	if serverLatency.slow >= slowInRow {
+		return serverLatency.expectStraggler(now, prior)
+	}
 	age := now.Sub(serverLatency.seen)
 	kept := math.Exp2(-float64(age) / float64(latencyMemory))
 	return prior + time.Duration(kept*float64(serverLatency.average-prior))
--- a/internal/swquery/latency_test.go
+++ b/internal/swquery/latency_test.go
@@ -74,3 +74,27 @@
 		t.Error(diff)
 	}
 }
+
+// TestStragglerIsTriedByOneQueryAtATime asks for the expectation often while a straggler is left alone.
+func TestStragglerIsTriedByOneQueryAtATime(t *testing.T) {
+	const prior, late = 20 * time.Millisecond, 100 * time.Millisecond
+	latencies := NewLatencies(98)
+	now := time.Unix(0, 0)
+	for range slowInRow {
+		latencies.ObserveLate(now, "s", late)
+	}
+	tried := 0
+	for range 50 {
+		now = now.Add(stragglerProbe / 10)
+		if latencies.Expect(now, "s", prior) == prior {
+			tried++
+		}
+	}
+	if diff := cmp.Diff(5, tried); diff != "" {
+		t.Errorf("trials in five periods: %s", diff)
+	}
+	latencies.Observe(now, "books", 0, "s", prior)
+	if diff := cmp.Diff(prior, latencies.Expect(now, "s", prior)); diff != "" {
+		t.Error("after an answer in time: " + diff)
+	}
+}
