--- a/internal/swquery/fault_test.go
+++ b/internal/swquery/fault_test.go
@@ -124,7 +124,7 @@
 				world := newWorld(testShards)
 				defer world.group.Stop()
 				world.killLocal()
-				world.engines["a"].config.HedgePercent = 0
+				world.engines["a"].budget = NewAttemptBudget(0)
 				world.forge = func(reply *Reply) {
 					for _, answer := range reply.Answers {
 						crossed := answer
--- a/internal/swquery/step_scatter.go
+++ b/internal/swquery/step_scatter.go
@@ -44,11 +44,9 @@
 	return nil
 }
 
-// hedgeAfter returns the wait before a hedge of a shard of the index. While the target's queue sheds there is none.
+// hedgeAfter returns the wait before a hedge of a shard of the index. While the target's queue sheds there is none. A budget
+// that grants no hedges leaves the wait as it is, since late attempts also tell of stragglers.
 func (engine *Engine) hedgeAfter(index string) func(shard int, target Target) time.Duration {
-	if engine.config.HedgePercent == 0 {
-		return nil
-	}
 	return func(shard int, target Target) time.Duration {
 		if engine.config.Gate.Shedding(target.Server) {
 			return 0
