--- a/internal/swapp/claims.go
+++ b/internal/swapp/claims.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swkey"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
 // cleanEvery is the time between two looks for expired claims. A look calls the platform only when a bucket has passed.
@@ -13,7 +14,7 @@
 // cleanClaims deletes expired claims while this VM is the one to do so.
 func (parts *parts) cleanClaims(ctx context.Context) {
 	cleaner := swkey.NewClaimCleaner(claimStore{client: parts.Platform}, 0)
-	for wait(ctx, cleanEvery) == nil {
+	for swtimer.Wait(ctx, cleanEvery) == nil {
 		if !parts.cleansClaims() {
 			continue
 		}
--- a/internal/swapp/lifecycle.go
+++ b/internal/swapp/lifecycle.go
@@ -19,6 +19,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swquery"
 	"github.com/sycamorewall/sycamorewall/internal/swrollout"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
 // parts are the pieces that start and stop. fx fills them by type.
@@ -90,7 +91,7 @@
 func (parts *parts) waitForBalancer(ctx context.Context) error {
 	parts.Life.leave()
 	parts.Server.SetLeaving()
-	return wait(ctx, parts.Config.Settings.Stop.BalancerWait)
+	return swtimer.Wait(ctx, parts.Config.Settings.Stop.BalancerWait)
 }
 
 func (parts *parts) announceLeaving(ctx context.Context) error {
@@ -119,7 +120,7 @@
 	quietSince := time.Now()
 	served := parts.Engine.Owner().Served()
 	for time.Since(quietSince) < quietFor {
-		if err := wait(ctx, quietCheck); err != nil {
+		if err := swtimer.Wait(ctx, quietCheck); err != nil {
 			return err
 		}
 		now := parts.Engine.Owner().Served()
@@ -158,14 +159,3 @@
 		parts.Log.Debug().Err(err).Msg("close after a kill")
 	}
 }
-
-func wait(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/swkey/forward.go
+++ b/internal/swkey/forward.go
@@ -130,17 +130,6 @@
 	return b
 }
 
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // locate finds the holder of an authority by memory, or by asking at once the successor on record, the issuer, and the
 // VMs that its successor would be chosen from.
 func (service *Service) locate(ctx context.Context, issuer Issuer) search {
--- a/internal/swkey/handover.go
+++ b/internal/swkey/handover.go
@@ -8,6 +8,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
@@ -154,7 +155,7 @@
 		if err == nil {
 			return errors.Errorf("%s dropped them before the commit", peer.Name)
 		}
-		if !pause(ctx, commitPause) {
+		if swtimer.Wait(ctx, commitPause) != nil {
 			return errors.Wrapf(err, "commit to %s", peer.Name)
 		}
 	}
@@ -193,7 +194,7 @@
 		defer cancel()
 	}
 	for authority.running.Load() > 0 {
-		if !pause(ctx, drainPoll) {
+		if swtimer.Wait(ctx, drainPoll) != nil {
 			return
 		}
 	}
--- a/internal/swplatform/backoff.go
+++ b/internal/swplatform/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
 // BackoffConfig sets a Backoff.
@@ -59,12 +61,5 @@
 
 // Wait sleeps for the next delay. It returns the context's error when that ends first.
 func (backoff *Backoff) Wait(ctx context.Context) error {
-	timer := time.NewTimer(backoff.Next())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return swtimer.Wait(ctx, backoff.Next())
 }
--- a/pkg/swclient/client.go
+++ b/pkg/swclient/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
@@ -136,14 +137,7 @@
 	if ok && time.Until(deadline) <= pause {
 		return false
 	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return swtimer.Wait(ctx, pause) == nil
 }
 
 // post sends a request to the next endpoint and decodes the reply, whatever its status.
