--- a/internal/swpeer/node.go
+++ b/internal/swpeer/node.go
@@ -110,10 +110,12 @@
 
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		MaxIncomingStreams:             maxStreams,
-		MaxIncomingUniStreams:          -1,
-		MaxIdleTimeout:                 idleTimeout,
-		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: -1,
+		MaxIdleTimeout:        idleTimeout,
+		HandshakeIdleTimeout:  handshakeTimeout,
+		// Probing for larger packets costs 10 KB a connection, more than what VMs say to each other in seconds.
+		DisablePathMTUDiscovery:        true,
 		InitialStreamReceiveWindow:     streamWindow,
 		InitialConnectionReceiveWindow: connectionWindow,
 	}
