--- a/internal/swplatform/call.go
+++ b/internal/swplatform/call.go
@@ -32,22 +32,35 @@
 type answer struct {
 	status int
 	body   []byte
+	// tag is the entity tag of the body, if the platform gave one.
+	tag string
 }
 
 // read makes a call without effect and decodes its answer into target.
 func (client *Client) read(ctx context.Context, request request, target any) (err error) {
 	defer client.observe(request, time.Now(), &err)
+	_, err = client.readTagged(ctx, request, target)
+	return err
+}
+
+// readTagged is read that also returns the entity tag of the answer. A call with the tag of an earlier answer leaves target
+// as it is when that answer still holds.
+func (client *Client) readTagged(ctx context.Context, request request, target any) (tag string, err error) {
 	answer, _, err := client.exchange(ctx, request)
 	if err != nil {
-		return &Error{Operation: request.describe(), Reason: ErrUnavailable, Cause: err}
+		return "", &Error{Operation: request.describe(), Reason: ErrUnavailable, Cause: err}
 	}
+	return answer.tag, decodeRead(&request, &answer, target)
+}
+
+func decodeRead(request *request, answer *answer, target any) error {
 	switch answer.status {
 	case http.StatusOK:
 		if err := json.Unmarshal(answer.body, target); err != nil {
 			return &Error{Operation: request.describe(), Reason: ErrBadAnswer, Cause: err}
 		}
 		return nil
-	case http.StatusNoContent:
+	case http.StatusNoContent, http.StatusNotModified:
 		return nil
 	}
 	return &Error{Operation: request.describe(), Reason: readReason(answer.status), Status: answer.status}
@@ -153,7 +166,7 @@
 	if len(body) > maxAnswer {
 		return answer{}, errors.Errorf("answer exceeds %d bytes", maxAnswer)
 	}
-	return answer{status: response.StatusCode, body: body}, nil
+	return answer{status: response.StatusCode, body: body, tag: response.Header.Get(headerTag)}, nil
 }
 
 func escapePath(elements []string) []string {
--- a/internal/swplatform/client.go
+++ b/internal/swplatform/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/internal/swtable"
 )
 
 const (
@@ -52,6 +54,8 @@
 	config Config
 	base   *url.URL
 	http   *http.Client
+	// lists holds the last VM list of each data centre.
+	lists *swtable.Table[string, vmList]
 }
 
 // New returns a client. It fails on a malformed URL and does not call the platform.
@@ -72,6 +76,7 @@
 	return &Client{
 		config: config,
 		base:   base,
+		lists:  swtable.New[string, vmList](),
 		http: &http.Client{
 			Transport:     config.Transport,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -175,17 +180,6 @@
 	return result, nil
 }
 
-// VMs lists the VMs of a data centre, or all of them when dataCentre is empty.
-func (client *Client) VMs(ctx context.Context, dataCentre string) ([]VM, error) {
-	var answer struct{ VMs []VM }
-	err := client.read(ctx, request{
-		operation: "vms", method: http.MethodGet,
-		path:  []string{"v1", "vms"},
-		query: url.Values{"DataCentre": {dataCentre}},
-	}, &answer)
-	return answer.VMs, err
-}
-
 func quoteVersion(version uint64) string {
 	return `"` + strconv.FormatUint(version, 10) + `"`
 }
--- a/lab/internal/swlabplatform/platform.go
+++ b/lab/internal/swlabplatform/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
@@ -307,7 +309,19 @@
 }
 
 func (platform *Platform) vms(writer http.ResponseWriter, request *http.Request) {
-	reply(writer, http.StatusOK, struct{ VMs []VM }{platform.store.visibleVMs(request.URL.Query().Get("DataCentre"))})
+	list := struct{ VMs []VM }{platform.store.visibleVMs(request.URL.Query().Get("DataCentre"))}
+	body, err := json.Marshal(list)
+	if err != nil {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("\"%016x\"", xxhash.Sum64(body))
+	writer.Header().Set("ETag", tag)
+	if request.Header.Get("If-None-Match") == tag {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
+	reply(writer, http.StatusOK, list)
 }
 
 // faultRequest is Fault with a duration that people can write.
