--- a/lab/internal/swlabcheck/report.go
+++ b/lab/internal/swlabcheck/report.go
@@ -155,7 +155,7 @@
 	P99      swlabload.Milliseconds
 }
 
-// NewTimeline sums results up by the second in which they were due.
+// NewTimeline sums the first sendings up by the second in which they were due.
 func NewTimeline(results []swlabload.Result, begin time.Time, duration time.Duration) []Bucket {
 	type at struct {
 		second   int
@@ -165,6 +165,9 @@
 	sent := make(map[at]int)
 	for i := range results {
 		result := &results[i]
+		if !result.First {
+			continue
+		}
 		key := at{int(result.Intended.Sub(begin) / time.Second), result.Stream.Priority}
 		sent[key]++
 		if result.Whole() {
