Wait until VMs answer before a test asks them

Cause: TestVMsStartWhenThePlatformReturns failed once in a clean clone: two of nine processes did not listen yet when the test sent its first search, and the proxy in front reset the connection. The test waits for /livez of each VM now; what it asserts is unchanged.

--- a/lab/internal/swlabload/client.go
+++ b/lab/internal/swlabload/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
 const (
@@ -86,9 +87,14 @@
 }
 
 func (balancer *Balancer) check(ctx context.Context, target Target) bool {
+	return balancer.probe(ctx, target, "/readyz")
+}
+
+// probe reports whether a health path of a VM answers 200.
+func (balancer *Balancer) probe(ctx context.Context, target Target, path string) bool {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+"/readyz", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+path, nil)
 	if err != nil {
 		return false
 	}
@@ -128,6 +134,18 @@
 	return nil
 }
 
+// AwaitLive blocks until every VM answers at all, ready or not, or the context ends.
+func (balancer *Balancer) AwaitLive(ctx context.Context) error {
+	for _, target := range balancer.targets {
+		for !balancer.probe(ctx, target, "/livez") {
+			if err := swtimer.Wait(ctx, readyEvery); err != nil {
+				return errors.Wrapf(err, "%s does not answer", target.Name)
+			}
+		}
+	}
+	return nil
+}
+
 // Pick returns the next ready VM, or any when none is ready.
 func (balancer *Balancer) Pick() Target {
 	balancer.mutex.Lock()
--- a/lab/internal/swlabscenario/process_test.go
+++ b/lab/internal/swlabscenario/process_test.go
@@ -220,6 +220,9 @@
 	fleet := start(t, user, func(config *swlabfleet.Config) {
 		config.PlatformFault = swlabplatform.Fault{Down: true}
 	})
+	if err := fleet.Balancer.AwaitLive(t.Context()); err != nil {
+		t.Fatal(err)
+	}
 	for _, target := range fleet.Targets() {
 		answer := search(t, fleet, target, &user.Streams[0], "levy")
 		if answer.Code != swcode.NotReady || answer.Ran != swcode.RanNo {
