--- a/lab/internal/swlabbackend/server.go
+++ b/lab/internal/swlabbackend/server.go
@@ -24,6 +24,10 @@
 	relistenEvery = 20 * time.Millisecond
 )
 
+// defaultListen is a free port of a loopback address that no outgoing connection takes as its source, so that a server that
+// comes back finds its port free.
+const defaultListen = "127.0.0.2:0"
+
 // Config holds what a Server is built from.
 type Config struct {
 	Name       string
@@ -98,7 +102,7 @@
 // Start listens and serves until Close.
 func Start(config Config) (*Server, error) {
 	if config.Listen == "" {
-		config.Listen = "127.0.0.1:0"
+		config.Listen = defaultListen
 	}
 	server := &Server{
 		config:  config,
