Use the code for too little coverage, drop one that nothing gives

Cause: a look for codes that nothing emits found 501 and 605. A caller that accepts less than whole coverage gets CoverageTooLow when even that is not reached, with the shard at fault in the message; 605 described a refusal that claims no longer make, since a resend finds the claimed run. The waits of rollout and the lab go through internal/swtimer.

--- a/internal/swquery/engine_test.go
+++ b/internal/swquery/engine_test.go
@@ -134,6 +134,10 @@
 		if diff := cmp.Diff(swcode.NoReplica, refused.Code); diff != "" {
 			t.Error(diff)
 		}
+		tooLow := world.run(t.Context(), Query{MinCoverage: 0.99, ID: 79})
+		if diff := cmp.Diff(swcode.CoverageTooLow, tooLow.Code); diff != "" {
+			t.Error(diff)
+		}
 		partial := world.run(t.Context(), Query{MinCoverage: 0.5, ID: 78})
 		total := world.total("s1")
 		lost := world.documents["s1"][4]
--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -61,7 +61,11 @@
 		}
 		return execution.refuse(code, covered)
 	}
-	return execution.refuse(failureCode(answer), fmt.Sprintf("shard %d of snapshot %s: %s; %s", shard, execution.snapshot.ID, answer.Message, covered))
+	code := failureCode(answer)
+	if execution.query.MinCoverage < 1 {
+		code = swcode.CoverageTooLow
+	}
+	return execution.refuse(code, fmt.Sprintf("shard %d of snapshot %s: %s; %s", shard, execution.snapshot.ID, answer.Message, covered))
 }
 
 // failureCode returns the code that tells a caller why a shard has no answer.
--- a/internal/swrollout/pull.go
+++ b/internal/swrollout/pull.go
@@ -10,6 +10,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
 const (
@@ -269,10 +270,5 @@
 
 // wait sleeps until the time is over or the context ends.
 func wait(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	_ = swtimer.Wait(ctx, delay)
 }
--- a/lab/internal/swlabload/load.go
+++ b/lab/internal/swlabload/load.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 	"github.com/sycamorewall/sycamorewall/pkg/swclient"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 	"github.com/sycamorewall/sycamorewall/pkg/swrule"
@@ -214,14 +215,7 @@
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return swtimer.Wait(ctx, wait) == nil
 }
 
 func (sender *sender) send(ctx context.Context, intended time.Time, number int64) {
--- a/pkg/swcode/code.go
+++ b/pkg/swcode/code.go
@@ -51,7 +51,6 @@
 	KeyTableFull       Code = 602
 	IssuerGone         Code = 603
 	ClaimUnavailable   Code = 604
-	ClaimedElsewhere   Code = 605
 	KeyReused          Code = 606
 	OutcomeUnknown     Code = 607
 	RunInProgress      Code = 608
@@ -148,7 +147,6 @@
 	{KeyTableFull, "KeyTableFull", http.StatusServiceUnavailable, notRun, true, "The issuer's table of keys is full.", "Send again after RetryAfter."},
 	{IssuerGone, "IssuerGone", http.StatusServiceUnavailable, unknowing, false, "The incarnation that issued the key is gone: this request was not run, nothing runs under the key unless it is sent again, and whether an earlier request ran is unknown.", "Check the books before sending the work under a new key."},
 	{ClaimUnavailable, "ClaimUnavailable", http.StatusServiceUnavailable, notRun, true, "The platform could not take the claim on the caller's own key.", "Send again under the same key."},
-	{ClaimedElsewhere, "ClaimedElsewhere", http.StatusConflict, unknowing, false, "Another VM claimed the caller's own key first.", "Wait for that run's outcome."},
 	{KeyReused, "KeyReused", http.StatusUnprocessableEntity, notRun, false, "The key was used with another body.", "Use one key for one piece of work."},
 	{OutcomeUnknown, "OutcomeUnknown", http.StatusBadGateway, unknowing, false, "A byte may have reached a backend server and no answer came back; it will not be sent again.", "Check the books before sending the work under a new key."},
 	{RunInProgress, "RunInProgress", http.StatusConflict, unknowing, true, "The run under this key has not finished.", "Send again under the same key for its outcome."},
