--- a/internal/swquery/engine_test.go
+++ b/internal/swquery/engine_test.go
@@ -53,22 +53,17 @@
 			world.forge = func(reply *Reply) { reply.Answers = append(reply.Answers, reply.Answers...) }
 		}, "s1"},
 		"answers of other queries are mixed in": {func(world *world) {
-			world.forge = func(reply *Reply) {
-				for _, answer := range reply.Answers {
-					crossed := answer
-					crossed.QueryID++
-					crossed.Answer.Counts = map[string]int64{"n": 1_000_000}
-					reply.Answers = append([]ItemAnswer{crossed}, reply.Answers...)
-				}
+			world.killLocal()
+			world.cross = func(reply Reply) Reply {
+				reply.QueryID++
+				return withCounts(reply, 1_000_000)
 			}
 		}, "s1"},
 		"answers of another snapshot are mixed in": {func(world *world) {
-			world.forge = func(reply *Reply) {
-				for _, answer := range reply.Answers {
-					crossed := answer
-					crossed.Snapshot = "s0"
-					reply.Answers = append([]ItemAnswer{crossed}, reply.Answers...)
-				}
+			world.killLocal()
+			world.cross = func(reply Reply) Reply {
+				reply.Snapshot = "s0"
+				return withCounts(reply, 1_000_000)
 			}
 		}, "s1"},
 	}
@@ -102,6 +97,17 @@
 	return fmt.Sprintf("%s%d", dataCentre, shard)
 }
 
+// withCounts returns the reply with another count in each answer.
+func withCounts(reply Reply, count int64) Reply {
+	answers := make([]ItemAnswer, len(reply.Answers))
+	for i, answer := range reply.Answers {
+		answer.Answer.Counts = map[string]int64{"n": count}
+		answers[i] = answer
+	}
+	reply.Answers = answers
+	return reply
+}
+
 // TestSnapshotRetiredDuringTheGatherRestartsTheQuery retires the newest snapshot at one shard while the others answer.
 func TestSnapshotRetiredDuringTheGatherRestartsTheQuery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/swquery/fault_test.go
+++ b/internal/swquery/fault_test.go
@@ -220,8 +220,8 @@
 		outcomes := []swbackend.Answer{answered(1), {Outcome: swbackend.Failed, Ran: swcode.RanUnknown}}
 		for i, command := range sent {
 			link.attempts[command.Attempt] = struct{}{}
-			execution.scatter.events.put(scatterEvent{link: link, reply: Reply{Answers: []ItemAnswer{{
-				QueryID: 9, Attempt: command.Attempt, Shard: command.Shard, Server: command.Target.Server, Snapshot: "s1", Answer: outcomes[i],
+			execution.scatter.events.put(scatterEvent{link: link, reply: Reply{QueryID: 9, Snapshot: "s1", Answers: []ItemAnswer{{
+				Attempt: command.Attempt, Shard: command.Shard, Server: command.Target.Server, Answer: outcomes[i],
 			}}}})
 		}
 		over, end := context.WithCancel(t.Context())
--- a/internal/swquery/owner.go
+++ b/internal/swquery/owner.go
@@ -121,14 +121,7 @@
 		RunKey:      batch.RunKey,
 		Deadline:    deadline,
 	})
-	return ItemAnswer{
-		QueryID:  batch.QueryID,
-		Attempt:  item.Attempt,
-		Shard:    item.Shard,
-		Server:   item.Server,
-		Snapshot: batch.Snapshot,
-		Answer:   answer,
-	}
+	return ItemAnswer{Attempt: item.Attempt, Shard: item.Shard, Server: item.Server, Answer: answer}
 }
 
 // withdraw cancels the attempts that are listed.
--- a/internal/swquery/ownerline.go
+++ b/internal/swquery/ownerline.go
@@ -33,6 +33,7 @@
 // ownerBatch is a batch with the answers that wait to be sent.
 type ownerBatch struct {
 	id      uint64
+	batch   *Batch
 	work    *batchWork
 	answers []ItemAnswer
 	// spoke is the time of the last reply for the batch, or of its coming.
@@ -131,7 +132,7 @@
 	if len(batch.Items) == 0 || len(batch.Items) > maxBatchItems {
 		return errors.Errorf("a batch of %d items is outside 1 to %d", len(batch.Items), maxBatchItems)
 	}
-	served := &ownerBatch{id: id, left: len(batch.Items), spoke: time.Now()}
+	served := &ownerBatch{id: id, batch: batch, left: len(batch.Items), spoke: time.Now()}
 	line.owner.served.Add(1)
 	line.owner.busy.Add(1)
 	line.mutex.Lock()
@@ -197,7 +198,9 @@
 	defer line.mutex.Unlock()
 	replies := make([]any, len(line.ready))
 	for i, batch := range line.ready {
-		replies[i] = Reply{ID: batch.id, Answers: batch.answers, Report: report}
+		reply := batch.batch.reply(batch.id, batch.answers)
+		reply.Report = report
+		replies[i] = reply
 		batch.left -= len(batch.answers)
 		batch.answers = nil
 		batch.spoke = now
@@ -223,7 +226,7 @@
 			continue
 		}
 		batch.spoke = now
-		replies = append(replies, Reply{ID: batch.id})
+		replies = append(replies, batch.batch.reply(batch.id, nil))
 	}
 	return replies
 }
--- a/internal/swquery/scatter.go
+++ b/internal/swquery/scatter.go
@@ -156,7 +156,7 @@
 	engine := scatter.engine
 	if link.owner.Name == view.Self.Name {
 		link.work = engine.owner.start(engine.config.Group.Context(), link.batch, func(work *batchWork, answer ItemAnswer) {
-			event := scatterEvent{link: link, reply: Reply{Answers: []ItemAnswer{answer}}}
+			event := scatterEvent{link: link, reply: work.batch.reply(0, []ItemAnswer{answer})}
 			if work.left.Load() == 0 {
 				event.reply.Report = engine.config.Backends.Report()
 			}
--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -195,6 +195,10 @@
 	}
 	gatherWait.engine.config.Gate.Observe(event.link.owner.Name, event.reply.Report)
 	gatherWait.startHeld(event.link)
+	if !gatherWait.execution.asked(&event.reply) {
+		gatherWait.engine.config.Recorder.Event("crossed_answers", int64(len(event.reply.Answers)))
+		return
+	}
 	for i := range event.reply.Answers {
 		gatherWait.answer(now, event.link, &event.reply.Answers[i])
 	}
@@ -220,10 +224,15 @@
 	}
 }
 
-// answer takes one attempt's outcome. An answer that does not echo this query, snapshot and attempt is dropped.
+// asked reports whether the reply echoes the query and its snapshot.
+func (execution *execution) asked(reply *Reply) bool {
+	return reply.QueryID == execution.query.ID && reply.Snapshot == execution.snapshot.ID
+}
+
+// answer takes one attempt's outcome. An answer that does not echo its attempt is dropped.
 func (gatherWait *gatherWait) answer(now time.Time, link *link, item *ItemAnswer) {
 	execution := gatherWait.execution
-	if !execution.expects(item) || !link.answered(item.Attempt) {
+	if !execution.gather.Expects(item.Attempt, item.Shard, item.Server) || !link.answered(item.Attempt) {
 		gatherWait.engine.config.Recorder.Event("crossed_answers", 1)
 		return
 	}
@@ -237,12 +246,6 @@
 	gatherWait.checkCanary(now)
 }
 
-// expects reports whether the answer echoes an attempt of the query on its snapshot.
-func (execution *execution) expects(item *ItemAnswer) bool {
-	return item.QueryID == execution.query.ID && item.Snapshot == execution.snapshot.ID &&
-		execution.gather.Expects(item.Attempt, item.Shard, item.Server)
-}
-
 // checkCanary sends the other shards once one has answered. A shard where no server saw the request passes the canary on
 // to the next; any other failure gives the query up.
 func (gatherWait *gatherWait) checkCanary(now time.Time) {
--- a/internal/swquery/wire.go
+++ b/internal/swquery/wire.go
@@ -54,22 +54,29 @@
 	Server  string
 }
 
-// Reply flows from the owner to the root. One without answers tells that the owner works on the batch.
+// Reply flows from the owner to the root. One without answers tells that the owner works on the batch. It repeats the
+// identity of the batch, which the root checks.
 type Reply struct {
-	_       struct{} `cbor:",toarray"`
-	ID      uint64
-	Answers []ItemAnswer
+	_        struct{} `cbor:",toarray"`
+	ID       uint64
+	QueryID  uint64
+	Snapshot string
+	Answers  []ItemAnswer
 	// Report tells how the owner sheds work.
 	Report swadmission.Report
 }
 
-// ItemAnswer is the outcome of one attempt. It repeats the attempt's identity, which the root checks.
+// ItemAnswer is the outcome of one attempt of the reply's query and snapshot. It repeats the attempt's identity, which
+// the root checks.
 type ItemAnswer struct {
-	_        struct{} `cbor:",toarray"`
-	QueryID  uint64
-	Attempt  uint64
-	Shard    int
-	Server   string
-	Snapshot string
-	Answer   swbackend.Answer
+	_       struct{} `cbor:",toarray"`
+	Attempt uint64
+	Shard   int
+	Server  string
+	Answer  swbackend.Answer
+}
+
+// reply returns a reply for the batch that carries the answers.
+func (batch *Batch) reply(id uint64, answers []ItemAnswer) Reply {
+	return Reply{ID: id, QueryID: batch.QueryID, Snapshot: batch.Snapshot, Answers: answers}
 }
--- a/internal/swquery/wire_bench_test.go
+++ b/internal/swquery/wire_bench_test.go
@@ -34,7 +34,7 @@
 		QueryID: 1 << 63, Caller: "treasurer-desk", Kind: "balance-check", Index: "desk", Snapshot: "s-20261204-1",
 		Query: "subscriptions last month", Limit: 10, Cohort: 40000, Fingerprint: 1 << 63, Remaining: 180 * time.Millisecond,
 	}
-	reply := Reply{ID: 1 << 20}
+	reply := batch.reply(1<<20, nil)
 	for i := range items {
 		server := fmt.Sprintf("akl-1-desk-%d", i)
 		batch.Items = append(batch.Items, Item{Attempt: uint64(i) << attemptBits, Shard: i, Server: server})
@@ -43,7 +43,7 @@
 			answer.Hits = append(answer.Hits, swbackend.Hit{ID: fmt.Sprintf("entry-%d-%d", i, hit), Score: 12.5, Shard: i, Text: string(make([]byte, 40))})
 		}
 		reply.Answers = append(reply.Answers, ItemAnswer{
-			QueryID: batch.QueryID, Attempt: uint64(i) << attemptBits, Shard: i, Server: server, Snapshot: batch.Snapshot, Answer: answer,
+			Attempt: uint64(i) << attemptBits, Shard: i, Server: server, Answer: answer,
 		})
 	}
 	return Envelope{ID: 1 << 20, Batch: batch}, reply
--- a/internal/swquery/world_exchange_test.go
+++ b/internal/swquery/world_exchange_test.go
@@ -82,11 +82,27 @@
 	}
 }
 
+// withCrossed puts a crossed reply before each that has answers.
+func withCrossed(messages []any, cross func(reply Reply) Reply) []any {
+	if cross == nil {
+		return messages
+	}
+	var all []any
+	for _, message := range messages {
+		if reply, ok := message.(Reply); ok && len(reply.Answers) > 0 {
+			all = append(all, cross(reply))
+		}
+		all = append(all, message)
+	}
+	return all
+}
+
 func (exchange *memoryExchange) Send(messages ...any) error {
 	exchange.world.mutex.Lock()
 	dropped := exchange.lost || exchange.world.silent[exchange.peer] || !exchange.isRoot && exchange.world.mute[exchange.peer]
-	forge := exchange.world.forge
+	forge, cross := exchange.world.forge, exchange.world.cross
 	exchange.world.mutex.Unlock()
+	messages = withCrossed(messages, cross)
 	for _, message := range messages {
 		if reply, ok := message.(Reply); ok && forge != nil {
 			forge(&reply)
--- a/internal/swquery/world_test.go
+++ b/internal/swquery/world_test.go
@@ -61,6 +61,8 @@
 	streams map[netip.AddrPort][]*memoryExchange
 	// forge alters replies on their way to the root.
 	forge func(reply *Reply)
+	// cross returns a reply that reaches the root before the one it is given.
+	cross func(reply Reply) Reply
 }
 
 func newWorld(shards int) *world {
