Drop code that nothing uses

Cause: a read of the whole change found swhttp.Server.Held without a caller, CloseSend in an interface whose users never call it, and a mark of hedges on attempts that was written and never read. Behaviour and assertions as before.

--- a/internal/swhttp/server.go
+++ b/internal/swhttp/server.go
@@ -130,11 +130,6 @@
 	_ = server.server.Close()
 }
 
-// Held returns the number of requests in flight.
-func (server *Server) Held() int64 {
-	return server.held.Load()
-}
-
 func (server *Server) routes() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/livez", server.live).Methods(http.MethodGet)
--- a/internal/swquery/gather.go
+++ b/internal/swquery/gather.go
@@ -125,8 +125,7 @@
 	sentAt time.Time
 	ended  bool
 	// lost marks an attempt that ended with the loss of its owner; its answer still counts when it comes after all.
-	lost  bool
-	hedge bool
+	lost bool
 	// late marks an attempt that OnLate was told of.
 	late bool
 	// useless marks a server that cannot answer whoever asks it.
@@ -150,7 +149,7 @@
 func (gather *Gather) Start(now time.Time, first, last int) Orders {
 	gather.reset()
 	for i := first; i < last; i++ {
-		gather.send(now, i, false)
+		gather.send(now, i)
 	}
 	return gather.orders
 }
@@ -250,7 +249,7 @@
 		return
 	}
 	shard := &gather.shards[position]
-	if gather.mayRetry(shard, shard.answer) && gather.send(now, position, false) {
+	if gather.mayRetry(shard, shard.answer) && gather.send(now, position) {
 		gather.Retries++
 		return
 	}
--- a/internal/swquery/gather_send.go
+++ b/internal/swquery/gather_send.go
@@ -40,7 +40,7 @@
 	if !shard.hasTarget() {
 		return
 	}
-	if gather.config.Budget.Take() && gather.send(now, position, true) {
+	if gather.config.Budget.Take() && gather.send(now, position) {
 		gather.Hedges++
 		return
 	}
@@ -83,7 +83,7 @@
 		if shard.state != shardRunning || !gather.waitsOnlyFor(position, matches) || !shard.hasTarget() {
 			continue
 		}
-		if gather.config.Budget.Take() && gather.send(now, position, true) {
+		if gather.config.Budget.Take() && gather.send(now, position) {
 			gather.Retries++
 		}
 	}
@@ -115,7 +115,7 @@
 	}
 }
 
-func (gather *Gather) send(now time.Time, position int, hedge bool) bool {
+func (gather *Gather) send(now time.Time, position int) bool {
 	shard := &gather.shards[position]
 	if !shard.hasTarget() {
 		gather.failUnreachable(position)
@@ -123,7 +123,7 @@
 	}
 	target := shard.plan.Targets[shard.nextTarget]
 	shard.nextTarget++
-	shard.attempts = append(shard.attempts, attempt{target: target, sentAt: now, hedge: hedge})
+	shard.attempts = append(shard.attempts, attempt{target: target, sentAt: now})
 	shard.running++
 	gather.Attempts++
 	shard.hedgeAt = time.Time{}
--- a/internal/swquery/line_test.go
+++ b/internal/swquery/line_test.go
@@ -56,7 +56,6 @@
 	<-exchange.ctx.Done()
 	return exchange.ctx.Err()
 }
-func (*silentExchange) CloseSend() error { return nil }
 func (exchange *silentExchange) Cancel() { exchange.cancel() }
 
 func newTestLink() *link {
--- a/internal/swquery/ownerline.go
+++ b/internal/swquery/ownerline.go
@@ -13,7 +13,6 @@
 type Exchange interface {
 	Send(messages ...any) error
 	Receive(message any) error
-	CloseSend() error
 	Cancel()
 }
 
--- a/internal/swquery/world_exchange_test.go
+++ b/internal/swquery/world_exchange_test.go
@@ -137,5 +137,4 @@
 	}
 }
 
-func (exchange *memoryExchange) CloseSend() error { return nil }
-func (exchange *memoryExchange) Cancel()          { exchange.cancel() }
+func (exchange *memoryExchange) Cancel() { exchange.cancel() }
