--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -17,6 +18,9 @@
 // stopReserve is the time given to a graceful stop beyond what the settings name.
 const stopReserve = 10 * time.Second
 
+// settingsVariable names the environment variable that holds the path of the settings file.
+const settingsVariable = "SYCAMOREWALL_SETTINGS"
+
 // serveCommand runs one VM's process until it is told to stop.
 type serveCommand struct {
 	command  *cobra.Command
@@ -26,26 +30,41 @@
 func newServeCommand() *cobra.Command {
 	serve := &serveCommand{}
 	serve.command = &cobra.Command{
-		Use:   "serve --settings FILE",
+		Use:   "serve [--settings FILE]",
 		Short: "Serve callers and peers until SIGTERM or SIGINT, then stop gracefully",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			return serve.run(command.Context(), command.ErrOrStderr())
 		},
 	}
-	serve.command.Flags().StringVar(&serve.settings, "settings", "", "settings file (required)")
-	if err := serve.command.MarkFlagRequired("settings"); err != nil {
-		panic(err)
-	}
+	serve.command.Flags().StringVar(&serve.settings, "settings", os.Getenv(settingsVariable),
+		"settings file; the default is what the environment variable "+settingsVariable+" names")
 	return serve.command
 }
 
+// program is what serve runs: the search API or the gateway.
+type program interface {
+	Start(ctx context.Context) error
+	Stop(ctx context.Context) error
+}
+
+func newProgram(settings swsetting.Settings, logOut io.Writer) (program, error) {
+	config := swapp.Config{Settings: settings, LogOut: logOut, Version: version()}
+	if settings.Gateway.Enabled() {
+		return swapp.NewGateway(config)
+	}
+	return swapp.New(config)
+}
+
 func (serve *serveCommand) run(ctx context.Context, logOut io.Writer) error {
+	if serve.settings == "" {
+		return errors.Errorf("no settings file: give --settings or set %s", settingsVariable)
+	}
 	settings, err := swsetting.Load(serve.settings)
 	if err != nil {
 		return err
 	}
-	app, err := swapp.New(swapp.Config{Settings: settings, LogOut: logOut, Version: version()})
+	app, err := newProgram(settings, logOut)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/swapp/gateway.go
@@ -0,0 +1,213 @@
+package swapp
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
+	"github.com/sycamorewall/sycamorewall/internal/swgateway"
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
+	"github.com/sycamorewall/sycamorewall/internal/swreplica"
+	"github.com/sycamorewall/sycamorewall/internal/swroute"
+	"github.com/sycamorewall/sycamorewall/platform"
+)
+
+// Gateway is one VM's process in front of the users' backend servers. Construct it with NewGateway.
+type Gateway struct {
+	parts *gatewayParts
+	fx    *fx.App
+}
+
+// gatewayParts are the pieces that start and stop. fx fills them by type.
+type gatewayParts struct {
+	fx.In
+
+	Config   Config
+	Log      zerolog.Logger
+	Group    *swgroup.Group
+	Client   *swplatform.Client
+	Routes   *swroute.Book
+	Replicas *swreplica.Registry
+	Servers  *swfollow.Mirror[swreplica.Entry]
+	Follow   followers
+	Server   *swgateway.Server
+}
+
+// followers keep the copies of the platform's objects in step.
+type followers []*swfollow.Follower
+
+// NewGateway builds every part and opens the listeners. Nothing is served before Start.
+func NewGateway(config Config) (*Gateway, error) {
+	gateway := &Gateway{}
+	gateway.fx = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(config),
+		fx.Provide(
+			newLogger, newGroup, newPlatform, newRouteBook, newReplicas, newGatewayQuarantine,
+			newServerMirror, newFollowers, newGatewayHandler, newGatewayServer,
+		),
+		fx.Invoke(bindGatewayLifecycle),
+		fx.Invoke(func(parts gatewayParts) { gateway.parts = &parts }),
+	)
+	if err := gateway.fx.Err(); err != nil {
+		return nil, errors.Wrap(dig.RootCause(err), "build the VM's parts")
+	}
+	return gateway, nil
+}
+
+// Start begins serving. The VM is ready once it has a configuration and backend servers.
+func (gateway *Gateway) Start(ctx context.Context) error {
+	return errors.Wrap(gateway.fx.Start(ctx), "start")
+}
+
+// Stop stops gracefully: no request is cut, as long as the context lasts.
+func (gateway *Gateway) Stop(ctx context.Context) error {
+	return errors.Wrap(gateway.fx.Stop(ctx), "stop")
+}
+
+func newRouteBook() *swroute.Book {
+	return &swroute.Book{}
+}
+
+func newReplicas(config Config, group *swgroup.Group, routes *swroute.Book, log zerolog.Logger) *swreplica.Registry {
+	pool := swreplica.NewPool(swreplica.PoolConfig{
+		Group: group,
+		MaxConnections: func(name string) int {
+			table := routes.Current()
+			if table == nil {
+				return 0
+			}
+			service, _ := table.Service(name)
+			return service.MaxConnections
+		},
+		Log: log,
+	})
+	return swreplica.NewRegistry(swreplica.RegistryConfig{
+		Pool: pool, DataCentre: config.Settings.DataCentre, Region: config.Settings.Region,
+	})
+}
+
+func newGatewayQuarantine(config Config) *swquarantine.Register {
+	return swquarantine.New(swquarantine.Config{Name: config.Settings.Name, CanaryWindow: time.Nanosecond})
+}
+
+func newServerMirror(config Config, replicas *swreplica.Registry, log zerolog.Logger) *swfollow.Mirror[swreplica.Entry] {
+	regions := config.Settings.Gateway.Regions
+	return swfollow.NewMirror(swfollow.MirrorConfig[swreplica.Entry]{
+		Decode: func(object swplatform.Object) (swreplica.Entry, bool) {
+			return platform.DecodeServer(object.Name, object.Value, regions)
+		},
+		Apply: func(changed []swreplica.Entry, gone []string) {
+			replicas.Update(changed, gone)
+			log.Info().Int("Changed", len(changed)).Strs("Gone", gone).Int("Replicas", replicas.Len()).Msg("backend servers changed")
+		},
+		Grace: config.Settings.Gateway.EntryGrace,
+	})
+}
+
+func newFollowers(config Config, client *swplatform.Client, routes *swroute.Book, servers *swfollow.Mirror[swreplica.Entry], log zerolog.Logger) followers {
+	store := platform.NewStore(client)
+	return followers{
+		swfollow.NewFollower(swfollow.FollowerConfig{
+			Source: store, Kind: platform.KindConfig, Log: log,
+			Receive: func(change swfollow.Change) { receiveConfig(routes, change, log) },
+		}),
+		swfollow.NewFollower(swfollow.FollowerConfig{
+			Source: store, Kind: platform.KindServers, Log: log, Receive: servers.Receive,
+		}),
+	}
+}
+
+// receiveConfig puts the newest configuration of a change in force.
+func receiveConfig(routes *swroute.Book, change swfollow.Change, log zerolog.Logger) {
+	for _, object := range change.Objects {
+		if object.Name != platform.ConfigName || object.Deleted {
+			continue
+		}
+		table, err := platform.DecodeConfig(object.Value)
+		if err != nil {
+			log.Error().Err(err).Uint64("Revision", object.Revision).Msg("invalid configuration, the last good one stays in force")
+			continue
+		}
+		if routes.Offer(table) {
+			log.Info().Uint64("Config", table.Version).Int("Routes", table.Len()).Uint64("Revision", object.Revision).Msg("configuration in force")
+		}
+	}
+}
+
+func newGatewayHandler(config Config, group *swgroup.Group, routes *swroute.Book, replicas *swreplica.Registry, quarantine *swquarantine.Register, log zerolog.Logger) *swgateway.Gateway {
+	settings := config.Settings
+	return swgateway.New(swgateway.Config{
+		Group: group, Protocol: platform.Headers{}, Routes: routes, Replicas: replicas, Quarantine: quarantine, Log: log,
+		Budget: swgateway.NewBudget(swgateway.BudgetConfig{
+			Ratio: settings.Gateway.RepeatRatio, Slack: settings.Gateway.RepeatSlack, Window: settings.Gateway.RepeatWindow,
+		}),
+		HedgePercentile: settings.Query.HedgePercentile,
+	})
+}
+
+func newGatewayServer(config Config, handler *swgateway.Gateway, routes *swroute.Book, replicas *swreplica.Registry, log zerolog.Logger) (*swgateway.Server, error) {
+	settings := config.Settings.Gateway
+	return swgateway.Listen(swgateway.ServerConfig{
+		Listen: settings.Listen, Ready: settings.Ready, ReadyPath: platform.ReadyPath, Handler: handler, Routes: routes, Log: log,
+		IsReady: func() error {
+			if routes.Current() == nil {
+				return errNoConfig
+			}
+			if replicas.Len() == 0 {
+				return errNoServers
+			}
+			return nil
+		},
+	})
+}
+
+func bindGatewayLifecycle(lifecycle fx.Lifecycle, parts gatewayParts) {
+	lifecycle.Append(fx.Hook{OnStart: parts.start, OnStop: parts.stop})
+}
+
+func (parts *gatewayParts) start(context.Context) error {
+	parts.Group.Go(parts.Servers.Run)
+	for _, follower := range parts.Follow {
+		parts.Group.Go(follower.Run)
+	}
+	parts.Server.Serve(parts.Group)
+	parts.Log.Info().Stringer("Clients", parts.Server.Address()).Stringer("Ready", parts.Server.ReadyAddress()).
+		Str("Version", parts.Config.Version).Msg("serving")
+	return nil
+}
+
+const (
+	// drainPart is the part of the grace for which a leaving VM goes on answering what comes over open connections.
+	drainPart = 0.6
+	// finishPart is the part of the grace by which the last request under way must have ended.
+	finishPart = 0.92
+)
+
+// stop ends the gateway: it is not ready first, answers what still comes with the request to close the connection, and then
+// finishes what is under way.
+func (parts *gatewayParts) stop(ctx context.Context) error {
+	began := time.Now()
+	grace := parts.Config.Settings.Gateway.Grace
+	parts.Server.SetLeaving()
+	parts.Log.Info().Int64("Held", parts.Server.Held()).Dur("Grace", grace).Msg("leaving")
+	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(finishPart*float64(grace))))
+	defer cancel()
+	select {
+	case <-time.After(time.Duration(drainPart * float64(grace))):
+	case <-ctx.Done():
+	}
+	err := parts.Server.Shutdown(ctx)
+	parts.Log.Info().Int64("Held", parts.Server.Held()).Dur("Took", time.Since(began)).Msg("stopped")
+	parts.Client.Close()
+	parts.Group.Cancel()
+	return err
+}
--- a/internal/swapp/life.go
+++ b/internal/swapp/life.go
@@ -48,6 +48,7 @@
 	errLeaving     = errors.New("this VM is leaving")
 	errNoRules     = errors.New("no rules are in force on this VM yet: neither the platform nor a peer has given any")
 	errNoServers   = errors.New("no backend servers are known on this VM yet: neither the platform nor a peer has given any")
+	errNoConfig    = errors.New("no configuration is in force on this VM yet: the platform has given none")
 	errNoCatalogue = errors.New("no catalogue is known on this VM yet: neither the platform nor a peer has given any")
 )
 
--- /dev/null
+++ b/internal/swconn/connection_test.go
@@ -0,0 +1,154 @@
+package swconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+)
+
+// endpoint is a connection under test with the server's end of it.
+type endpoint struct {
+	*Connection
+	server *net.TCPConn
+	ended  chan error
+}
+
+func newEndpoint(t *testing.T) *endpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	endpoint := &endpoint{server: server.(*net.TCPConn), ended: make(chan error, 1)}
+	endpoint.Connection = New(client, Hooks{Ended: func(_ *Connection, err error) { endpoint.ended <- err }})
+	group := swgroup.New(context.Background())
+	group.Go(endpoint.Read)
+	t.Cleanup(func() {
+		endpoint.Close()
+		server.Close()
+		group.Stop()
+	})
+	return endpoint
+}
+
+func (endpoint *endpoint) write(t *testing.T, text string) {
+	t.Helper()
+	if _, err := endpoint.server.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (endpoint *endpoint) send(t *testing.T, id string) <-chan Result {
+	t.Helper()
+	results, sent, err := endpoint.Send("GET", []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), time.Now().Add(time.Minute),
+		func(response *Response) bool { return response.Header.Get("Id") == id })
+	if err != nil || !sent {
+		t.Fatalf("sent is %t, error %v", sent, err)
+	}
+	if _, err := http.ReadRequest(bufio.NewReader(endpoint.server)); err != nil {
+		t.Fatal(err)
+	}
+	return results
+}
+
+const answerA = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\nKeep-Alive: timeout=7\r\n\r\nabc"
+
+func TestExchangeReturnsTheWholeAnswer(t *testing.T) {
+	endpoint := newEndpoint(t)
+	results := endpoint.send(t, "a")
+	endpoint.write(t, "HTTP/1.1 100 Continue\r\n\r\n"+answerA)
+	result := <-results
+	if result.Err != nil {
+		t.Fatal(result.Err)
+	}
+	if diff := cmp.Diff("abc", string(result.Response.Body)); diff != "" {
+		t.Error("body (-want +got):\n" + diff)
+	}
+	if diff := cmp.Diff(7*time.Second, endpoint.IdleLimit()); diff != "" {
+		t.Error("idle limit (-want +got):\n" + diff)
+	}
+}
+
+func TestAnswerToAnEarlierRequestIsDropped(t *testing.T) {
+	endpoint := newEndpoint(t)
+	results := endpoint.send(t, "a")
+	endpoint.write(t, "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 3\r\n\r\nzzz"+answerA)
+	result := <-results
+	if result.Err != nil {
+		t.Fatal(result.Err)
+	}
+	if diff := cmp.Diff("abc", string(result.Response.Body)); diff != "" {
+		t.Error("body (-want +got):\n" + diff)
+	}
+}
+
+func TestSecondAnswerMakesTheConnectionUnusable(t *testing.T) {
+	endpoint := newEndpoint(t)
+	results := endpoint.send(t, "a")
+	endpoint.write(t, answerA+answerA)
+	if result := <-results; result.Err != nil {
+		t.Fatal(result.Err)
+	}
+	if err := <-endpoint.ended; !errors.Is(err, ErrUnsolicited) {
+		t.Errorf("ended with %v, want %v", err, ErrUnsolicited)
+	}
+	if endpoint.Usable() {
+		t.Error("the connection is usable after bytes that nothing asked for")
+	}
+}
+
+func TestIncompleteAnswersAreErrors(t *testing.T) {
+	for name, text := range map[string]string{
+		"cut body":    "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 30\r\n\r\nabc",
+		"cut chunks":  "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"cut header":  "HTTP/1.1 200 OK\r\nId: a",
+		"no protocol": "\x00\x01garbage\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := newEndpoint(t)
+			results := endpoint.send(t, "a")
+			endpoint.write(t, text)
+			endpoint.server.Close()
+			if result := <-results; result.Err == nil {
+				t.Errorf("answer %+v, want an error", result.Response)
+			}
+		})
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithTheConnection(t *testing.T) {
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := newEndpoint(t)
+			results := endpoint.send(t, "a")
+			endpoint.write(t, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nabc")
+			if reset {
+				if err := endpoint.server.SetLinger(0); err != nil {
+					t.Fatal(err)
+				}
+			}
+			endpoint.server.Close()
+			result := <-results
+			if got := result.Err != nil; got != reset {
+				t.Errorf("error %v, want an error: %t", result.Err, reset)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/swfollow/mirror_test.go
@@ -0,0 +1,157 @@
+package swfollow
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"context"
+	"slices"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+)
+
+// collector is a mirror of names under test.
+type collector struct {
+	*Mirror[string]
+	names map[string]bool
+}
+
+func newCollector(grace time.Duration) *collector {
+	collector := &collector{names: make(map[string]bool)}
+	collector.Mirror = NewMirror(MirrorConfig[string]{
+		Decode: func(object swplatform.Object) (string, bool) { return object.Name, len(object.Value) > 0 },
+		Apply: func(changed, gone []string) {
+			for _, name := range changed {
+				collector.names[name] = true
+			}
+			for _, name := range gone {
+				delete(collector.names, name)
+			}
+		},
+		Grace: grace,
+	})
+	return collector
+}
+
+func (collector *collector) list() []string {
+	collector.mutex.Lock()
+	defer collector.mutex.Unlock()
+	var names []string
+	for name := range collector.names {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func objects(names ...string) []swplatform.Object {
+	list := make([]swplatform.Object, len(names))
+	for i, name := range names {
+		list[i] = swplatform.Object{Name: name, Value: []byte("1")}
+	}
+	return list
+}
+
+func expect(t *testing.T, collector *collector, want ...string) {
+	t.Helper()
+	if diff := cmp.Diff(want, collector.list()); diff != "" {
+		t.Error("names (-want +got):\n" + diff)
+	}
+}
+
+func TestRemovalsApplyAtOnceWhileTheStoreAnswers(t *testing.T) {
+	collector := newCollector(2 * time.Second)
+	collector.Receive(Change{Whole: true, Objects: objects("a", "b", "c")})
+	collector.Receive(Change{Objects: []swplatform.Object{{Name: "b", Deleted: true}}})
+	expect(t, collector, "a", "c")
+	collector.Receive(Change{Whole: true, Objects: objects("c")})
+	expect(t, collector, "c")
+}
+
+func TestObjectsThatCannotBeReadAreAbsent(t *testing.T) {
+	collector := newCollector(2 * time.Second)
+	collector.Receive(Change{Whole: true, Objects: append(objects("a"), swplatform.Object{Name: "b"})})
+	expect(t, collector, "a")
+}
+
+func TestEntriesThatLapsedInAnOutageHaveTimeToReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := swgroup.New(context.Background())
+		defer group.Stop()
+		collector := newCollector(2 * time.Second)
+		group.Go(collector.Run)
+		collector.Receive(Change{Whole: true, Objects: objects("a", "b", "c")})
+		regained := time.Now()
+		collector.Receive(Change{Whole: true, Objects: objects("a"), Regained: regained})
+		expect(t, collector, "a", "b", "c")
+		time.Sleep(time.Second)
+		collector.Receive(Change{Objects: objects("b"), Regained: regained})
+		time.Sleep(999 * time.Millisecond)
+		expect(t, collector, "a", "b", "c")
+		time.Sleep(2 * time.Millisecond)
+		synctest.Wait()
+		expect(t, collector, "a", "b")
+		collector.Receive(Change{Objects: []swplatform.Object{{Name: "b", Deleted: true}}, Regained: regained})
+		expect(t, collector, "a")
+	})
+}
+
+// scriptedStore answers calls in order.
+type scriptedStore struct {
+	lists   int
+	watches []error
+	changes chan []swplatform.Object
+}
+
+func (store *scriptedStore) ListObjects(context.Context, string) ([]swplatform.Object, uint64, error) {
+	store.lists++
+	return objects("a"), uint64(store.lists), nil
+}
+
+func (store *scriptedStore) WatchObjects(ctx context.Context, _ string, after uint64, _ time.Duration) ([]swplatform.Object, uint64, error) {
+	if len(store.watches) > 0 {
+		err := store.watches[0]
+		store.watches = store.watches[1:]
+		return nil, 0, err
+	}
+	select {
+	case changed := <-store.changes:
+		return changed, after + 1, nil
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+func TestFollowerListsAgainWhenHistoryIsGoneOrTheStoreFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := swgroup.New(context.Background())
+		store := &scriptedStore{
+			watches: []error{
+				&swplatform.Error{Reason: swplatform.ErrRevisionTooOld},
+				&swplatform.Error{Reason: swplatform.ErrUnavailable},
+			},
+			changes: make(chan []swplatform.Object),
+		}
+		var changes []Change
+		follower := NewFollower(FollowerConfig{Source: store, Kind: "k", Log: zerolog.Nop(), Receive: func(change Change) {
+			changes = append(changes, change)
+		}})
+		group.Go(follower.Run)
+		time.Sleep(5 * time.Second)
+		store.changes <- objects("b")
+		synctest.Wait()
+		group.Stop()
+		var got []bool
+		for _, change := range changes {
+			got = append(got, change.Regained.IsZero())
+		}
+		if diff := cmp.Diff([]bool{true, true, false, false}, got); diff != "" {
+			t.Error("changes without an outage before (-want +got):\n" + diff)
+		}
+	})
+}
--- /dev/null
+++ b/internal/swgateway/call.go
@@ -0,0 +1,338 @@
+package swgateway
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
+	"github.com/sycamorewall/sycamorewall/internal/swconn"
+	"github.com/sycamorewall/sycamorewall/internal/swquery"
+	"github.com/sycamorewall/sycamorewall/internal/swreplica"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+const (
+	// lingerAnswered is how long an attempt that is no longer needed may still be answered, so that its connection is kept: a
+	// little more than replicas commonly stand still.
+	lingerAnswered = 300 * time.Millisecond
+	// maxSends bounds the attempts for one service: more than any gather makes, so that results never block.
+	maxSends = 8
+	// choiceJitter is the part by which an estimate varies at random, so that VMs do not all choose the same replica.
+	choiceJitter = 0.1
+)
+
+// shardCall is one service of a call.
+type shardCall struct {
+	service  string
+	replicas map[string]*swreplica.Replica
+	// response is the last that came from a replica, mark what it says.
+	response *swconn.Response
+	mark     Mark
+	answered bool
+}
+
+// crash is a replica that broke off a request.
+type crash struct {
+	replica *swreplica.Replica
+	at      time.Time
+}
+
+// call is one request on its way to the replicas of its services. One goroutine runs it.
+type call struct {
+	gateway *Gateway
+	request *request
+	shards  []shardCall
+	gather  *swquery.Gather
+	results chan attemptResult
+	cancels map[uint64]context.CancelFunc
+	crashes []crash
+	answers int
+	// partial is set when the answer left without waiting for every shard.
+	partial bool
+	// gone is set when the client left.
+	gone bool
+	// late is set when the deadline passed.
+	late bool
+}
+
+// attemptResult is the end of one attempt.
+type attemptResult struct {
+	command swquery.Command
+	replica *swreplica.Replica
+	answer  swreplica.Answer
+	mark    Mark
+	at      time.Time
+}
+
+// newCall plans a call: for each service the replicas that may serve it.
+func (gateway *Gateway) newCall(request *request) *call {
+	services := request.route.Shards
+	if !request.route.Gathered() {
+		services = []string{request.route.NextService()}
+	}
+	call := &call{
+		gateway: gateway,
+		request: request,
+		shards:  make([]shardCall, len(services)),
+		results: make(chan attemptResult, maxSends*len(services)),
+		cancels: make(map[uint64]context.CancelFunc, len(services)),
+	}
+	plans := make([]swquery.ShardPlan, len(services))
+	now := time.Now()
+	for i, service := range services {
+		gateway.config.Budget.Count(now, service)
+		plans[i] = call.plan(i, service)
+	}
+	call.gather = swquery.NewGather(swquery.GatherConfig{
+		Shards:          plans,
+		Idempotent:      request.route.Repeatable,
+		MaxAttempts:     request.route.MaxAttempts,
+		MayRetryCrashed: func() bool { return false },
+		Budget:          call,
+		Order:           call.order,
+		HedgeAfter:      call.hedgeAfter,
+	})
+	return call
+}
+
+// plan lists the replicas of one service.
+func (call *call) plan(position int, service string) swquery.ShardPlan {
+	replicas := call.gateway.config.Replicas.Service(service)
+	shard := &call.shards[position]
+	shard.service = service
+	shard.replicas = make(map[string]*swreplica.Replica, len(replicas))
+	plan := swquery.ShardPlan{Number: position, Documents: 1}
+	for _, replica := range replicas {
+		if !replica.Taking() {
+			continue
+		}
+		id := replica.ID()
+		shard.replicas[id] = replica
+		plan.Targets = append(plan.Targets, swquery.Target{Server: id, Local: replica.Distance() == swreplica.SameDataCentre})
+	}
+	return plan
+}
+
+// servable reports whether enough services have a replica.
+func (call *call) servable() bool {
+	reachable := 0
+	for i := range call.shards {
+		if len(call.shards[i].replicas) > 0 {
+			reachable++
+		}
+	}
+	return reachable > 0 && call.enough(reachable)
+}
+
+// enough reports whether the answers of so many services suffice.
+func (call *call) enough(answers int) bool {
+	if !call.request.route.Gathered() {
+		return answers > 0
+	}
+	return answers > 0 && float64(answers) >= call.request.route.MinCoverage*float64(len(call.shards))-coverageTolerance
+}
+
+// coverageTolerance absorbs the rounding of a share that the configuration gives as a decimal fraction.
+const coverageTolerance = 1e-9
+
+// Take asks the budget of the shard's service for one more attempt.
+func (call *call) Take(shard int) bool {
+	return call.gateway.config.Budget.Take(time.Now(), call.shards[shard].service)
+}
+
+// order sorts the replicas that are left by when each would answer a request sent now.
+func (call *call) order(shard int, left []swquery.Target) {
+	if len(left) < 2 {
+		return
+	}
+	now := time.Now()
+	known := &call.shards[shard]
+	typical := call.gateway.latencies.Typical(known.service)
+	type scored struct {
+		target swquery.Target
+		expect time.Duration
+	}
+	scores := make([]scored, len(left))
+	for i, target := range left {
+		prospect := known.replicas[target.Server].Prospect(now, typical)
+		expect := prospect.Expect()
+		scores[i] = scored{target, expect + time.Duration(rand.Float64()*choiceJitter*float64(expect))}
+	}
+	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(a.expect, b.expect) })
+	for i := range scores {
+		left[i] = scores[i].target
+	}
+}
+
+// hedgeAfter returns when an attempt is late.
+func (call *call) hedgeAfter(shard int, _ swquery.Target) time.Duration {
+	return call.gateway.hedgeAfter(call.request, call.shards[shard].service)
+}
+
+// run sends the request and returns once the answer is decided, the deadline has passed, or the client has left.
+func (call *call) run(ctx context.Context) {
+	now := time.Now()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	call.carryOut(now, call.gather.Start(now, 0, len(call.shards)))
+	for !call.decided(time.Now()) {
+		timer.Reset(call.nextWake(time.Now()))
+		select {
+		case result := <-call.results:
+			call.take(result)
+		case <-timer.C:
+			now := time.Now()
+			call.carryOut(now, call.gather.Tick(now))
+		case <-ctx.Done():
+			call.gone = true
+		}
+	}
+	call.withdraw()
+}
+
+// decided reports whether nothing is gained by waiting longer.
+func (call *call) decided(now time.Time) bool {
+	switch {
+	case call.gone, call.gather.Done():
+		return true
+	case !now.Before(call.request.deadline):
+		call.late = true
+		return true
+	case call.request.route.Gathered() && !call.enough(len(call.shards)-call.failed()):
+		return true
+	case !call.request.answerBy.IsZero() && !now.Before(call.request.answerBy) && call.request.route.Gathered() && call.enough(call.answers):
+		call.partial = true
+		return true
+	}
+	return false
+}
+
+// failed returns the number of shards that have failed.
+func (call *call) failed() int {
+	return int((1-call.gather.Reachable())*float64(len(call.shards)) + 0.5)
+}
+
+// nextWake returns how long to wait for a result.
+func (call *call) nextWake(now time.Time) time.Duration {
+	next := call.request.deadline
+	if tick := call.gather.NextTick(); !tick.IsZero() && tick.Before(next) {
+		next = tick
+	}
+	if by := call.request.answerBy; !by.IsZero() && by.After(now) && by.Before(next) {
+		next = by
+	}
+	return max(0, next.Sub(now))
+}
+
+// carryOut starts and withdraws attempts.
+func (call *call) carryOut(now time.Time, orders swquery.Orders) {
+	for _, command := range orders.Cancel {
+		if cancel, ok := call.cancels[command.Attempt]; ok {
+			cancel()
+		}
+	}
+	for _, command := range orders.Send {
+		replica := call.shards[command.Shard].replicas[command.Target.Server]
+		ctx, cancel := context.WithCancel(call.gateway.config.Group.Context())
+		call.cancels[command.Attempt] = cancel
+		call.gateway.config.Group.Go(func(context.Context) { call.attempt(ctx, command, replica) })
+	}
+}
+
+// withdraw ends all attempts that are still under way.
+func (call *call) withdraw() {
+	for _, cancel := range call.cancels {
+		cancel()
+	}
+}
+
+// attempt sends the request to one replica.
+func (call *call) attempt(ctx context.Context, command swquery.Command, replica *swreplica.Replica) {
+	request := call.request
+	protocol := call.gateway.config.Protocol
+	answer := replica.Exchange(ctx, &swreplica.Request{
+		Method: request.method,
+		Encode: func(now time.Time) ([]byte, bool) {
+			left := request.deadline.Sub(now)
+			if left < time.Millisecond || !replica.Taking() {
+				return nil, false
+			}
+			return request.encode(protocol, Attempt{Replica: command.Target.Server, Left: left}), true
+		},
+		Accept: func(response *swconn.Response) bool {
+			mark := protocol.ReadMark(response.Status, response.Header)
+			return mark.RequestID == request.id || mark.RequestID == "" && (mark.NotRun || mark.OtherReplica || response.Status >= http.StatusBadRequest)
+		},
+		Deadline: request.deadline,
+		Linger:   lingerAnswered,
+	})
+	result := attemptResult{command: command, replica: replica, answer: answer, at: time.Now()}
+	if answer.Response != nil {
+		result.mark = protocol.ReadMark(answer.Response.Status, answer.Response.Header)
+	}
+	call.results <- result
+}
+
+// take judges the end of an attempt and goes on accordingly.
+func (call *call) take(result attemptResult) {
+	shard := &call.shards[result.command.Shard]
+	judged := call.judge(result)
+	if result.answer.Response != nil && !shard.answered {
+		shard.response, shard.mark = result.answer.Response, result.mark
+	}
+	if judged.Outcome == swbackend.Answered && !shard.answered {
+		shard.answered = true
+		call.answers++
+	}
+	orders, _, _ := call.gather.Answer(result.at, result.command.Attempt, result.command.Target.Server, judged)
+	call.carryOut(result.at, orders)
+}
+
+// judge tells what the end of an attempt means for its shard, and lets the replica's record know.
+func (call *call) judge(result attemptResult) swbackend.Answer {
+	replica := result.replica
+	switch result.answer.Outcome {
+	case swreplica.NotSent:
+		return swbackend.Answer{Outcome: swbackend.Unreachable, Ran: swcode.RanNo, Code: swcode.NoReplica}
+	case swreplica.Withdrawn:
+		return swbackend.Answer{Outcome: swbackend.Cancelled, Ran: swcode.RanUnknown, Code: swcode.DeadlineExceeded}
+	case swreplica.Broken:
+		call.crashes = append(call.crashes, crash{replica: replica, at: result.at})
+		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed, Crash: call.request.route.Gathered()}
+	}
+	response, mark := result.answer.Response, result.mark
+	switch {
+	case mark.OtherReplica:
+		replica.Retire()
+		return swbackend.Answer{Outcome: swbackend.Shed, Ran: swcode.RanNo, Code: swcode.NoReplica}
+	case mark.NotRun:
+		replica.ObserveShed(result.at)
+		return swbackend.Answer{Outcome: swbackend.Shed, Ran: swcode.RanNo, Code: swcode.QueueFull}
+	case call.acceptable(response, mark):
+		call.gateway.observe(call.request, call.shards[result.command.Shard].service, replica, result.at, result.at.Sub(result.answer.SentAt))
+		return swbackend.Answer{Outcome: swbackend.Answered, Ran: swcode.RanYes, Code: swcode.OK}
+	}
+	return swbackend.Answer{Outcome: swbackend.Failed, Ran: swcode.RanYes, Code: swcode.BackendFailed}
+}
+
+// acceptable reports whether a response is an answer that the client may have. A replica's refusal of a request that goes
+// to no other shard is one: another replica would say the same.
+func (call *call) acceptable(response *swconn.Response, mark Mark) bool {
+	if mark.Signature == "" || !plainBody(response.Header) {
+		return false
+	}
+	if response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices {
+		return true
+	}
+	return !call.request.route.Gathered() && response.Status < http.StatusInternalServerError
+}
+
+// plainBody reports whether the body is as the replica made it.
+func plainBody(header http.Header) bool {
+	encoding := header.Get("Content-Encoding")
+	return encoding == "" || encoding == "identity"
+}
--- /dev/null
+++ b/internal/swgateway/gateway.go
@@ -0,0 +1,185 @@
+package swgateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
+	"github.com/sycamorewall/sycamorewall/internal/swquery"
+	"github.com/sycamorewall/sycamorewall/internal/swreplica"
+	"github.com/sycamorewall/sycamorewall/internal/swroute"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+const (
+	// clientMargin is how long before the target an answer leaves: the way to the client and back, and the opening of its
+	// connection.
+	clientMargin = 16 * time.Millisecond
+	// deadlineMargin is how long before the client's deadline its last answer leaves.
+	deadlineMargin = 12 * time.Millisecond
+	// defaultTimeout is how long a request may take when neither the client nor its route says.
+	defaultTimeout = 10 * time.Second
+	// startingRetryAfter is when a VM that has no configuration yet will have one.
+	startingRetryAfter = 500 * time.Millisecond
+)
+
+// Quarantine knows the requests that crash backend servers.
+type Quarantine interface {
+	Check(fingerprint uint64, released bool) swquarantine.Verdict
+	Death(server string, fingerprints []uint64)
+	Completed(fingerprint uint64)
+}
+
+// Config holds what a Gateway is built from.
+type Config struct {
+	Group      *swgroup.Group
+	Protocol   Protocol
+	Routes     *swroute.Book
+	Replicas   *swreplica.Registry
+	Budget     *Budget
+	Quarantine Quarantine
+	Log        zerolog.Logger
+	// HedgePercentile is the percentile of a service's latency after which an attempt is hedged.
+	HedgePercentile float64
+}
+
+// Gateway answers clients' requests. Construct it with New.
+type Gateway struct {
+	config    Config
+	latencies *swquery.Latencies
+	patience  *patience
+}
+
+// New returns a gateway.
+func New(config Config) *Gateway {
+	return &Gateway{
+		config:    config,
+		latencies: swquery.NewLatencies(config.HedgePercentile),
+		patience:  newPatience(),
+	}
+}
+
+// ServeHTTP answers one request.
+func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, message *http.Request) {
+	arrived := time.Now()
+	request, refusal := gateway.accept(writer, message, arrived)
+	if refusal != nil {
+		refusal.write(writer)
+		gateway.logRefusal(request, message, refusal)
+		return
+	}
+	call := gateway.newCall(request)
+	if !call.servable() {
+		refusal := &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.NoReplica, RetryAfter: startingRetryAfter}
+		refusal.write(writer)
+		gateway.logRefusal(request, message, refusal)
+		return
+	}
+	call.run(message.Context())
+	call.settle()
+	if call.gone {
+		gateway.logGone(call)
+		return
+	}
+	refusal = call.answer(writer)
+	if refusal != nil {
+		refusal.write(writer)
+	}
+	gateway.logCall(call, refusal)
+}
+
+// accept reads a request whole and decides whether it may be passed on.
+func (gateway *Gateway) accept(writer http.ResponseWriter, message *http.Request, arrived time.Time) (*request, *Refusal) {
+	envelope := gateway.config.Protocol.ReadEnvelope(message.Header)
+	request := &request{id: envelope.ID, method: message.Method, host: message.Host, arrived: arrived}
+	request.table = gateway.config.Routes.Current()
+	if request.table == nil {
+		return request, &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.NotReady, RetryAfter: startingRetryAfter}
+	}
+	request.target = originForm(message)
+	if request.target == "" || envelope.ID == "" {
+		return request, refuse(http.StatusBadRequest, swcode.BadRequest)
+	}
+	request.route = request.table.Match(message.Host, pathOf(request.target))
+	if request.route == nil {
+		return request, refuse(http.StatusNotFound, swcode.NotFound)
+	}
+	body, refusal := readBody(writer, message, request.table.Limits)
+	if refusal != nil {
+		return request, refusal
+	}
+	request.body = body
+	gateway.setTimes(request, envelope.Left)
+	request.fingerprint = fingerprintOf(request.method, request.host, request.target, body)
+	if gateway.config.Quarantine.Check(request.fingerprint, false) == swquarantine.Refused {
+		return request, refuse(http.StatusServiceUnavailable, swcode.Quarantined)
+	}
+	request.head = encodeHead(gateway.config.Protocol, message, request.target, len(body))
+	return request, nil
+}
+
+// setTimes derives the deadline, and the moment by which an answer is in time for the target. A client that repeats has
+// less time left than one that comes first; what is missing has passed since its first attempt.
+func (gateway *Gateway) setTimes(request *request, left time.Duration) {
+	route := request.route
+	spent := time.Duration(0)
+	if left > 0 {
+		spent = gateway.patience.spent(route.Name, left)
+	}
+	wait := defaultTimeout
+	if left > 0 {
+		wait = left - deadlineMargin
+	}
+	if route.Timeout > 0 {
+		wait = min(wait, route.Timeout)
+	}
+	request.deadline = request.arrived.Add(wait)
+	if route.Target > 0 {
+		request.answerBy = request.arrived.Add(route.Target - clientMargin - spent)
+	}
+}
+
+// hedgeAfter returns when an attempt for the request at a service is late: when it takes longer than is usual there, and in
+// any case while a second attempt can still be in time.
+func (gateway *Gateway) hedgeAfter(request *request, service string) time.Duration {
+	usual := gateway.latencies.HedgeAfter(service, request.route.Priority)
+	if request.route.Target == 0 {
+		return usual
+	}
+	latest := request.route.Target/2 - clientMargin
+	return max(hedgeFloor, min(usual, latest))
+}
+
+// hedgeFloor is the least wait before a hedge.
+const hedgeFloor = 4 * time.Millisecond
+
+// observe takes the latency of an answer.
+func (gateway *Gateway) observe(request *request, service string, replica *swreplica.Replica, now time.Time, latency time.Duration) {
+	replica.Observe(now, latency)
+	gateway.latencies.Observe(now, service, request.route.Priority, replica.ID(), latency)
+}
+
+// settle judges what broke off: a request that nothing answered may be what crashes replicas, if those that broke off are
+// down as well. One that was only cut from a replica is no evidence.
+func (call *call) settle() {
+	gateway, fingerprint := call.gateway, call.request.fingerprint
+	if call.answers > 0 {
+		gateway.config.Quarantine.Completed(fingerprint)
+		return
+	}
+	for _, crash := range call.crashes {
+		gateway.config.Group.Go(func(ctx context.Context) {
+			if crash.replica.AnsweredSince(crash.at) || crash.replica.Reachable(ctx) {
+				return
+			}
+			id := crash.replica.ID()
+			gateway.config.Quarantine.Death(id, []uint64{fingerprint})
+			gateway.config.Log.Warn().Str("Request", call.request.id).Str("Replica", id).Uint64("Fingerprint", fingerprint).
+				Msg("a replica went down with the request in flight")
+		})
+	}
+}
--- /dev/null
+++ b/internal/swgateway/refusal.go
@@ -0,0 +1,34 @@
+package swgateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+// Refusal is an answer of this VM's own in place of a replica's.
+type Refusal struct {
+	Status int
+	Code   swcode.Code
+	// RetryAfter tells the client when the request could be served; zero leaves that to the client.
+	RetryAfter time.Duration
+}
+
+func refuse(status int, code swcode.Code) *Refusal {
+	return &Refusal{Status: status, Code: code}
+}
+
+// write sends the refusal.
+func (refusal *Refusal) write(writer http.ResponseWriter) {
+	header := writer.Header()
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	header.Set("Content-Type", "text/plain")
+	body := refusal.Code.String() + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(refusal.Status)
+	_, _ = writer.Write([]byte(body))
+}
--- /dev/null
+++ b/internal/swgateway/request.go
@@ -0,0 +1,175 @@
+package swgateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sycamorewall/sycamorewall/internal/swroute"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+)
+
+// request is one client request, read whole.
+type request struct {
+	id     string
+	method string
+	// target is the path and query as the client sent them.
+	target string
+	host   string
+	table  *swroute.Table
+	route  *swroute.Route
+	// head is the encoded request up to the headers that differ between attempts.
+	head []byte
+	body []byte
+	// fingerprint identifies the request apart from its ID.
+	fingerprint uint64
+	arrived     time.Time
+	// deadline is when the client, or the operator for it, stops waiting.
+	deadline time.Time
+	// answerBy is when an answer must leave to be in time for the route's target; the zero time when there is none.
+	answerBy time.Time
+}
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Host": true, "Expect": true,
+}
+
+// originForm returns the path and query of a request as the client sent them, or an empty string when there is no path.
+func originForm(message *http.Request) string {
+	if strings.HasPrefix(message.RequestURI, "/") {
+		return message.RequestURI
+	}
+	if message.URL.IsAbs() {
+		return message.URL.RequestURI()
+	}
+	return ""
+}
+
+// pathOf returns the part of an origin form before the query.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// readBody reads the whole body within the limits.
+func readBody(writer http.ResponseWriter, message *http.Request, limits swroute.Limits) ([]byte, *Refusal) {
+	if message.Body == nil || message.Body == http.NoBody {
+		return nil, nil
+	}
+	if limits.BodyBytes > 0 {
+		if message.ContentLength > limits.BodyBytes {
+			return nil, refuse(http.StatusRequestEntityTooLarge, swcode.BodyTooLarge)
+		}
+		message.Body = http.MaxBytesReader(writer, message.Body, limits.BodyBytes)
+	}
+	control := http.NewResponseController(writer)
+	if limits.HeaderTimeout > 0 {
+		if err := control.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+			return nil, refuse(http.StatusInternalServerError, swcode.Internal)
+		}
+	}
+	var body bytes.Buffer
+	if message.ContentLength > 0 {
+		body.Grow(int(message.ContentLength) + bytes.MinRead)
+	}
+	_, err := body.ReadFrom(message.Body)
+	if limits.HeaderTimeout > 0 {
+		if resetErr := control.SetReadDeadline(time.Time{}); err == nil {
+			err = resetErr
+		}
+	}
+	return body.Bytes(), bodyRefusal(err)
+}
+
+func bodyRefusal(err error) *Refusal {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		return refuse(http.StatusRequestEntityTooLarge, swcode.BodyTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(http.StatusRequestTimeout, swcode.BadRequest)
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return refuse(http.StatusBadRequest, swcode.BadRequest)
+	}
+	return refuse(http.StatusBadRequest, swcode.BadRequest)
+}
+
+// encodeHead writes the request line and the headers that all attempts share.
+func encodeHead(protocol Protocol, message *http.Request, target string, bodyLength int) []byte {
+	head := make([]byte, 0, 512)
+	head = append(head, message.Method...)
+	head = append(head, ' ')
+	head = append(head, target...)
+	head = append(head, " HTTP/1.1\r\nHost: "...)
+	head = append(head, message.Host...)
+	head = append(head, "\r\n"...)
+	dropped := connectionHeaders(message.Header)
+	for name, values := range message.Header {
+		if hopHeaders[name] || dropped[name] || protocol.Reserved(name) {
+			continue
+		}
+		for _, value := range values {
+			head = appendHeader(head, name, value)
+		}
+	}
+	if bodyLength > 0 || message.ContentLength != 0 {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(bodyLength), 10)
+		head = append(head, "\r\n"...)
+	}
+	return head
+}
+
+func appendHeader(buffer []byte, name, value string) []byte {
+	buffer = append(buffer, name...)
+	buffer = append(buffer, ": "...)
+	buffer = append(buffer, value...)
+	return append(buffer, "\r\n"...)
+}
+
+// connectionHeaders returns the headers that Connection names.
+func connectionHeaders(header http.Header) map[string]bool {
+	values := header["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	named := make(map[string]bool)
+	for _, value := range values {
+		for name := range strings.SplitSeq(value, ",") {
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
+// encode returns the bytes of one attempt.
+func (request *request) encode(protocol Protocol, attempt Attempt) []byte {
+	data := make([]byte, 0, len(request.head)+len(request.body)+128)
+	data = append(data, request.head...)
+	data = protocol.AppendAttempt(data, attempt)
+	data = append(data, "\r\n"...)
+	return append(data, request.body...)
+}
+
+// fingerprintOf identifies what a request asks for, whoever sends it and however often.
+func fingerprintOf(method, host, target string, body []byte) uint64 {
+	digest := xxhash.New()
+	for _, text := range []string{method, host, target} {
+		_, _ = digest.WriteString(text)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/swgateway/server.go
@@ -0,0 +1,180 @@
+package swgateway
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swroute"
+	"github.com/sycamorewall/sycamorewall/internal/swtable"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header while no configuration says otherwise.
+	headerTimeout = 5 * time.Second
+	// maxHeader is the largest request header in bytes while no configuration says otherwise.
+	maxHeader = 16 << 10
+	// idleCheck is how often connections are looked at for having been idle too long.
+	idleCheck = time.Second
+)
+
+// ServerConfig holds what a Server is built from.
+type ServerConfig struct {
+	// Listen is the TCP address for clients, Ready the one that the balancer asks at ReadyPath.
+	Listen    netip.AddrPort
+	Ready     netip.AddrPort
+	ReadyPath string
+	Handler   http.Handler
+	// IsReady returns nil when this VM serves, or the reason why not.
+	IsReady func() error
+	Routes  *swroute.Book
+	Log     zerolog.Logger
+}
+
+// Server is the listener for clients and that for the balancer. Construct it with Listen.
+type Server struct {
+	config  ServerConfig
+	clients net.Listener
+	ready   net.Listener
+	front   *http.Server
+	probes  *http.Server
+	leaving atomic.Bool
+	// idle holds when each connection without a request last carried one.
+	idle *swtable.Table[net.Conn, time.Time]
+	held atomic.Int64
+}
+
+// Listen opens both addresses. Nothing is served before Serve.
+func Listen(config ServerConfig) (*Server, error) {
+	clients, err := net.Listen("tcp", config.Listen.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for clients on %s", config.Listen)
+	}
+	ready, err := net.Listen("tcp", config.Ready.String())
+	if err != nil {
+		clients.Close()
+		return nil, errors.Wrapf(err, "listen for the balancer on %s", config.Ready)
+	}
+	server := &Server{config: config, clients: clients, ready: ready, idle: swtable.New[net.Conn, time.Time]()}
+	discard := log.New(io.Discard, "", 0)
+	server.front = &http.Server{
+		Handler:           http.HandlerFunc(server.serveClient),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ConnState:         server.noteState,
+		ErrorLog:          discard,
+	}
+	router := mux.NewRouter()
+	router.HandleFunc(config.ReadyPath, server.serveReady).Methods(http.MethodGet)
+	server.probes = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: discard}
+	return server, nil
+}
+
+// Address returns the TCP address for clients.
+func (server *Server) Address() netip.AddrPort {
+	return server.clients.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// ReadyAddress returns the TCP address for the balancer.
+func (server *Server) ReadyAddress() netip.AddrPort {
+	return server.ready.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Serve accepts connections in the group until Shutdown.
+func (server *Server) Serve(group *swgroup.Group) {
+	serve := func(httpServer *http.Server, listener net.Listener) {
+		group.Go(func(context.Context) {
+			if err := httpServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				server.config.Log.Error().Err(err).Str("Address", listener.Addr().String()).Msg("a listener failed")
+			}
+		})
+	}
+	serve(server.front, server.clients)
+	serve(server.probes, server.ready)
+	group.Go(server.closeIdle)
+}
+
+func (server *Server) serveClient(writer http.ResponseWriter, message *http.Request) {
+	server.held.Add(1)
+	defer server.held.Add(-1)
+	if server.leaving.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	server.config.Handler.ServeHTTP(writer, message)
+}
+
+func (server *Server) serveReady(writer http.ResponseWriter, _ *http.Request) {
+	if err := server.config.IsReady(); err != nil || server.leaving.Load() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+// Leaving reports whether SetLeaving was called.
+func (server *Server) Leaving() bool {
+	return server.leaving.Load()
+}
+
+// SetLeaving turns the VM not ready and makes every further answer close its connection. Connections that carry nothing
+// stay open, so that a request that is on its way is answered.
+func (server *Server) SetLeaving() {
+	server.leaving.Store(true)
+}
+
+// Held returns the number of requests under way.
+func (server *Server) Held() int64 {
+	return server.held.Load()
+}
+
+// Shutdown stops accepting, closes what is idle and waits for the requests under way until the context ends.
+func (server *Server) Shutdown(ctx context.Context) error {
+	err := server.front.Shutdown(ctx)
+	if closeErr := server.probes.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Wrap(err, "shut down the listeners")
+}
+
+// noteState keeps the time since which a connection is idle.
+func (server *Server) noteState(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateIdle:
+		server.idle.Put(conn, time.Now())
+	case http.StateActive, http.StateClosed, http.StateHijacked:
+		server.idle.Delete(conn)
+	}
+}
+
+// closeIdle closes connections that were idle for longer than the limits in force allow.
+func (server *Server) closeIdle(ctx context.Context) {
+	for swtimer.Wait(ctx, idleCheck) == nil {
+		table := server.config.Routes.Current()
+		if table == nil || table.Limits.Idle <= 0 {
+			continue
+		}
+		now := time.Now()
+		var over []net.Conn
+		server.idle.Range(func(conn net.Conn, since time.Time) bool {
+			if now.Sub(since) > table.Limits.Idle {
+				over = append(over, conn)
+			}
+			return true
+		})
+		for _, conn := range over {
+			server.idle.Delete(conn)
+			conn.Close()
+		}
+	}
+}
--- a/internal/swplatform/client.go
+++ b/internal/swplatform/client.go
@@ -22,6 +22,10 @@
 	idleConnections = 4
 	// idleTimeout closes connections that carry nothing.
 	idleTimeout = 30 * time.Second
+	// keepAlive is the time between two probes of a connection that waits for an answer, keepAliveCount the number of probes
+	// without a reply that end it: a watch whose connection went silent is found within about three seconds.
+	keepAlive      = time.Second
+	keepAliveCount = 2
 	// maxAnswer is the largest answer that is read, in bytes.
 	maxAnswer = 64 << 20
 )
@@ -88,7 +92,9 @@
 func newTransport(timeout time.Duration) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	dialer := &net.Dialer{Timeout: timeout}
+	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveCount,
+	}}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: idleConnections,
--- a/internal/swplatform/object.go
+++ b/internal/swplatform/object.go
@@ -18,6 +18,8 @@
 	Revision uint64
 	// Value is a JSON document. It is empty in the result of a write.
 	Value json.RawMessage
+	// Deleted marks an object that a watch reports as removed.
+	Deleted bool `json:",omitempty"`
 }
 
 // ObjectVersion names an object and its version, as a listing gives them.
--- a/internal/swquery/budget.go
+++ b/internal/swquery/budget.go
@@ -33,7 +33,7 @@
 }
 
 // Take reports whether one more attempt is granted.
-func (budget *AttemptBudget) Take() bool {
+func (budget *AttemptBudget) Take(int) bool {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	if budget.balance < 1 {
--- a/internal/swquery/gather.go
+++ b/internal/swquery/gather.go
@@ -46,8 +46,8 @@
 
 // Budget grants attempts beyond the first for a shard.
 type Budget interface {
-	// Take reports whether one more attempt is granted.
-	Take() bool
+	// Take reports whether one more attempt is granted for the shard of that number.
+	Take(shard int) bool
 }
 
 // GatherConfig holds what a Gather is built from.
@@ -64,6 +64,11 @@
 	// Canary forbids hedges until a shard has answered.
 	Canary bool
 	Budget Budget
+	// MaxAttempts bounds the attempts for one shard that may have run; the default is maxAttempts.
+	MaxAttempts int
+	// Order puts the targets that are left for the shard of that number into the order in which to try them, each time that
+	// one is needed; nil keeps the order of the plan.
+	Order func(shard int, left []Target)
 	// HedgeAfter returns the wait before a shard is hedged, or zero for never.
 	HedgeAfter func(shard int, target Target) time.Duration
 	// OnLate is told once of each attempt that is due for a hedge, whether it is granted or not; it may be nil.
@@ -130,10 +135,15 @@
 	late bool
 	// useless marks a server that cannot answer whoever asks it.
 	useless bool
+	// notRun marks an attempt that has certainly not run.
+	notRun bool
 }
 
 // NewGather returns a gather that has sent nothing.
 func NewGather(config GatherConfig) *Gather {
+	if config.MaxAttempts <= 0 {
+		config.MaxAttempts = maxAttempts
+	}
 	gather := &Gather{config: config, shards: make([]gatherShard, len(config.Shards)), waiting: len(config.Shards)}
 	backing := make([]attempt, 2*len(config.Shards))
 	for i := range gather.shards {
@@ -188,6 +198,7 @@
 	lost := attempt.lost
 	attempt.ended = true
 	attempt.lost = false
+	attempt.notRun = answer.Ran == swcode.RanNo
 	shard.noteRan(answer.Ran)
 	age = now.Sub(attempt.sentAt)
 	if lost && answer.Outcome != swbackend.Answered {
@@ -258,7 +269,7 @@
 
 // mayRetry reports whether a shard whose attempts have all ended may be tried again.
 func (gather *Gather) mayRetry(shard *gatherShard, answer swbackend.Answer) bool {
-	if !shard.hasTarget() {
+	if !gather.hasTarget(shard) {
 		return false
 	}
 	if !gather.config.Idempotent && shard.ran != swcode.RanNo {
@@ -270,7 +281,7 @@
 	if gather.suspect() || (answer.Crash && gather.crasher()) {
 		return false
 	}
-	return gather.config.Budget.Take()
+	return gather.config.Budget.Take(shard.plan.Number)
 }
 
 // suspect reports whether the request may crash the servers that run it.
--- a/internal/swquery/gather_crash.go
+++ b/internal/swquery/gather_crash.go
@@ -14,7 +14,7 @@
 // holdBack keeps a shard whose server died from being tried again until another shard has answered, which shows that the
 // request does not kill what runs it. It does not hold back when no other shard could answer.
 func (gather *Gather) holdBack(shard *gatherShard, answer swbackend.Answer) bool {
-	if !answer.Crash || !gather.config.Idempotent || !shard.hasTarget() || !gather.crasher() || !gather.pending() {
+	if !answer.Crash || !gather.config.Idempotent || !gather.hasTarget(shard) || !gather.crasher() || !gather.pending() {
 		return false
 	}
 	shard.held = true
--- a/internal/swquery/gather_send.go
+++ b/internal/swquery/gather_send.go
@@ -37,10 +37,10 @@
 	shard := &gather.shards[position]
 	shard.hedgeAt = time.Time{}
 	gather.noteLate(now, shard)
-	if !shard.hasTarget() {
+	if !gather.hasTarget(shard) {
 		return
 	}
-	if gather.config.Budget.Take() && gather.send(now, position) {
+	if gather.config.Budget.Take(shard.plan.Number) && gather.send(now, position) {
 		gather.Hedges++
 		return
 	}
@@ -80,10 +80,10 @@
 	}
 	for position := range gather.shards {
 		shard := &gather.shards[position]
-		if shard.state != shardRunning || !gather.waitsOnlyFor(position, matches) || !shard.hasTarget() {
+		if shard.state != shardRunning || !gather.waitsOnlyFor(position, matches) || !gather.hasTarget(shard) {
 			continue
 		}
-		if gather.config.Budget.Take() && gather.send(now, position) {
+		if gather.config.Budget.Take(shard.plan.Number) && gather.send(now, position) {
 			gather.Retries++
 		}
 	}
@@ -117,10 +117,13 @@
 
 func (gather *Gather) send(now time.Time, position int) bool {
 	shard := &gather.shards[position]
-	if !shard.hasTarget() {
+	if !gather.hasTarget(shard) {
 		gather.failUnreachable(position)
 		return false
 	}
+	if gather.config.Order != nil {
+		gather.config.Order(shard.plan.Number, shard.plan.Targets[shard.nextTarget:])
+	}
 	target := shard.plan.Targets[shard.nextTarget]
 	shard.nextTarget++
 	shard.attempts = append(shard.attempts, attempt{target: target, sentAt: now})
@@ -137,8 +140,8 @@
 }
 
 // hasTarget moves on to the next target whose server may answer, and reports whether there is one.
-func (shard *gatherShard) hasTarget() bool {
-	if len(shard.attempts) >= maxAttempts {
+func (gather *Gather) hasTarget(shard *gatherShard) bool {
+	if len(shard.attempts) >= maxAttempts || shard.mayHaveRun() >= gather.config.MaxAttempts {
 		return false
 	}
 	for shard.nextTarget < len(shard.plan.Targets) {
@@ -150,6 +153,17 @@
 	return false
 }
 
+// mayHaveRun counts the attempts that have run for all that is known.
+func (shard *gatherShard) mayHaveRun() int {
+	count := 0
+	for i := range shard.attempts {
+		if !shard.attempts[i].notRun {
+			count++
+		}
+	}
+	return count
+}
+
 func (shard *gatherShard) isUseless(server string) bool {
 	for i := range shard.attempts {
 		if shard.attempts[i].useless && shard.attempts[i].target.Server == server {
--- a/internal/swquery/gather_test.go
+++ b/internal/swquery/gather_test.go
@@ -14,11 +14,11 @@
 
 type grantAll struct{}
 
-func (grantAll) Take() bool { return true }
+func (grantAll) Take(int) bool { return true }
 
 type grantNone struct{}
 
-func (grantNone) Take() bool { return false }
+func (grantNone) Take(int) bool { return false }
 
 func testPlan(shards, replicas int) []ShardPlan {
 	plan := make([]ShardPlan, shards)
--- /dev/null
+++ b/internal/swreplica/choose.go
@@ -0,0 +1,76 @@
+package swreplica
+
+import "time"
+
+// Distance is how far a replica is from this VM.
+type Distance int
+
+// The distances.
+const (
+	// SameDataCentre replicas are a fraction of a millisecond away.
+	SameDataCentre Distance = 0
+	// SameRegion replicas are in another data centre of the region.
+	SameRegion Distance = 1
+	// OtherRegion replicas cost a long round trip and traffic that is paid for.
+	OtherRegion Distance = 2
+)
+
+const (
+	// regionPenalty is what an exchange with another region counts beyond its measured latency: its traffic is dear, so that a
+	// replica there is worth it only when the near ones are far slower than usual.
+	regionPenalty = 60 * time.Millisecond
+	// dataCentrePenalty is the same for another data centre of the region.
+	dataCentrePenalty = 2 * time.Millisecond
+	// unreachablePenalty puts replicas that do not answer behind all others.
+	unreachablePenalty = 10 * time.Second
+	// shedPenalty puts replicas that rejected work a moment ago behind those of other regions.
+	shedPenalty = 150 * time.Millisecond
+	// coldFactor is how much slower a replica that warms up counts.
+	coldFactor = 1.6
+)
+
+// Prospect is what is known of a replica when a request looks for one.
+type Prospect struct {
+	// Typical is how long an answer takes, queueing at the replica included.
+	Typical time.Duration
+	// Busy is the number of this VM's requests that the replica works on, Slots what it works on at once.
+	Busy  int
+	Slots int
+	// Silence is how long the oldest of these requests has waited for its answer.
+	Silence time.Duration
+	// Unreachable replicas refused or did not answer the last attempts.
+	Unreachable bool
+	// Shedding replicas rejected work a moment ago.
+	Shedding bool
+	// Cold replicas warm up.
+	Cold     bool
+	Distance Distance
+}
+
+// Expect estimates when a request sent now would be answered, with what the way costs. It answers the load in which single
+// replicas stand still for some hundred milliseconds while the others are idle: the oldest request in flight tells a
+// replica that stands still from one that is merely busy, as soon as it waits longer than is usual.
+func (prospect *Prospect) Expect() time.Duration {
+	expected := prospect.Typical
+	if prospect.Cold {
+		expected = time.Duration(coldFactor * float64(expected))
+	}
+	expected += expected * time.Duration(prospect.Busy) / time.Duration(max(1, prospect.Slots))
+	if late := prospect.Silence - 2*prospect.Typical; late > 0 {
+		// What has been silent for long will on average be silent for as long again.
+		expected += prospect.Silence + late
+	}
+	if prospect.Shedding {
+		expected += shedPenalty
+	}
+	if prospect.Unreachable {
+		expected += unreachablePenalty
+	}
+	switch prospect.Distance {
+	case SameRegion:
+		expected += dataCentrePenalty
+	case OtherRegion:
+		expected += regionPenalty
+	}
+	return expected
+}
--- /dev/null
+++ b/internal/swreplica/registry.go
@@ -0,0 +1,101 @@
+package swreplica
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// RegistryConfig holds what a Registry is built from.
+type RegistryConfig struct {
+	Pool *Pool
+	// DataCentre and Region are this VM's.
+	DataCentre string
+	Region     string
+}
+
+// Registry holds the replicas by service. It is safe for concurrent use; readers take no lock.
+type Registry struct {
+	config RegistryConfig
+
+	mutex    sync.Mutex
+	byID     map[string]*Replica
+	services atomic.Pointer[map[string][]*Replica]
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(config RegistryConfig) *Registry {
+	registry := &Registry{config: config, byID: make(map[string]*Replica)}
+	registry.services.Store(&map[string][]*Replica{})
+	return registry
+}
+
+// Service returns the replicas of a service, leaving ones included. The caller must not change the slice.
+func (registry *Registry) Service(name string) []*Replica {
+	return (*registry.services.Load())[name]
+}
+
+// Find returns the replica under an ID, or nil.
+func (registry *Registry) Find(id string) *Replica {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.byID[id]
+}
+
+// Len returns the number of replicas.
+func (registry *Registry) Len() int {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return len(registry.byID)
+}
+
+// Update adds or changes the entries that are given and removes the IDs that are gone.
+func (registry *Registry) Update(entries []Entry, gone []string) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	now := time.Now()
+	for _, id := range gone {
+		if replica, ok := registry.byID[id]; ok {
+			replica.Retire()
+			delete(registry.byID, id)
+		}
+	}
+	for i := range entries {
+		registry.put(entries[i], now)
+	}
+	registry.publish()
+}
+
+// put takes one entry. A replica that started again under its ID begins anew. The caller holds the mutex.
+func (registry *Registry) put(entry Entry, now time.Time) {
+	present, ok := registry.byID[entry.ID]
+	if ok {
+		before := present.Entry()
+		if before.sameProcess(&entry) {
+			present.update(entry, now)
+			return
+		}
+		present.Retire()
+	}
+	registry.byID[entry.ID] = registry.config.Pool.newReplica(entry, registry.distance(&entry), now)
+}
+
+func (registry *Registry) distance(entry *Entry) Distance {
+	switch {
+	case entry.DataCentre == registry.config.DataCentre:
+		return SameDataCentre
+	case entry.Region == registry.config.Region:
+		return SameRegion
+	}
+	return OtherRegion
+}
+
+// publish makes the present replicas visible to readers. The caller holds the mutex.
+func (registry *Registry) publish() {
+	services := make(map[string][]*Replica)
+	for _, replica := range registry.byID {
+		name := replica.entry.Load().Service
+		services[name] = append(services[name], replica)
+	}
+	registry.services.Store(&services)
+}
--- /dev/null
+++ b/internal/swreplica/replica.go
@@ -0,0 +1,166 @@
+package swreplica
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swconn"
+)
+
+const (
+	// latencyWeight is the weight of a new answer in a replica's moving average: about the last ten answers count.
+	latencyWeight = 0.1
+	// latencyMemory is the time after which an average that nothing renews has gone half the way back to the service's.
+	latencyMemory = 5 * time.Second
+	// shedFor is how long a rejection counts: a queue of a dozen requests of ten milliseconds is worked off by then.
+	shedFor = 100 * time.Millisecond
+	// downLeast and downMost bound how long a replica that cannot be reached is left alone before it is tried again.
+	downLeast = 100 * time.Millisecond
+	downMost  = 2 * time.Second
+)
+
+// Replica is one replica with what this VM knows of it.
+type Replica struct {
+	pool     *Pool
+	distance Distance
+	entry    atomic.Pointer[Entry]
+	// warmAt is when the replica is warmed up.
+	warmAt time.Time
+
+	mutex sync.Mutex
+	// retired replicas are no longer listed.
+	retired bool
+	// inFlight holds the times at which the requests in flight were sent.
+	inFlight map[*swconn.Connection]time.Time
+	waiting  int
+	idle     []*swconn.Connection
+	open     map[*swconn.Connection]struct{}
+	dialing  int
+	freed    chan struct{}
+	limit    connectionLimit
+	average  time.Duration
+	observed time.Time
+	shedAt   time.Time
+	// downUntil is when a replica that could not be reached is tried again, downPause how long it is left alone.
+	downUntil time.Time
+	downPause time.Duration
+	// answeredAt is when the replica last answered anything.
+	answeredAt time.Time
+}
+
+// Entry returns what the platform lists.
+func (replica *Replica) Entry() Entry {
+	return *replica.entry.Load()
+}
+
+// ID returns the name of the replica's incarnation.
+func (replica *Replica) ID() string {
+	return replica.entry.Load().ID
+}
+
+// Distance returns how far the replica is.
+func (replica *Replica) Distance() Distance {
+	return replica.distance
+}
+
+// Prospect describes the replica for a choice. typical is the usual latency of its service.
+func (replica *Replica) Prospect(now time.Time, typical time.Duration) Prospect {
+	entry := replica.entry.Load()
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	prospect := Prospect{
+		Typical:     replica.expected(now, typical),
+		Busy:        len(replica.inFlight) + replica.waiting,
+		Slots:       entry.Slots,
+		Unreachable: now.Before(replica.downUntil),
+		Shedding:    now.Sub(replica.shedAt) < shedFor,
+		Cold:        now.Before(replica.warmAt),
+		Distance:    replica.distance,
+	}
+	for _, at := range replica.inFlight {
+		prospect.Silence = max(prospect.Silence, now.Sub(at))
+	}
+	return prospect
+}
+
+// expected returns the average latency, drawn towards the service's the older it is. The caller holds the mutex.
+func (replica *Replica) expected(now time.Time, typical time.Duration) time.Duration {
+	if replica.observed.IsZero() {
+		return typical
+	}
+	age := float64(now.Sub(replica.observed)) / float64(latencyMemory)
+	return typical + time.Duration(float64(replica.average-typical)/(1+age*age))
+}
+
+// observe takes the latency of an answer.
+func (replica *Replica) observe(now time.Time, latency time.Duration) {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	replica.answeredAt = now
+	replica.downUntil, replica.downPause = time.Time{}, 0
+	if replica.observed.IsZero() {
+		replica.average = latency
+	} else {
+		replica.average += time.Duration(latencyWeight * float64(latency-replica.average))
+	}
+	replica.observed = now
+}
+
+// noteShed takes a rejection.
+func (replica *Replica) noteShed(now time.Time) {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	replica.shedAt = now
+	replica.answeredAt = now
+	replica.downUntil, replica.downPause = time.Time{}, 0
+}
+
+// noteDown takes a failure to reach the replica at all. It is left alone for a time that doubles with each failure.
+func (replica *Replica) noteDown(now time.Time) {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	if now.Before(replica.downUntil) {
+		return
+	}
+	replica.downPause = min(downMost, max(downLeast, 2*replica.downPause))
+	replica.downUntil = now.Add(replica.downPause)
+}
+
+// AnsweredSince reports whether the replica has answered anything since a time.
+func (replica *Replica) AnsweredSince(since time.Time) bool {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return replica.answeredAt.After(since)
+}
+
+// Taking reports whether the replica takes new work.
+func (replica *Replica) Taking() bool {
+	if replica.entry.Load().Leaving {
+		return false
+	}
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return !replica.retired
+}
+
+// update takes a newer entry of the same process.
+func (replica *Replica) update(entry Entry, now time.Time) {
+	replica.entry.Store(&entry)
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	replica.warmAt = now.Add(entry.WarmUp)
+}
+
+// Retire takes the replica out of use: requests in flight go on, idle connections close.
+func (replica *Replica) Retire() {
+	replica.mutex.Lock()
+	replica.retired = true
+	idle := replica.idle
+	replica.idle = nil
+	replica.signalFreed()
+	replica.mutex.Unlock()
+	for _, connection := range idle {
+		connection.Close()
+	}
+}
--- a/internal/swsetting/default.go
+++ b/internal/swsetting/default.go
@@ -5,6 +5,13 @@
 // Defaults returns the settings that apply where the file is silent.
 func Defaults() Settings {
 	return Settings{
+		Gateway: Gateway{
+			Grace:        10 * time.Second,
+			RepeatRatio:  0.1,
+			RepeatSlack:  10,
+			RepeatWindow: 10 * time.Second,
+			EntryGrace:   2200 * time.Millisecond,
+		},
 		Caller: Caller{
 			MaxBody:     64 << 10,
 			MaxRequests: 4096,
--- a/internal/swsetting/load.go
+++ b/internal/swsetting/load.go
@@ -104,7 +104,11 @@
 // Check reports every field that is outside its bounds as a *FaultsError.
 func Check(settings Settings) error {
 	faults := tagFaults(settings)
-	faults = append(faults, listenerFaults(settings)...)
+	if settings.Gateway.Enabled() {
+		faults = append(faults, gatewayFaults(settings.Gateway)...)
+	} else {
+		faults = append(faults, listenerFaults(settings)...)
+	}
 	faults = append(faults, boundFaults(settings)...)
 	if len(faults) == 0 {
 		return nil
@@ -171,6 +175,28 @@
 	return faults
 }
 
+func gatewayFaults(gateway Gateway) []Fault {
+	var faults []Fault
+	if !gateway.Ready.IsValid() {
+		faults = append(faults, Fault{Field: "Gateway.Ready", Message: "no address is given", Fix: "write an IP number and a port, such as 10.0.0.1:8081"})
+	}
+	for _, bound := range []struct {
+		field string
+		ok    bool
+	}{
+		{"Gateway.Grace", gateway.Grace > 0},
+		{"Gateway.RepeatWindow", gateway.RepeatWindow > 0},
+		{"Gateway.RepeatRatio", gateway.RepeatRatio >= 0},
+		{"Gateway.RepeatSlack", gateway.RepeatSlack >= 0},
+		{"Gateway.EntryGrace", gateway.EntryGrace >= 0},
+	} {
+		if !bound.ok {
+			faults = append(faults, Fault{Field: bound.field, Message: "it is out of range", Fix: "write a value above zero, or leave it out"})
+		}
+	}
+	return faults
+}
+
 // Enabled reports whether any file is named.
 func (tls TLS) Enabled() bool {
 	return tls.Certificate != "" || tls.Key != "" || tls.CA != ""
--- a/internal/swsetting/setting.go
+++ b/internal/swsetting/setting.go
@@ -14,6 +14,7 @@
 	Region string `yaml:"Region" validate:"required"`
 	// DataCentre is the VM's data centre.
 	DataCentre string    `yaml:"DataCentre" validate:"required"`
+	Gateway    Gateway   `yaml:"Gateway"`
 	Caller     Caller    `yaml:"Caller"`
 	Peer       Peer      `yaml:"Peer"`
 	Platform   Platform  `yaml:"Platform"`
@@ -24,6 +25,32 @@
 	Log        Log       `yaml:"Log"`
 }
 
+// Gateway passes clients' HTTP requests on by the platform's configuration. With an address to listen on, the VM runs the
+// gateway in place of the search API, and needs neither Caller nor Peer.
+type Gateway struct {
+	// Listen is the TCP address for clients.
+	Listen netip.AddrPort `yaml:"Listen"`
+	// Ready is the TCP address at which the balancer asks whether this VM takes clients.
+	Ready netip.AddrPort `yaml:"Ready"`
+	// Regions maps each data centre to its region.
+	Regions map[string]string `yaml:"Regions"`
+	// Grace is how long the process may go on after SIGTERM.
+	Grace time.Duration `yaml:"Grace"`
+	// RepeatRatio is the share of hedges and retries in the requests for a service that all VMs together keep to.
+	RepeatRatio float64 `yaml:"RepeatRatio"`
+	// RepeatSlack is the number of hedges and retries beyond that share, for all VMs together.
+	RepeatSlack float64 `yaml:"RepeatSlack"`
+	// RepeatWindow is the time over which RepeatRatio and RepeatSlack hold.
+	RepeatWindow time.Duration `yaml:"RepeatWindow"`
+	// EntryGrace is how long after an outage of the platform a backend server's missing entry is kept.
+	EntryGrace time.Duration `yaml:"EntryGrace"`
+}
+
+// Enabled reports whether the VM runs the gateway.
+func (gateway *Gateway) Enabled() bool {
+	return gateway.Listen.IsValid()
+}
+
 // Caller is the HTTP listener for callers.
 type Caller struct {
 	// Listen is the TCP address for callers.
