--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -41,6 +41,10 @@
 	Server   *swgateway.Server
 }
 
+// watchesWithin is the number of watches within the time that a change may take: after one that missed a change, the next
+// still comes in time.
+const watchesWithin = 2
+
 // followers keep the copies of the platform's objects in step.
 type followers []*swfollow.Follower
 
@@ -117,11 +121,12 @@
 	store := platform.NewStore(client)
 	return followers{
 		swfollow.NewFollower(swfollow.FollowerConfig{
-			Source: store, Kind: platform.KindConfig, Log: log,
+			Source: store, Kind: platform.KindConfig, Log: log, WatchWait: config.Settings.Gateway.ApplyWithin / watchesWithin,
 			Receive: func(change swfollow.Change) { receiveConfig(routes, change, log) },
 		}),
 		swfollow.NewFollower(swfollow.FollowerConfig{
-			Source: store, Kind: platform.KindServers, Log: log, Receive: servers.Receive,
+			Source: store, Kind: platform.KindServers, Log: log, WatchWait: config.Settings.Gateway.DrainWithin / watchesWithin,
+			Receive: servers.Receive,
 		}),
 	}
 }
--- a/internal/swreplica/choose.go
+++ b/internal/swreplica/choose.go
@@ -25,14 +25,17 @@
 	unreachablePenalty = 10 * time.Second
 	// shedPenalty puts replicas that rejected work a moment ago behind those of other regions.
 	shedPenalty = 150 * time.Millisecond
+	// rejectPenalty is what a certain rejection counts: the part is lost unless the budget grants another attempt.
+	rejectPenalty = 400 * time.Millisecond
 	// coldFactor is how much slower a replica that warms up counts.
 	coldFactor = 1.6
 )
 
 // Prospect is what is known of a replica when a request looks for one.
 type Prospect struct {
-	// Typical is how long an answer takes, queueing at the replica included.
+	// Typical is how long an answer of the replica takes, queueing there included, Usual the same over its whole service.
 	Typical time.Duration
+	Usual   time.Duration
 	// Busy is the number of this VM's requests that the replica works on, Slots what it works on at once.
 	Busy  int
 	Slots int
@@ -42,6 +45,8 @@
 	Unreachable bool
 	// Shedding replicas rejected work a moment ago.
 	Shedding bool
+	// Rejects is the share of attempts that the replica rejects, from 0 to 1.
+	Rejects float64
 	// Cold replicas warm up.
 	Cold     bool
 	Distance Distance
@@ -63,6 +68,7 @@
 	if prospect.Shedding {
 		expected += shedPenalty
 	}
+	expected += time.Duration(prospect.Rejects * prospect.unexplained() * float64(rejectPenalty))
 	if prospect.Unreachable {
 		expected += unreachablePenalty
 	}
@@ -74,3 +80,14 @@
 	}
 	return expected
 }
+
+// unexplained returns the part of the replica's rejections that its load does not explain. A replica with a full queue
+// answers slowly, which its latency tells already, and to shun it besides would send its load to the next one; one that
+// rejects although it answers fast will go on to do so.
+func (prospect *Prospect) unexplained() float64 {
+	if prospect.Typical <= prospect.Usual || prospect.Usual <= 0 {
+		return 1
+	}
+	slower := float64(prospect.Usual) / float64(prospect.Typical)
+	return slower * slower
+}
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -141,13 +141,3 @@
 		replica.noteDown(now)
 	}
 }
-
-// Observe takes the latency of an answer that the caller judged to be one.
-func (replica *Replica) Observe(now time.Time, latency time.Duration) {
-	replica.observe(now, latency)
-}
-
-// ObserveShed takes a rejection for want of room.
-func (replica *Replica) ObserveShed(now time.Time) {
-	replica.noteShed(now)
-}
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -1,6 +1,7 @@
 package swreplica
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,10 @@
 	latencyWeight = 0.1
 	// latencyMemory is the time after which an average that nothing renews has gone half the way back to the service's.
 	latencyMemory = 5 * time.Second
+	// shedWeight is the weight of an attempt in the share of those that a replica rejects, shedMemory the time after which a
+	// share that nothing renews has gone half the way back to none.
+	shedWeight = 0.1
+	shedMemory = 3 * time.Second
 	// shedFor is how long a rejection counts: a queue of a dozen requests of ten milliseconds is worked off by then.
 	shedFor = 100 * time.Millisecond
 	// downLeast and downMost bound how long a replica that cannot be reached is left alone before it is tried again.
@@ -42,6 +47,9 @@
 	average  time.Duration
 	observed time.Time
 	shedAt   time.Time
+	// shedShare is the share of attempts that the replica rejects, as of shedSeen.
+	shedShare float64
+	shedSeen  time.Time
 	// downUntil is when a replica that could not be reached is tried again, downPause how long it is left alone.
 	downUntil time.Time
 	downPause time.Duration
@@ -71,10 +79,12 @@
 	defer replica.mutex.Unlock()
 	prospect := Prospect{
 		Typical:     replica.expected(now, typical),
+		Usual:       typical,
 		Busy:        len(replica.inFlight) + replica.waiting,
 		Slots:       entry.Slots,
 		Unreachable: now.Before(replica.downUntil),
 		Shedding:    now.Sub(replica.shedAt) < shedFor,
+		Rejects:     replica.rejects(now),
 		Cold:        now.Before(replica.warmAt),
 		Distance:    replica.distance,
 	}
@@ -93,10 +103,25 @@
 	return typical + time.Duration(float64(replica.average-typical)/(1+age*age))
 }
 
-// observe takes the latency of an answer.
-func (replica *Replica) observe(now time.Time, latency time.Duration) {
+// rejects returns the share of attempts that the replica rejects. The caller holds the mutex.
+func (replica *Replica) rejects(now time.Time) float64 {
+	if replica.shedShare == 0 {
+		return 0
+	}
+	return replica.shedShare * math.Exp2(-float64(now.Sub(replica.shedSeen))/float64(shedMemory))
+}
+
+// noteAttempt counts an attempt that was rejected or not. The caller holds the mutex.
+func (replica *Replica) noteAttempt(now time.Time, rejected float64) {
+	replica.shedShare = replica.rejects(now) + shedWeight*(rejected-replica.rejects(now))
+	replica.shedSeen = now
+}
+
+// Observe takes the latency of an answer that the caller judged to be one.
+func (replica *Replica) Observe(now time.Time, latency time.Duration) {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
+	replica.noteAttempt(now, 0)
 	replica.answeredAt = now
 	replica.downUntil, replica.downPause = time.Time{}, 0
 	if replica.observed.IsZero() {
@@ -107,10 +132,11 @@
 	replica.observed = now
 }
 
-// noteShed takes a rejection.
-func (replica *Replica) noteShed(now time.Time) {
+// ObserveShed takes a rejection for want of room.
+func (replica *Replica) ObserveShed(now time.Time) {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
+	replica.noteAttempt(now, 1)
 	replica.shedAt = now
 	replica.answeredAt = now
 	replica.downUntil, replica.downPause = time.Time{}, 0
--- a/internal/swsetting/default.go
+++ b/internal/swsetting/default.go
@@ -10,6 +10,8 @@
 			RepeatRatio:  0.1,
 			RepeatSlack:  10,
 			RepeatWindow: 10 * time.Second,
+			ApplyWithin:  4 * time.Second,
+			DrainWithin:  3 * time.Second,
 			EntryGrace:   2200 * time.Millisecond,
 		},
 		Caller: Caller{
--- a/internal/swsetting/load.go
+++ b/internal/swsetting/load.go
@@ -188,6 +188,8 @@
 		{"Gateway.RepeatWindow", gateway.RepeatWindow > 0},
 		{"Gateway.RepeatRatio", gateway.RepeatRatio >= 0},
 		{"Gateway.RepeatSlack", gateway.RepeatSlack >= 0},
+		{"Gateway.ApplyWithin", gateway.ApplyWithin > 0},
+		{"Gateway.DrainWithin", gateway.DrainWithin > 0},
 		{"Gateway.EntryGrace", gateway.EntryGrace >= 0},
 	} {
 		if !bound.ok {
--- a/internal/swsetting/setting.go
+++ b/internal/swsetting/setting.go
@@ -42,6 +42,10 @@
 	RepeatSlack float64 `yaml:"RepeatSlack"`
 	// RepeatWindow is the time over which RepeatRatio and RepeatSlack hold.
 	RepeatWindow time.Duration `yaml:"RepeatWindow"`
+	// ApplyWithin is how soon a configuration must be in force, and DrainWithin how soon a leaving backend server gets
+	// nothing new. Watches of the platform end after half of that, since one may miss a change and say nothing.
+	ApplyWithin time.Duration `yaml:"ApplyWithin"`
+	DrainWithin time.Duration `yaml:"DrainWithin"`
 	// EntryGrace is how long after an outage of the platform a backend server's missing entry is kept.
 	EntryGrace time.Duration `yaml:"EntryGrace"`
 }
