Follow the store through one VM of each data centre

VMs register under keys of their own (pinned, no authority), the first in rendezvous order follows the store, the others poll it over QUIC and fall back on the next and then on the store. Weighed: gossip through swmember, which needs probes and a board of all entries; it was left out here since a poll a second serves both as probe and as delivery. Crash evidence travels as records in the store.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,9 +11,13 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/sycamorewall/sycamorewall/internal/swboard"
+	"github.com/sycamorewall/sycamorewall/internal/swfeed"
+	"github.com/sycamorewall/sycamorewall/internal/swfleet"
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swgateway"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
@@ -37,7 +42,11 @@
 	Routes   *swroute.Book
 	Replicas *swreplica.Registry
 	Servers  *swfollow.Mirror[swreplica.Entry]
-	Follow   followers
+	Store    *platform.Store
+	Fleet    *swfleet.Fleet
+	VMs      *swfollow.Mirror[swfleet.VM]
+	Node     *swpeer.Node
+	Feed     *swfeed.Feed
 	Server   *swgateway.Server
 }
 
@@ -45,9 +54,6 @@
 // still comes in time.
 const watchesWithin = 2
 
-// followers keep the copies of the platform's objects in step.
-type followers []*swfollow.Follower
-
 // NewGateway builds every part and opens the listeners. Nothing is served before Start.
 func NewGateway(config Config) (*Gateway, error) {
 	gateway := &Gateway{}
@@ -56,7 +62,7 @@
 		fx.Supply(config),
 		fx.Provide(
 			newLogger, newGroup, newPlatform, newRouteBook, newReplicas, newGatewayQuarantine,
-			newServerMirror, newFollowers, newGatewayHandler, newGatewayServer,
+			newServerMirror, newObjectStore, newIdentity, newFleet, newVMMirror, newGatewayNode, newRecordBoard, newFeed, newGatewayHandler, newGatewayServer,
 		),
 		fx.Invoke(bindGatewayLifecycle),
 		fx.Invoke(func(parts gatewayParts) { gateway.parts = &parts }),
@@ -99,8 +105,8 @@
 	})
 }
 
-func newGatewayQuarantine(config Config) *swquarantine.Register {
-	return swquarantine.New(swquarantine.Config{Name: config.Settings.Name, CanaryWindow: time.Nanosecond})
+func newGatewayQuarantine(config Config, board *swboard.Board) *swquarantine.Register {
+	return swquarantine.New(swquarantine.Config{Name: config.Settings.Name, Board: board, CanaryWindow: time.Nanosecond})
 }
 
 func newServerMirror(config Config, replicas *swreplica.Registry, log zerolog.Logger) *swfollow.Mirror[swreplica.Entry] {
@@ -117,18 +123,69 @@
 	})
 }
 
-func newFollowers(config Config, client *swplatform.Client, routes *swroute.Book, servers *swfollow.Mirror[swreplica.Entry], log zerolog.Logger) followers {
-	store := platform.NewStore(client)
-	return followers{
-		swfollow.NewFollower(swfollow.FollowerConfig{
-			Source: store, Kind: platform.KindConfig, Log: log, WatchWait: config.Settings.Gateway.ApplyWithin / watchesWithin,
-			Receive: func(change swfollow.Change) { receiveConfig(routes, change, log) },
-		}),
-		swfollow.NewFollower(swfollow.FollowerConfig{
-			Source: store, Kind: platform.KindServers, Log: log, WatchWait: config.Settings.Gateway.DrainWithin / watchesWithin,
-			Receive: servers.Receive,
-		}),
+func newObjectStore(client *swplatform.Client) *platform.Store {
+	return platform.NewStore(client)
+}
+
+// identity is this VM's key and what it publishes of itself.
+type identity struct {
+	certificate tls.Certificate
+	vm          swfleet.VM
+}
+
+func newIdentity(config Config) (identity, error) {
+	settings := config.Settings
+	certificate, key, err := swpeer.SelfSigned(settings.Name)
+	if err != nil {
+		return identity{}, err
 	}
+	return identity{certificate: certificate, vm: swfleet.VM{
+		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre,
+		Peer: settings.Peer.Listen, Key: key[:], Started: time.Now(),
+	}}, nil
+}
+
+func newFleet(identity identity) *swfleet.Fleet {
+	return swfleet.New(identity.vm)
+}
+
+func newVMMirror(fleet *swfleet.Fleet) *swfollow.Mirror[swfleet.VM] {
+	return swfollow.NewMirror(swfollow.MirrorConfig[swfleet.VM]{Decode: swfleet.Decode, Apply: fleet.Apply})
+}
+
+func newGatewayNode(identity identity, fleet *swfleet.Fleet, log zerolog.Logger) (*swpeer.Node, error) {
+	return swpeer.Listen(swpeer.Config{
+		Listen: identity.vm.Peer,
+		TLS:    swpeer.PinnedTLS(identity.certificate, fleet.Trusts),
+		OnError: func(method swpeer.Method, peer string, err error) {
+			log.Debug().Uint8("Method", uint8(method)).Str("Peer", peer).Err(err).Msg("an exchange with a peer failed")
+		},
+	})
+}
+
+func newRecordBoard(store *platform.Store, group *swgroup.Group, log zerolog.Logger) *swboard.Board {
+	return swboard.New(swboard.Config{Writer: store, Group: group, Log: log})
+}
+
+// slowWatch is how long watches wait of what VMs write themselves. It stays below the time for which the store keeps its
+// history, which a watch must not outlive.
+const slowWatch = 12 * time.Second
+
+func newFeed(config Config, store *platform.Store, node *swpeer.Node, fleet *swfleet.Fleet, routes *swroute.Book, servers *swfollow.Mirror[swreplica.Entry],
+	vms *swfollow.Mirror[swfleet.VM], board *swboard.Board, log zerolog.Logger,
+) *swfeed.Feed {
+	settings := config.Settings.Gateway
+	return swfeed.New(swfeed.Config{
+		Source: store, Transport: node, Ahead: fleet.Ahead, Log: log,
+		Kinds: []swfeed.Kind{
+			{Name: platform.KindConfig, WatchWait: settings.ApplyWithin / watchesWithin, Receive: func(change swfollow.Change) {
+				receiveConfig(routes, change, log)
+			}},
+			{Name: platform.KindServers, WatchWait: settings.DrainWithin / watchesWithin, Receive: servers.Receive},
+			{Name: swfleet.KindVM, WatchWait: slowWatch, Receive: vms.Receive},
+			{Name: swboard.Kind, WatchWait: slowWatch, Receive: board.Receive},
+		},
+	})
 }
 
 // receiveConfig puts the newest configuration of a change in force.
@@ -148,12 +205,13 @@
 	}
 }
 
-func newGatewayHandler(config Config, group *swgroup.Group, routes *swroute.Book, replicas *swreplica.Registry, quarantine *swquarantine.Register, log zerolog.Logger) *swgateway.Gateway {
+func newGatewayHandler(config Config, fleet *swfleet.Fleet, group *swgroup.Group, routes *swroute.Book, replicas *swreplica.Registry, quarantine *swquarantine.Register, log zerolog.Logger) *swgateway.Gateway {
 	settings := config.Settings
 	return swgateway.New(swgateway.Config{
 		Group: group, Protocol: platform.Headers{}, Routes: routes, Replicas: replicas, Quarantine: quarantine, Log: log,
 		Budget: swgateway.NewBudget(swgateway.BudgetConfig{
 			Ratio: settings.Gateway.RepeatRatio, Slack: settings.Gateway.RepeatSlack, Window: settings.Gateway.RepeatWindow,
+			VMs: fleet.Len,
 		}),
 		HedgePercentile: settings.Query.HedgePercentile,
 	})
@@ -180,16 +238,42 @@
 }
 
 func (parts *gatewayParts) start(context.Context) error {
+	swpeer.HandleCall(parts.Node, swpeer.MethodFollow, parts.Feed.HandleFollow)
+	parts.Node.Serve()
 	parts.Group.Go(parts.Servers.Run)
-	for _, follower := range parts.Follow {
-		parts.Group.Go(follower.Run)
-	}
+	parts.Group.Go(parts.join)
 	parts.Server.Serve(parts.Group)
 	parts.Log.Info().Stringer("Clients", parts.Server.Address()).Stringer("Ready", parts.Server.ReadyAddress()).
 		Str("Version", parts.Config.Version).Msg("serving")
 	return nil
 }
 
+// join registers this VM, learns who the others are, and follows the store or one of them from then on.
+func (parts *gatewayParts) join(ctx context.Context) {
+	if parts.Fleet.Register(ctx, parts.Store, parts.Log) != nil {
+		return
+	}
+	vms, revision, err := parts.Store.ListObjects(ctx, swfleet.KindVM)
+	if err == nil {
+		parts.VMs.Receive(swfollow.Change{Whole: true, Objects: vms, Revision: revision})
+	} else {
+		parts.Log.Warn().Err(err).Msg("the VMs could not be listed; following the platform's store")
+	}
+	parts.Feed.Run(ctx)
+}
+
+// leaveTimeout bounds the call that takes a leaving VM off the register.
+const leaveTimeout = 300 * time.Millisecond
+
+// deregister takes this VM off the register, so that no other relies on it.
+func (parts *gatewayParts) deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := parts.Store.DeleteObject(ctx, swfleet.KindVM, parts.Config.Settings.Name); err != nil {
+		parts.Log.Warn().Err(err).Msg("this VM stays on the register although it leaves")
+	}
+}
+
 const (
 	// drainPart is the part of the grace for which a leaving VM goes on answering what comes over open connections.
 	drainPart = 0.6
@@ -204,6 +288,7 @@
 	grace := parts.Config.Settings.Gateway.Grace
 	parts.Server.SetLeaving()
 	parts.Log.Info().Int64("Held", parts.Server.Held()).Dur("Grace", grace).Msg("leaving")
+	parts.Group.Go(parts.deregister)
 	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(finishPart*float64(grace))))
 	defer cancel()
 	select {
@@ -212,7 +297,10 @@
 	}
 	err := parts.Server.Shutdown(ctx)
 	parts.Log.Info().Int64("Held", parts.Server.Held()).Dur("Took", time.Since(began)).Msg("stopped")
-	parts.Client.Close()
 	parts.Group.Cancel()
+	if nodeErr := parts.Node.Close(); err == nil {
+		err = nodeErr
+	}
+	parts.Client.Close()
 	return err
 }
--- /dev/null
+++ b/internal/swfeed/cache.go
@@ -0,0 +1,126 @@
+// Package swfeed brings the objects of the platform's store to every VM at the price of one reader a data centre: one VM
+// follows the store itself, the others follow that VM, and each of them falls back on the next VM and in the end on the
+// store when it hears nothing new.
+package swfeed
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+)
+
+// maxLog is the number of changes of a kind that a cache keeps for peers that lag; one that lags further gets the whole.
+const maxLog = 1024
+
+// cache holds the objects of one kind as of a revision of the store, and the latest changes.
+type cache struct {
+	mutex    sync.Mutex
+	objects  map[string]swplatform.Object
+	revision uint64
+	// log holds the latest changes; floor is the revision before the first of them.
+	log   []loggedObject
+	floor uint64
+	// regained is when the store last came back after an outage.
+	regained time.Time
+	synced   bool
+}
+
+// loggedObject is a changed or deleted object with the revision at which the change became known.
+type loggedObject struct {
+	swplatform.Object
+	at uint64
+}
+
+func newCache() *cache {
+	return &cache{objects: make(map[string]swplatform.Object)}
+}
+
+// apply takes a change. It reports false for one that is older than what the cache holds.
+func (cache *cache) apply(change swfollow.Change) bool {
+	cache.mutex.Lock()
+	defer cache.mutex.Unlock()
+	if cache.synced && change.Revision < cache.revision || !cache.synced && !change.Whole {
+		return false
+	}
+	if change.Regained.After(cache.regained) {
+		cache.regained = change.Regained
+	}
+	if change.Whole {
+		cache.applyWhole(change)
+	} else {
+		for _, object := range change.Objects {
+			cache.put(object, change.Revision)
+		}
+	}
+	cache.revision = change.Revision
+	cache.synced = true
+	return true
+}
+
+// applyWhole replaces all objects and logs the difference. The caller holds the mutex.
+func (cache *cache) applyWhole(change swfollow.Change) {
+	if !cache.synced {
+		cache.floor = change.Revision
+	}
+	present := make(map[string]bool, len(change.Objects))
+	for _, object := range change.Objects {
+		present[object.Name] = true
+		if known, ok := cache.objects[object.Name]; !ok || known.Revision != object.Revision {
+			cache.put(object, change.Revision)
+		}
+	}
+	for name, object := range cache.objects {
+		if !present[name] {
+			object.Deleted = true
+			cache.put(object, change.Revision)
+		}
+	}
+}
+
+// put takes one object. The caller holds the mutex.
+func (cache *cache) put(object swplatform.Object, at uint64) {
+	if object.Deleted {
+		delete(cache.objects, object.Name)
+	} else {
+		cache.objects[object.Name] = object
+	}
+	if len(cache.log) == maxLog {
+		half := maxLog / 2
+		cache.floor = cache.log[half-1].at
+		cache.log = append(cache.log[:0], cache.log[half:]...)
+	}
+	cache.log = append(cache.log, loggedObject{Object: object, at: at})
+}
+
+// since returns what changed after a revision, or the whole where that is no longer known. ok is false while there is
+// nothing newer.
+func (cache *cache) since(revision uint64) (change swfollow.Change, ok bool) {
+	cache.mutex.Lock()
+	defer cache.mutex.Unlock()
+	if !cache.synced || revision >= cache.revision {
+		return swfollow.Change{}, false
+	}
+	change = swfollow.Change{Revision: cache.revision, Regained: cache.regained}
+	if revision < cache.floor || revision == 0 {
+		change.Whole = true
+		for _, object := range cache.objects {
+			change.Objects = append(change.Objects, object)
+		}
+		return change, true
+	}
+	for _, logged := range cache.log {
+		if logged.at > revision {
+			change.Objects = append(change.Objects, logged.Object)
+		}
+	}
+	return change, true
+}
+
+// current returns the revision up to which the cache goes; zero while it holds nothing.
+func (cache *cache) current() uint64 {
+	cache.mutex.Lock()
+	defer cache.mutex.Unlock()
+	return cache.revision
+}
--- /dev/null
+++ b/internal/swfeed/feed.go
@@ -0,0 +1,381 @@
+package swfeed
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
+)
+
+const (
+	// pollWait is how long a VM waits at another for news. It bounds how late a peer that fell silent is noticed.
+	pollWait = time.Second
+	// pollSlack is how much longer than its wait a poll may take: a handshake between VMs of a data centre and a busy processor.
+	pollSlack = 500 * time.Millisecond
+	// hastyWait and hastySlack take their place after a poll failed: news may have been missed already.
+	hastyWait  = 200 * time.Millisecond
+	hastySlack = 300 * time.Millisecond
+	// maxFailures is the number of polls that fail in a row before this VM follows the store itself, for directFor.
+	maxFailures = 2
+	directFor   = 3 * time.Second
+	// demandFor is how long after a poll of a peer this VM goes on following the store itself: a few polls.
+	demandFor = 5 * time.Second
+	// freshWithin is the age up to which another VM's knowledge of the store counts as current: its watches of the store end
+	// sooner than that.
+	freshWithin = 2500 * time.Millisecond
+	// suspectLeast and suspectMost bound how long a VM that did not answer is passed over.
+	suspectLeast = time.Second
+	suspectMost  = 30 * time.Second
+	// review is how often a VM that follows the store looks whether another one should.
+	review = 500 * time.Millisecond
+	// trialLeast and trialMost bound the pause between a VM's own tries at a store that the others do not reach either.
+	trialLeast = 500 * time.Millisecond
+	trialMost  = 4 * time.Second
+)
+
+// Peer is a VM that may be followed.
+type Peer struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Transport carries calls to other VMs.
+type Transport interface {
+	// Call sends request to target and decodes the answer into reply.
+	Call(ctx context.Context, target netip.AddrPort, method swpeer.Method, request, reply any) error
+}
+
+// Kind is one kind of objects.
+type Kind struct {
+	Name string
+	// WatchWait is how long a watch of the store waits.
+	WatchWait time.Duration
+	// Receive takes each change, in order.
+	Receive func(change swfollow.Change)
+}
+
+// Config holds what a Feed is built from.
+type Config struct {
+	Source swfollow.Source
+	// Kinds are in the same order on all VMs.
+	Kinds []Kind
+	// Ahead returns the VMs of this data centre that should follow the store rather than this one, the first of them first.
+	Ahead     func() []Peer
+	Transport Transport
+	Log       zerolog.Logger
+}
+
+// Feed keeps this VM's copies in step. Construct it with New; Run starts it.
+type Feed struct {
+	config Config
+	caches []*cache
+
+	mutex sync.Mutex
+	// demanded is when a peer last asked this VM.
+	demanded time.Time
+	// changed is closed at the next change of any kind.
+	changed chan struct{}
+	// stopPoll ends the poll that is under way; nil when there is none.
+	stopPoll context.CancelFunc
+	// reached is when the store last answered this VM, by kind; the zero time while this VM does not follow the store.
+	reached  []time.Time
+	suspects map[string]suspect
+	// failures counts the polls that failed in a row, failed is when the last one did.
+	failures int
+	failed   time.Time
+	// trial is when this VM may next try a store that the VM it follows does not reach, pause the time between tries.
+	trial time.Time
+	pause time.Duration
+	// leader is whom this VM follows, for the log; empty for the store.
+	leader string
+}
+
+type suspect struct {
+	until time.Time
+	pause time.Duration
+}
+
+// New returns a feed that knows nothing yet.
+func New(config Config) *Feed {
+	feed := &Feed{
+		config:   config,
+		caches:   make([]*cache, len(config.Kinds)),
+		reached:  make([]time.Time, len(config.Kinds)),
+		changed:  make(chan struct{}),
+		suspects: make(map[string]suspect),
+		leader:   "?",
+	}
+	for i := range feed.caches {
+		feed.caches[i] = newCache()
+	}
+	return feed
+}
+
+// Run follows the store, or another VM that does, until the context ends.
+func (feed *Feed) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		peer, found := feed.choose(time.Now())
+		if !found {
+			feed.noteLeader("")
+			feed.followStore(ctx)
+			continue
+		}
+		feed.noteLeader(peer.Name)
+		feed.poll(ctx, peer)
+	}
+}
+
+// choose returns the VM to follow, or not found when this VM is to follow the store itself: it is the first, others rely on
+// it, or no VM ahead of it answers with current knowledge.
+func (feed *Feed) choose(now time.Time) (Peer, bool) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	if now.Sub(feed.demanded) < demandFor && !feed.demanded.IsZero() {
+		return Peer{}, false
+	}
+	if feed.failures >= maxFailures && now.Sub(feed.failed) < directFor {
+		return Peer{}, false
+	}
+	for _, peer := range feed.config.Ahead() {
+		if !now.Before(feed.suspects[peer.Name].until) {
+			return peer, true
+		}
+	}
+	return Peer{}, false
+}
+
+// followStore follows the store until a VM ahead of this one can be followed again.
+func (feed *Feed) followStore(ctx context.Context) {
+	group := swgroup.New(ctx)
+	defer feed.forgetReached()
+	defer group.Stop()
+	for i := range feed.config.Kinds {
+		kind := &feed.config.Kinds[i]
+		follower := swfollow.NewFollower(swfollow.FollowerConfig{
+			Source: feed.config.Source, Kind: kind.Name, WatchWait: kind.WatchWait, Log: feed.config.Log,
+			Receive:   func(change swfollow.Change) { feed.receive(i, change) },
+			OnReached: func(now time.Time) { feed.noteReached(i, now) },
+		})
+		group.Go(follower.Run)
+	}
+	for swtimer.Wait(ctx, review) == nil {
+		if _, found := feed.choose(time.Now()); found {
+			return
+		}
+	}
+}
+
+// poll asks a VM for news once.
+func (feed *Feed) poll(ctx context.Context, peer Peer) {
+	wait, slack := feed.patience()
+	request := FollowRequest{Wait: wait, Revisions: make([]uint64, len(feed.caches))}
+	for i, cache := range feed.caches {
+		request.Revisions[i] = cache.current()
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
+	feed.mutex.Lock()
+	feed.stopPoll = cancel
+	feed.mutex.Unlock()
+	var reply FollowReply
+	err := feed.config.Transport.Call(callCtx, peer.Address, swpeer.MethodFollow, &request, &reply)
+	if errors.Is(callCtx.Err(), context.Canceled) {
+		return
+	}
+	if err != nil || len(reply.Changes) != len(feed.caches) {
+		feed.distrust(peer, err)
+		return
+	}
+	now := time.Now()
+	for i := range reply.Changes {
+		if reply.Changes[i].Revision > 0 {
+			feed.receive(i, reply.Changes[i].decode(feed.config.Kinds[i].Name, now))
+		}
+	}
+	if reply.Age > freshWithin {
+		feed.tryStore(ctx, peer, reply.Age)
+		return
+	}
+	feed.trust(peer)
+}
+
+// patience returns how long a poll waits for news, and how much longer it may take.
+func (feed *Feed) patience() (wait, slack time.Duration) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	if feed.failures > 0 || feed.caches[0].current() == 0 {
+		return hastyWait, hastySlack
+	}
+	return pollWait, pollSlack
+}
+
+// receive takes a change that the store or a peer brought.
+func (feed *Feed) receive(kind int, change swfollow.Change) {
+	if !feed.caches[kind].apply(change) {
+		return
+	}
+	feed.config.Kinds[kind].Receive(change)
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	close(feed.changed)
+	feed.changed = make(chan struct{})
+}
+
+// tryStore asks the store itself, now and then, while the VM that is followed does not reach it: the store may turn away
+// some VMs and serve others.
+func (feed *Feed) tryStore(ctx context.Context, peer Peer, age time.Duration) {
+	now := time.Now()
+	feed.mutex.Lock()
+	if now.Before(feed.trial) {
+		feed.mutex.Unlock()
+		// The peer answers at once while it is behind; asking it without a pause would help nobody.
+		_ = swtimer.Wait(ctx, trialLeast/2)
+		return
+	}
+	feed.pause = min(trialMost, max(trialLeast, 2*feed.pause))
+	feed.trial = now.Add(time.Duration((0.5 + rand.Float64()) * float64(feed.pause)))
+	feed.mutex.Unlock()
+	kind := feed.config.Kinds[0].Name
+	if _, _, err := feed.config.Source.ListObjects(ctx, kind); err != nil {
+		return
+	}
+	feed.config.Log.Warn().Str("Peer", peer.Name).Dur("Age", age).Msg("the VM that is followed does not reach the store, this one does")
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.suspects[peer.Name] = suspect{until: now.Add(trialMost), pause: suspectLeast}
+}
+
+// distrust passes a VM over for a while.
+func (feed *Feed) distrust(peer Peer, err error) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.failures++
+	feed.failed = time.Now()
+	known := feed.suspects[peer.Name]
+	known.pause = min(suspectMost, max(suspectLeast, 2*known.pause))
+	known.until = time.Now().Add(known.pause)
+	feed.suspects[peer.Name] = known
+	feed.config.Log.Warn().Err(err).Str("Peer", peer.Name).Dur("PassedOver", known.pause).Msg("a VM that is followed does not answer")
+}
+
+func (feed *Feed) trust(peer Peer) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	delete(feed.suspects, peer.Name)
+	feed.pause, feed.failures = 0, 0
+}
+
+func (feed *Feed) noteLeader(name string) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	if feed.leader == name {
+		return
+	}
+	feed.leader = name
+	if name == "" {
+		feed.config.Log.Info().Msg("following the platform's store")
+		return
+	}
+	feed.config.Log.Info().Str("Peer", name).Msg("following another VM")
+}
+
+func (feed *Feed) noteReached(kind int, now time.Time) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.reached[kind] = now
+}
+
+// forgetReached notes that this VM does not follow the store any more.
+func (feed *Feed) forgetReached() {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	clear(feed.reached)
+}
+
+// neverReached is the age of a VM's knowledge that has not heard from the store since it began to follow it.
+const neverReached = time.Hour
+
+// age returns how long ago the store last answered this VM, in the kind that was heard of least lately among those whose
+// watches are to be current.
+func (feed *Feed) age(now time.Time) time.Duration {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	age := time.Duration(0)
+	for i, reached := range feed.reached {
+		if feed.config.Kinds[i].WatchWait > freshWithin {
+			continue
+		}
+		if reached.IsZero() {
+			return neverReached
+		}
+		age = max(age, now.Sub(reached))
+	}
+	return age
+}
+
+// HandleFollow answers a peer. From then on this VM follows the store itself for a while, so that VMs never follow each
+// other in a circle.
+func (feed *Feed) HandleFollow(ctx context.Context, _ string, request FollowRequest) (FollowReply, error) {
+	feed.demand(time.Now())
+	deadline := time.NewTimer(min(max(0, request.Wait), pollWait))
+	defer deadline.Stop()
+	for {
+		reply, changed := feed.news(request)
+		if reply.Age < neverReached && (reply.Age > freshWithin || reply.hasNews()) {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			reply, _ := feed.news(request)
+			return reply, nil
+		case <-ctx.Done():
+			return FollowReply{}, ctx.Err()
+		}
+	}
+}
+
+// demand notes that a peer relies on this VM, which stops relying on another itself.
+func (feed *Feed) demand(now time.Time) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.demanded = now
+	if feed.stopPoll != nil {
+		feed.stopPoll()
+		feed.stopPoll = nil
+	}
+}
+
+// news returns what the request's sender lacks, and the signal of the next change.
+func (feed *Feed) news(request FollowRequest) (FollowReply, <-chan struct{}) {
+	now := time.Now()
+	feed.mutex.Lock()
+	changed := feed.changed
+	feed.mutex.Unlock()
+	reply := FollowReply{Changes: make([]KindChange, len(feed.caches)), Age: feed.age(now)}
+	for i, cache := range feed.caches {
+		revision := uint64(0)
+		if i < len(request.Revisions) {
+			revision = request.Revisions[i]
+		}
+		if change, ok := cache.since(revision); ok {
+			reply.Changes[i] = encodeChange(change, now)
+		}
+	}
+	return reply, changed
+}
+
+// hasNews reports whether any kind changed.
+func (reply *FollowReply) hasNews() bool {
+	return slices.ContainsFunc(reply.Changes, func(change KindChange) bool { return change.Revision > 0 })
+}
--- /dev/null
+++ b/internal/swfeed/message.go
@@ -0,0 +1,78 @@
+package swfeed
+
+import (
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+)
+
+// FollowRequest asks a VM for what has changed in the store.
+type FollowRequest struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Revisions holds, in the order of the kinds, the revisions that the asking VM has; zero asks for everything.
+	Revisions []uint64
+	// Wait is how long the asked VM may wait for a change.
+	Wait time.Duration
+}
+
+// FollowReply answers a FollowRequest.
+type FollowReply struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Changes are in the order of the kinds; the entry of a kind without news is empty.
+	Changes []KindChange
+	// Age is how long ago the store last answered the asked VM.
+	Age time.Duration
+}
+
+// KindChange is what changed in one kind.
+type KindChange struct {
+	_ struct{} `cbor:",toarray"`
+
+	Whole bool
+	// Revision is zero when there is no news.
+	Revision uint64
+	Objects  []Object
+	// RegainedAgo is how long ago the store came back after an outage, or zero when it was not away.
+	RegainedAgo time.Duration
+}
+
+// Object is an object of the store on its way between VMs.
+type Object struct {
+	_ struct{} `cbor:",toarray"`
+
+	Name     string
+	Revision uint64
+	Value    []byte
+	Deleted  bool
+}
+
+func encodeChange(change swfollow.Change, now time.Time) KindChange {
+	encoded := KindChange{Whole: change.Whole, Revision: change.Revision, Objects: make([]Object, len(change.Objects))}
+	for i, object := range change.Objects {
+		encoded.Objects[i] = Object{Name: object.Name, Revision: object.Revision, Deleted: object.Deleted}
+		if !object.Deleted {
+			encoded.Objects[i].Value = object.Value
+		}
+	}
+	if !change.Regained.IsZero() {
+		encoded.RegainedAgo = max(1, now.Sub(change.Regained))
+	}
+	return encoded
+}
+
+func (encoded *KindChange) decode(kind string, now time.Time) swfollow.Change {
+	change := swfollow.Change{Whole: encoded.Whole, Revision: encoded.Revision, Objects: make([]swplatform.Object, len(encoded.Objects))}
+	for i, object := range encoded.Objects {
+		change.Objects[i] = swplatform.Object{
+			Kind: kind, Name: object.Name, Version: object.Revision, Revision: object.Revision,
+			Value: object.Value, Deleted: object.Deleted,
+		}
+	}
+	if encoded.RegainedAgo > 0 {
+		change.Regained = now.Add(-encoded.RegainedAgo)
+	}
+	return change
+}
--- /dev/null
+++ b/internal/swfleet/fleet.go
@@ -0,0 +1,124 @@
+// Package swfleet keeps the register of the VMs that run the gateway: who they are, where peers reach them, and whose keys
+// are theirs. Each VM writes its own object in the platform's store and reads the others'.
+package swfleet
+
+import (
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/internal/swfeed"
+	"github.com/sycamorewall/sycamorewall/internal/swmember"
+	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+)
+
+// KindVM is the kind of the store's objects that hold VMs, each under its name.
+const KindVM = "sycamorewall-vms"
+
+// VM is one VM as it describes itself.
+type VM struct {
+	Name       string
+	Region     string
+	DataCentre string
+	// Peer is the UDP address for other VMs.
+	Peer netip.AddrPort
+	// Key identifies the private key of the VM's present process.
+	Key []byte
+	// Started is when that process began, by its own clock.
+	Started time.Time
+}
+
+// Encode returns the value of the VM's object.
+func (vm *VM) Encode() ([]byte, error) {
+	value, err := json.Marshal(vm)
+	return value, errors.Wrap(err, "encode VM")
+}
+
+// Decode reads the object of a VM. ok is false for one that describes none.
+func Decode(object swplatform.Object) (vm VM, ok bool) {
+	if err := json.Unmarshal(object.Value, &vm); err != nil {
+		return VM{}, false
+	}
+	return vm, vm.Name == object.Name && vm.Peer.IsValid() && len(vm.Key) == len(swpeer.Key{})
+}
+
+// Fleet holds the VMs that are registered. It is safe for concurrent use.
+type Fleet struct {
+	self VM
+
+	mutex sync.RWMutex
+	vms   map[string]VM
+	// ahead caches the answer of Ahead; nil when it is to be worked out.
+	ahead []swfeed.Peer
+}
+
+// New returns a fleet of which only this VM is known.
+func New(self VM) *Fleet {
+	return &Fleet{self: self, vms: map[string]VM{self.Name: self}}
+}
+
+// Apply takes the VMs that are new or changed and the names of those that are gone. This VM stays registered whatever the
+// store says.
+func (fleet *Fleet) Apply(changed []VM, gone []string) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for _, vm := range changed {
+		if vm.Name != fleet.self.Name {
+			fleet.vms[vm.Name] = vm
+		}
+	}
+	for _, name := range gone {
+		if name != fleet.self.Name {
+			delete(fleet.vms, name)
+		}
+	}
+	fleet.ahead = nil
+}
+
+// Len returns the number of VMs, this one included.
+func (fleet *Fleet) Len() int {
+	fleet.mutex.RLock()
+	defer fleet.mutex.RUnlock()
+	return len(fleet.vms)
+}
+
+// Trusts reports whether a VM of that name is registered with that key.
+func (fleet *Fleet) Trusts(name string, key swpeer.Key) bool {
+	fleet.mutex.RLock()
+	defer fleet.mutex.RUnlock()
+	vm, ok := fleet.vms[name]
+	return ok && swpeer.Key(vm.Key) == key
+}
+
+// followKey is the rendezvous key by which the VMs of a data centre agree on who follows the store.
+const followKey = "follow"
+
+// Ahead returns the VMs of this data centre that come before this one in the order in which they follow the store.
+func (fleet *Fleet) Ahead() []swfeed.Peer {
+	fleet.mutex.RLock()
+	ahead := fleet.ahead
+	fleet.mutex.RUnlock()
+	if ahead != nil {
+		return ahead
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	var members []swmember.Member
+	for _, vm := range fleet.vms {
+		if vm.DataCentre == fleet.self.DataCentre {
+			members = append(members, swmember.Member{Name: vm.Name, Peer: vm.Peer})
+		}
+	}
+	fleet.ahead = []swfeed.Peer{}
+	for _, member := range swmember.Rank(members, followKey) {
+		if member.Name == fleet.self.Name {
+			break
+		}
+		fleet.ahead = append(fleet.ahead, swfeed.Peer{Name: member.Name, Address: member.Peer})
+	}
+	return fleet.ahead
+}
--- a/internal/swfollow/follower.go
+++ b/internal/swfollow/follower.go
@@ -39,6 +39,8 @@
 	// Whole marks a listing: objects that it lacks are gone.
 	Whole   bool
 	Objects []swplatform.Object
+	// Revision is the store's revision up to which the change goes.
+	Revision uint64
 	// Regained is when the store answered again after failed calls; the zero time when no call has failed.
 	Regained time.Time
 }
@@ -51,7 +53,9 @@
 	WatchWait time.Duration
 	// Receive takes each change, in order.
 	Receive func(change Change)
-	Log     zerolog.Logger
+	// OnReached is told of each answer of the store; it may be nil.
+	OnReached func(now time.Time)
+	Log       zerolog.Logger
 }
 
 // Follower follows one kind. Construct it with NewFollower.
@@ -102,17 +106,18 @@
 	}
 	follower.noteReached()
 	follower.revision = revision
-	follower.config.Receive(Change{Whole: true, Objects: objects, Regained: follower.regained})
+	follower.config.Receive(Change{Whole: true, Objects: objects, Revision: revision, Regained: follower.regained})
 	for {
 		objects, revision, err := follower.config.Source.WatchObjects(ctx, follower.config.Kind, follower.revision, follower.config.WatchWait)
 		if err != nil {
 			return err
 		}
 		follower.revision = max(follower.revision, revision)
+		follower.noteReached()
 		if len(objects) == 0 {
 			continue
 		}
-		follower.config.Receive(Change{Objects: objects, Regained: follower.regained})
+		follower.config.Receive(Change{Objects: objects, Revision: follower.revision, Regained: follower.regained})
 		if err := swtimer.Wait(ctx, settle); err != nil {
 			return err
 		}
@@ -128,6 +133,9 @@
 
 func (follower *Follower) noteReached() {
 	follower.backoff.Reset()
+	if follower.config.OnReached != nil {
+		follower.config.OnReached(time.Now())
+	}
 	if follower.lost.IsZero() {
 		return
 	}
--- a/internal/swpeer/stream.go
+++ b/internal/swpeer/stream.go
@@ -35,6 +35,8 @@
 	MethodProbeVia Method = 9
 	// MethodReport tells a watcher which rules a VM has in force.
 	MethodReport Method = 10
+	// MethodFollow waits for changes of the platform's objects that a peer knows.
+	MethodFollow Method = 11
 )
 
 // streamCancelled is the QUIC error code of a withdrawn stream.
--- a/internal/swsetting/load.go
+++ b/internal/swsetting/load.go
@@ -105,7 +105,7 @@
 func Check(settings Settings) error {
 	faults := tagFaults(settings)
 	if settings.Gateway.Enabled() {
-		faults = append(faults, gatewayFaults(settings.Gateway)...)
+		faults = append(faults, gatewayFaults(settings)...)
 	} else {
 		faults = append(faults, listenerFaults(settings)...)
 	}
@@ -175,8 +175,12 @@
 	return faults
 }
 
-func gatewayFaults(gateway Gateway) []Fault {
+func gatewayFaults(settings Settings) []Fault {
 	var faults []Fault
+	gateway := settings.Gateway
+	if !settings.Peer.Listen.IsValid() {
+		faults = append(faults, Fault{Field: "Peer.Listen", Message: "no address is given", Fix: "write an IP number and a port, such as 10.0.0.1:8081"})
+	}
 	if !gateway.Ready.IsValid() {
 		faults = append(faults, Fault{Field: "Gateway.Ready", Message: "no address is given", Fix: "write an IP number and a port, such as 10.0.0.1:8081"})
 	}
