Judge a followed VM by overdue watches; follow the store after two that do not reach it

Cause: CONFIG on both grown sites: watches of 2.5 and 3 s were longer than the age of 2.5 s by which a VM was judged, so one that the store turned away looked current, and its followers moved to others that were turned away as well.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -178,10 +178,10 @@
 	return swfeed.New(swfeed.Config{
 		Source: store, Transport: node, Ahead: fleet.Ahead, Log: log,
 		Kinds: []swfeed.Kind{
-			{Name: platform.KindConfig, WatchWait: settings.ApplyWithin / watchesWithin, Receive: func(change swfollow.Change) {
+			{Name: platform.KindConfig, Current: true, WatchWait: settings.ApplyWithin / watchesWithin, Receive: func(change swfollow.Change) {
 				receiveConfig(routes, change, log)
 			}},
-			{Name: platform.KindServers, WatchWait: settings.DrainWithin / watchesWithin, Receive: servers.Receive},
+			{Name: platform.KindServers, Current: true, WatchWait: settings.DrainWithin / watchesWithin, Receive: servers.Receive},
 			{Name: swfleet.KindVM, WatchWait: slowWatch, Receive: vms.Receive},
 			{Name: swboard.Kind, WatchWait: slowWatch, Receive: board.Receive},
 		},
--- a/internal/swfeed/feed.go
+++ b/internal/swfeed/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -25,22 +24,25 @@
 	// hastyWait and hastySlack take their place after a poll failed: news may have been missed already.
 	hastyWait  = 200 * time.Millisecond
 	hastySlack = 300 * time.Millisecond
-	// maxFailures is the number of polls that fail in a row before this VM follows the store itself, for directFor.
+	// maxFailures is the number of polls in a row that fail, or bring word from a VM that does not reach the store, before
+	// this VM follows the store itself, for directFor.
 	maxFailures = 2
 	directFor   = 3 * time.Second
 	// demandFor is how long after a poll of a peer this VM goes on following the store itself: a few polls.
 	demandFor = 5 * time.Second
-	// freshWithin is the age up to which another VM's knowledge of the store counts as current: its watches of the store end
-	// sooner than that.
-	freshWithin = 2500 * time.Millisecond
+	// overdueMost is how much later than a watch ends the store may answer before a VM counts as out of its reach.
+	overdueMost = 700 * time.Millisecond
 	// suspectLeast and suspectMost bound how long a VM that did not answer is passed over.
 	suspectLeast = time.Second
 	suspectMost  = 30 * time.Second
+	// staleFor is how long a VM that does not reach the store is passed over.
+	staleFor = 3 * time.Second
+	// introduceWait is the pause before a VM that does not know this one's key yet is asked again, introduceTries the number
+	// of such pauses: it hears of a new VM from the store.
+	introduceWait  = 150 * time.Millisecond
+	introduceTries = 4
 	// review is how often a VM that follows the store looks whether another one should.
 	review = 500 * time.Millisecond
-	// trialLeast and trialMost bound the pause between a VM's own tries at a store that the others do not reach either.
-	trialLeast = 500 * time.Millisecond
-	trialMost  = 4 * time.Second
 )
 
 // Peer is a VM that may be followed.
@@ -60,6 +62,8 @@
 	Name string
 	// WatchWait is how long a watch of the store waits.
 	WatchWait time.Duration
+	// Current kinds are those by which a VM is judged to reach the store.
+	Current bool
 	// Receive takes each change, in order.
 	Receive func(change swfollow.Change)
 }
@@ -93,9 +97,8 @@
 	// failures counts the polls that failed in a row, failed is when the last one did.
 	failures int
 	failed   time.Time
-	// trial is when this VM may next try a store that the VM it follows does not reach, pause the time between tries.
-	trial time.Time
-	pause time.Duration
+	// strangers counts the polls in a row that were refused because the other VM does not know this one's key.
+	strangers int
 	// leader is whom this VM follows, for the log; empty for the store.
 	leader string
 }
@@ -154,19 +157,34 @@
 	return Peer{}, false
 }
 
-// followStore follows the store until a VM ahead of this one can be followed again.
+// followStore follows the store until a VM ahead of this one can be followed again. The first kind shows whether the store
+// answers at all; the others wait for it, so that a store that is away gets few calls.
 func (feed *Feed) followStore(ctx context.Context) {
 	group := swgroup.New(ctx)
 	defer feed.forgetReached()
 	defer group.Stop()
+	var once sync.Once
+	answers := make(chan struct{})
 	for i := range feed.config.Kinds {
 		kind := &feed.config.Kinds[i]
 		follower := swfollow.NewFollower(swfollow.FollowerConfig{
 			Source: feed.config.Source, Kind: kind.Name, WatchWait: kind.WatchWait, Log: feed.config.Log,
-			Receive:   func(change swfollow.Change) { feed.receive(i, change) },
-			OnReached: func(now time.Time) { feed.noteReached(i, now) },
+			Receive: func(change swfollow.Change) { feed.receive(i, change) },
+			OnReached: func(now time.Time) {
+				feed.noteReached(i, now)
+				once.Do(func() { close(answers) })
+			},
+		})
+		group.Go(func(ctx context.Context) {
+			if i > 0 {
+				select {
+				case <-answers:
+				case <-ctx.Done():
+					return
+				}
+			}
+			follower.Run(ctx)
 		})
-		group.Go(follower.Run)
 	}
 	for swtimer.Wait(ctx, review) == nil {
 		if _, found := feed.choose(time.Now()); found {
@@ -192,6 +210,9 @@
 	if errors.Is(callCtx.Err(), context.Canceled) {
 		return
 	}
+	if swpeer.IsUntrusted(err) && feed.introduce(ctx) {
+		return
+	}
 	if err != nil || len(reply.Changes) != len(feed.caches) {
 		feed.distrust(peer, err)
 		return
@@ -202,8 +223,8 @@
 			feed.receive(i, reply.Changes[i].decode(feed.config.Kinds[i].Name, now))
 		}
 	}
-	if reply.Age > freshWithin {
-		feed.tryStore(ctx, peer, reply.Age)
+	if reply.Overdue > overdueMost {
+		feed.passOver(peer, reply.Overdue)
 		return
 	}
 	feed.trust(peer)
@@ -231,28 +252,25 @@
 	feed.changed = make(chan struct{})
 }
 
-// tryStore asks the store itself, now and then, while the VM that is followed does not reach it: the store may turn away
-// some VMs and serve others.
-func (feed *Feed) tryStore(ctx context.Context, peer Peer, age time.Duration) {
-	now := time.Now()
+// introduce waits until the other VM may have heard of this one. It reports false when that has taken too long.
+func (feed *Feed) introduce(ctx context.Context) bool {
 	feed.mutex.Lock()
-	if now.Before(feed.trial) {
-		feed.mutex.Unlock()
-		// The peer answers at once while it is behind; asking it without a pause would help nobody.
-		_ = swtimer.Wait(ctx, trialLeast/2)
-		return
-	}
-	feed.pause = min(trialMost, max(trialLeast, 2*feed.pause))
-	feed.trial = now.Add(time.Duration((0.5 + rand.Float64()) * float64(feed.pause)))
+	feed.strangers++
+	again := feed.strangers <= introduceTries
 	feed.mutex.Unlock()
-	kind := feed.config.Kinds[0].Name
-	if _, _, err := feed.config.Source.ListObjects(ctx, kind); err != nil {
-		return
-	}
-	feed.config.Log.Warn().Str("Peer", peer.Name).Dur("Age", age).Msg("the VM that is followed does not reach the store, this one does")
+	return again && swtimer.Wait(ctx, introduceWait) == nil
+}
+
+// passOver turns to another VM, or to the store, because the one that is followed does not reach the store: it may turn
+// away some VMs and serve others.
+func (feed *Feed) passOver(peer Peer, overdue time.Duration) {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
-	feed.suspects[peer.Name] = suspect{until: now.Add(trialMost), pause: suspectLeast}
+	now := time.Now()
+	feed.failures++
+	feed.failed = now
+	feed.suspects[peer.Name] = suspect{until: now.Add(staleFor)}
+	feed.config.Log.Warn().Str("Peer", peer.Name).Dur("Overdue", overdue).Msg("the VM that is followed does not reach the store")
 }
 
 // distrust passes a VM over for a while.
@@ -272,7 +290,7 @@
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	delete(feed.suspects, peer.Name)
-	feed.pause, feed.failures = 0, 0
+	feed.failures, feed.strangers = 0, 0
 }
 
 func (feed *Feed) noteLeader(name string) {
@@ -302,25 +320,25 @@
 	clear(feed.reached)
 }
 
-// neverReached is the age of a VM's knowledge that has not heard from the store since it began to follow it.
+// neverReached stands for a VM that has not heard from the store since it began to follow it.
 const neverReached = time.Hour
 
-// age returns how long ago the store last answered this VM, in the kind that was heard of least lately among those whose
-// watches are to be current.
-func (feed *Feed) age(now time.Time) time.Duration {
+// overdue returns how much later than its watches should have ended the store last answered this VM.
+func (feed *Feed) overdue(now time.Time) time.Duration {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
-	age := time.Duration(0)
+	overdue := time.Duration(0)
 	for i, reached := range feed.reached {
-		if feed.config.Kinds[i].WatchWait > freshWithin {
+		kind := &feed.config.Kinds[i]
+		if !kind.Current {
 			continue
 		}
 		if reached.IsZero() {
 			return neverReached
 		}
-		age = max(age, now.Sub(reached))
+		overdue = max(overdue, now.Sub(reached)-kind.WatchWait)
 	}
-	return age
+	return overdue
 }
 
 // HandleFollow answers a peer. From then on this VM follows the store itself for a while, so that VMs never follow each
@@ -331,7 +349,7 @@
 	defer deadline.Stop()
 	for {
 		reply, changed := feed.news(request)
-		if reply.Age < neverReached && (reply.Age > freshWithin || reply.hasNews()) {
+		if reply.Overdue < neverReached && (reply.Overdue > overdueMost || reply.hasNews()) {
 			return reply, nil
 		}
 		select {
@@ -362,7 +380,7 @@
 	feed.mutex.Lock()
 	changed := feed.changed
 	feed.mutex.Unlock()
-	reply := FollowReply{Changes: make([]KindChange, len(feed.caches)), Age: feed.age(now)}
+	reply := FollowReply{Changes: make([]KindChange, len(feed.caches)), Overdue: feed.overdue(now)}
 	for i, cache := range feed.caches {
 		revision := uint64(0)
 		if i < len(request.Revisions) {
--- a/internal/swfeed/message.go
+++ b/internal/swfeed/message.go
@@ -23,8 +23,8 @@
 
 	// Changes are in the order of the kinds; the entry of a kind without news is empty.
 	Changes []KindChange
-	// Age is how long ago the store last answered the asked VM.
-	Age time.Duration
+	// Overdue is how much later than the asked VM's watches should have ended the store last answered it.
+	Overdue time.Duration
 }
 
 // KindChange is what changed in one kind.
--- a/internal/swpeer/pinned.go
+++ b/internal/swpeer/pinned.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
 )
 
 // Key identifies the private key of a VM's process: the SHA-256 of its public key.
@@ -76,3 +77,15 @@
 		},
 	}
 }
+
+// IsUntrusted reports whether a call failed because one end does not know the other's key.
+func IsUntrusted(err error) bool {
+	if errors.Is(err, ErrUntrusted) {
+		return true
+	}
+	var transport *quic.TransportError
+	return errors.As(err, &transport) && transport.ErrorCode == badCertificate
+}
+
+// badCertificate is the QUIC error of a TLS alert "bad certificate", which VerifyConnection leads to at the other end.
+const badCertificate quic.TransportErrorCode = 0x100 + 42
