Share one authority through the store; restarts write nothing

VMs now take their certificates from one authority object (trade-off: who can read the store can join; who could write it before could as well), and register only when the register lacks them. Lists that need not be current are asked for as such.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,7 +16,6 @@
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swgateway"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
-	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
@@ -45,7 +43,7 @@
 	Store    *platform.Store
 	Fleet    *swfleet.Fleet
 	VMs      *swfollow.Mirror[swfleet.VM]
-	Node     *swpeer.Node
+	Peers    *peers
 	Feed     *swfeed.Feed
 	Server   *swgateway.Server
 }
@@ -62,7 +60,7 @@
 		fx.Supply(config),
 		fx.Provide(
 			newLogger, newGroup, newPlatform, newRouteBook, newReplicas, newGatewayQuarantine,
-			newServerMirror, newObjectStore, newIdentity, newFleet, newVMMirror, newGatewayNode, newRecordBoard, newFeed, newGatewayHandler, newGatewayServer,
+			newServerMirror, newObjectStore, newFleet, newVMMirror, newPeers, newRecordBoard, newFeed, newGatewayHandler, newGatewayServer,
 		),
 		fx.Invoke(bindGatewayLifecycle),
 		fx.Invoke(func(parts gatewayParts) { gateway.parts = &parts }),
@@ -127,42 +125,17 @@
 	return platform.NewStore(client)
 }
 
-// identity is this VM's key and what it publishes of itself.
-type identity struct {
-	certificate tls.Certificate
-	vm          swfleet.VM
-}
-
-func newIdentity(config Config) (identity, error) {
+func newFleet(config Config) *swfleet.Fleet {
 	settings := config.Settings
-	certificate, key, err := swpeer.SelfSigned(settings.Name)
-	if err != nil {
-		return identity{}, err
-	}
-	return identity{certificate: certificate, vm: swfleet.VM{
-		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre,
-		Peer: settings.Peer.Listen, Key: key[:], Started: time.Now(),
-	}}, nil
-}
-
-func newFleet(identity identity) *swfleet.Fleet {
-	return swfleet.New(identity.vm)
+	return swfleet.New(swfleet.VM{
+		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Peer: settings.Peer.Listen,
+	})
 }
 
 func newVMMirror(fleet *swfleet.Fleet) *swfollow.Mirror[swfleet.VM] {
 	return swfollow.NewMirror(swfollow.MirrorConfig[swfleet.VM]{Decode: swfleet.Decode, Apply: fleet.Apply})
 }
 
-func newGatewayNode(identity identity, fleet *swfleet.Fleet, log zerolog.Logger) (*swpeer.Node, error) {
-	return swpeer.Listen(swpeer.Config{
-		Listen: identity.vm.Peer,
-		TLS:    swpeer.PinnedTLS(identity.certificate, fleet.Trusts),
-		OnError: func(method swpeer.Method, peer string, err error) {
-			log.Debug().Uint8("Method", uint8(method)).Str("Peer", peer).Err(err).Msg("an exchange with a peer failed")
-		},
-	})
-}
-
 func newRecordBoard(store *platform.Store, group *swgroup.Group, log zerolog.Logger) *swboard.Board {
 	return swboard.New(swboard.Config{Writer: store, Group: group, Log: log})
 }
@@ -171,12 +144,12 @@
 // history, which a watch must not outlive.
 const slowWatch = 12 * time.Second
 
-func newFeed(config Config, store *platform.Store, node *swpeer.Node, fleet *swfleet.Fleet, routes *swroute.Book, servers *swfollow.Mirror[swreplica.Entry],
+func newFeed(config Config, store *platform.Store, peers *peers, fleet *swfleet.Fleet, routes *swroute.Book, servers *swfollow.Mirror[swreplica.Entry],
 	vms *swfollow.Mirror[swfleet.VM], board *swboard.Board, log zerolog.Logger,
 ) *swfeed.Feed {
 	settings := config.Settings.Gateway
 	return swfeed.New(swfeed.Config{
-		Source: store, Transport: node, Ahead: fleet.Ahead, Log: log,
+		Source: store, Transport: peers, Ahead: fleet.Ahead, Log: log,
 		Kinds: []swfeed.Kind{
 			{Name: platform.KindConfig, Current: true, WatchWait: settings.ApplyWithin / watchesWithin, Receive: func(change swfollow.Change) {
 				receiveConfig(routes, change, log)
@@ -238,8 +211,6 @@
 }
 
 func (parts *gatewayParts) start(context.Context) error {
-	swpeer.HandleCall(parts.Node, swpeer.MethodFollow, parts.Feed.HandleFollow)
-	parts.Node.Serve()
 	parts.Group.Go(parts.Servers.Run)
 	parts.Group.Go(parts.join)
 	parts.Server.Serve(parts.Group)
@@ -248,32 +219,17 @@
 	return nil
 }
 
-// join registers this VM, learns who the others are, and follows the store or one of them from then on.
+// join makes this VM known to the others and follows the store, or one of them, from then on.
 func (parts *gatewayParts) join(ctx context.Context) {
-	if parts.Fleet.Register(ctx, parts.Store, parts.Log) != nil {
-		return
+	if err := parts.Peers.open(ctx, parts.Config.Settings, parts.Store, parts.Feed); err != nil {
+		parts.Log.Error().Err(err).Msg("no exchange with other VMs; following the platform's store")
 	}
-	vms, revision, err := parts.Store.ListObjects(ctx, swfleet.KindVM)
-	if err == nil {
-		parts.VMs.Receive(swfollow.Change{Whole: true, Objects: vms, Revision: revision})
-	} else {
-		parts.Log.Warn().Err(err).Msg("the VMs could not be listed; following the platform's store")
+	if parts.Fleet.Join(ctx, parts.Store, parts.Log) != nil {
+		return
 	}
 	parts.Feed.Run(ctx)
 }
 
-// leaveTimeout bounds the call that takes a leaving VM off the register.
-const leaveTimeout = 300 * time.Millisecond
-
-// deregister takes this VM off the register, so that no other relies on it.
-func (parts *gatewayParts) deregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	if err := parts.Store.DeleteObject(ctx, swfleet.KindVM, parts.Config.Settings.Name); err != nil {
-		parts.Log.Warn().Err(err).Msg("this VM stays on the register although it leaves")
-	}
-}
-
 const (
 	// drainPart is the part of the grace for which a leaving VM goes on answering what comes over open connections.
 	drainPart = 0.6
@@ -288,7 +244,7 @@
 	grace := parts.Config.Settings.Gateway.Grace
 	parts.Server.SetLeaving()
 	parts.Log.Info().Int64("Held", parts.Server.Held()).Dur("Grace", grace).Msg("leaving")
-	parts.Group.Go(parts.deregister)
+	parts.Feed.Leave()
 	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(finishPart*float64(grace))))
 	defer cancel()
 	select {
@@ -298,8 +254,8 @@
 	err := parts.Server.Shutdown(ctx)
 	parts.Log.Info().Int64("Held", parts.Server.Held()).Dur("Took", time.Since(began)).Msg("stopped")
 	parts.Group.Cancel()
-	if nodeErr := parts.Node.Close(); err == nil {
-		err = nodeErr
+	if peerErr := parts.Peers.Close(); err == nil {
+		err = peerErr
 	}
 	parts.Client.Close()
 	return err
--- /dev/null
+++ b/internal/swauthority/authority.go
@@ -0,0 +1,140 @@
+// Package swauthority issues the certificates by which the VMs of one system know each other.
+package swauthority
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"math/big"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+)
+
+// The validity of certificates covers every time of day that a VM may take it to be: who is trusted follows from who can
+// read the authority, not from a date.
+var (
+	validFrom  = time.Unix(0, 0)
+	validUntil = time.Date(9999, time.January, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// Authority signs certificates. Construct it with New or Decode.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// New returns an authority with a key of its own.
+func New() (*Authority, error) {
+	key, err := newKey()
+	if err != nil {
+		return nil, err
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "sycamorewall authority"},
+		NotBefore: validFrom, NotAfter: validUntil,
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	certificate, err := sign(template, template, key, key)
+	if err != nil {
+		return nil, err
+	}
+	return &Authority{certificate: certificate, key: key}, nil
+}
+
+// encoded is an authority as it is stored.
+type encoded struct {
+	// Certificate is in DER, Key in PKCS #8.
+	Certificate []byte
+	Key         []byte
+}
+
+// Encode returns the authority with its private key. Whoever reads it can join the system.
+func (authority *Authority) Encode() ([]byte, error) {
+	key, err := x509.MarshalPKCS8PrivateKey(authority.key)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode key of authority")
+	}
+	value, err := json.Marshal(encoded{Certificate: authority.certificate.Raw, Key: key})
+	return value, errors.Wrap(err, "encode authority")
+}
+
+// Decode reads what Encode returned.
+func Decode(value []byte) (*Authority, error) {
+	var stored encoded
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return nil, errors.Wrap(err, "decode authority")
+	}
+	certificate, err := x509.ParseCertificate(stored.Certificate)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse certificate of authority")
+	}
+	key, err := x509.ParsePKCS8PrivateKey(stored.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse key of authority")
+	}
+	private, ok := key.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, errors.Errorf("the key of the authority is a %T", key)
+	}
+	return &Authority{certificate: certificate, key: private}, nil
+}
+
+// Certificate returns the authority's own certificate.
+func (authority *Authority) Certificate() *x509.Certificate {
+	return authority.certificate
+}
+
+// Issue makes a key and a certificate for a VM.
+func (authority *Authority) Issue(name string) (tls.Certificate, error) {
+	key, err := newKey()
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	serial, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		return tls.Certificate{}, errors.Wrap(err, "draw serial number")
+	}
+	template := &x509.Certificate{
+		SerialNumber: serial, Subject: pkix.Name{CommonName: name}, DNSNames: []string{swpeer.ServerName},
+		NotBefore: validFrom, NotAfter: validUntil,
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	certificate, err := sign(template, authority.certificate, key, authority.key)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	return tls.Certificate{Certificate: [][]byte{certificate.Raw}, PrivateKey: key, Leaf: certificate}, nil
+}
+
+// TLS returns the configuration for both ends of connections between VMs, with a certificate for this one.
+func (authority *Authority) TLS(name string) (*tls.Config, error) {
+	certificate, err := authority.Issue(name)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(authority.certificate)
+	return swpeer.ClientServerTLS(certificate, pool), nil
+}
+
+func newKey() (*ecdsa.PrivateKey, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	return key, errors.Wrap(err, "make key")
+}
+
+func sign(template, parent *x509.Certificate, key, signer *ecdsa.PrivateKey) (*x509.Certificate, error) {
+	raw, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		return nil, errors.Wrap(err, "make certificate")
+	}
+	certificate, err := x509.ParseCertificate(raw)
+	return certificate, errors.Wrap(err, "parse certificate")
+}
--- a/internal/swfeed/feed.go
+++ b/internal/swfeed/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -25,9 +26,15 @@
 	hastyWait  = 200 * time.Millisecond
 	hastySlack = 300 * time.Millisecond
 	// maxFailures is the number of polls in a row that fail, or bring word from a VM that does not reach the store, before
-	// this VM follows the store itself, for directFor.
+	// this VM tries the store itself.
 	maxFailures = 2
-	directFor   = 3 * time.Second
+	// trialLeast and trialMost bound the pause between tries that fail: all VMs try a store that is away.
+	trialLeast = 400 * time.Millisecond
+	trialMost  = 1600 * time.Millisecond
+	// trialCheck is the pause after a try that succeeds, in which the VMs ahead may reach the store again as well.
+	trialCheck = 300 * time.Millisecond
+	// directFor is how long this VM follows the store after two tries in a row that succeeded.
+	directFor = 3 * time.Second
 	// demandFor is how long after a poll of a peer this VM goes on following the store itself: a few polls.
 	demandFor = 5 * time.Second
 	// overdueMost is how much later than a watch ends the store may answer before a VM counts as out of its reach.
@@ -37,10 +44,6 @@
 	suspectMost  = 30 * time.Second
 	// staleFor is how long a VM that does not reach the store is passed over.
 	staleFor = 3 * time.Second
-	// introduceWait is the pause before a VM that does not know this one's key yet is asked again, introduceTries the number
-	// of such pauses: it hears of a new VM from the store.
-	introduceWait  = 150 * time.Millisecond
-	introduceTries = 4
 	// review is how often a VM that follows the store looks whether another one should.
 	review = 500 * time.Millisecond
 )
@@ -94,11 +97,16 @@
 	// reached is when the store last answered this VM, by kind; the zero time while this VM does not follow the store.
 	reached  []time.Time
 	suspects map[string]suspect
-	// failures counts the polls that failed in a row, failed is when the last one did.
+	// leaving is set once no peer may rely on this VM any more.
+	leaving bool
+	// failures counts the polls that failed in a row.
 	failures int
-	failed   time.Time
-	// strangers counts the polls in a row that were refused because the other VM does not know this one's key.
-	strangers int
+	// trial is when this VM may next try the store itself, pause the last pause between tries, successes the tries that
+	// succeeded in a row, and direct until when it follows the store because of them.
+	trial     time.Time
+	pause     time.Duration
+	successes int
+	direct    time.Time
 	// leader is whom this VM follows, for the log; empty for the store.
 	leader string
 }
@@ -127,6 +135,10 @@
 // Run follows the store, or another VM that does, until the context ends.
 func (feed *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if feed.isolated(time.Now()) {
+			feed.try(ctx)
+			continue
+		}
 		peer, found := feed.choose(time.Now())
 		if !found {
 			feed.noteLeader("")
@@ -146,7 +158,7 @@
 	if now.Sub(feed.demanded) < demandFor && !feed.demanded.IsZero() {
 		return Peer{}, false
 	}
-	if feed.failures >= maxFailures && now.Sub(feed.failed) < directFor {
+	if now.Before(feed.direct) {
 		return Peer{}, false
 	}
 	for _, peer := range feed.config.Ahead() {
@@ -210,9 +222,6 @@
 	if errors.Is(callCtx.Err(), context.Canceled) {
 		return
 	}
-	if swpeer.IsUntrusted(err) && feed.introduce(ctx) {
-		return
-	}
 	if err != nil || len(reply.Changes) != len(feed.caches) {
 		feed.distrust(peer, err)
 		return
@@ -252,15 +261,6 @@
 	feed.changed = make(chan struct{})
 }
 
-// introduce waits until the other VM may have heard of this one. It reports false when that has taken too long.
-func (feed *Feed) introduce(ctx context.Context) bool {
-	feed.mutex.Lock()
-	feed.strangers++
-	again := feed.strangers <= introduceTries
-	feed.mutex.Unlock()
-	return again && swtimer.Wait(ctx, introduceWait) == nil
-}
-
 // passOver turns to another VM, or to the store, because the one that is followed does not reach the store: it may turn
 // away some VMs and serve others.
 func (feed *Feed) passOver(peer Peer, overdue time.Duration) {
@@ -268,17 +268,77 @@
 	defer feed.mutex.Unlock()
 	now := time.Now()
 	feed.failures++
-	feed.failed = now
 	feed.suspects[peer.Name] = suspect{until: now.Add(staleFor)}
 	feed.config.Log.Warn().Str("Peer", peer.Name).Dur("Overdue", overdue).Msg("the VM that is followed does not reach the store")
 }
 
+// isolated reports whether this VM is to try the store itself because the VMs ahead do not answer or do not reach it. One
+// that knows no configuration yet follows the store at once instead.
+func (feed *Feed) isolated(now time.Time) bool {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	if feed.failures < maxFailures || now.Before(feed.direct) {
+		return false
+	}
+	if feed.caches[0].current() == 0 {
+		feed.direct, feed.failures = now.Add(review/2), 0
+		return false
+	}
+	return true
+}
+
+// try reads the first kind from the store itself, if it is time to. It answers the load in which the store is away for all
+// VMs: each then tries seldom, and goes back to the VMs ahead once they reach it. Where the store turns away only these, two
+// tries that succeed make this VM follow the store.
+func (feed *Feed) try(ctx context.Context) {
+	feed.mutex.Lock()
+	wait := time.Until(feed.trial)
+	feed.mutex.Unlock()
+	if wait > 0 {
+		_ = swtimer.Wait(ctx, min(wait, trialCheck))
+		feed.reconsider()
+		return
+	}
+	kind := feed.config.Kinds[0].Name
+	objects, revision, err := feed.config.Source.ListObjects(ctx, kind)
+	if err == nil {
+		feed.receive(0, swfollow.Change{Whole: true, Objects: objects, Revision: revision})
+	}
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	now := time.Now()
+	if err != nil {
+		feed.successes = 0
+		feed.pause = min(trialMost, max(trialLeast, 2*feed.pause))
+		feed.trial = now.Add(time.Duration((0.5 + rand.Float64()) * float64(feed.pause)))
+		return
+	}
+	feed.successes++
+	feed.trial = now.Add(trialCheck)
+	if feed.successes > 1 {
+		feed.successes, feed.failures = 0, 0
+		feed.direct = now.Add(directFor)
+		feed.config.Log.Warn().Msg("the store answers this VM and not those ahead of it")
+	}
+}
+
+// reconsider gives the VMs ahead another chance, with one failure less to go.
+func (feed *Feed) reconsider() {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.failures = maxFailures - 1
+	for name, known := range feed.suspects {
+		if known.pause == 0 {
+			delete(feed.suspects, name)
+		}
+	}
+}
+
 // distrust passes a VM over for a while.
 func (feed *Feed) distrust(peer Peer, err error) {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	feed.failures++
-	feed.failed = time.Now()
 	known := feed.suspects[peer.Name]
 	known.pause = min(suspectMost, max(suspectLeast, 2*known.pause))
 	known.until = time.Now().Add(known.pause)
@@ -290,7 +350,7 @@
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	delete(feed.suspects, peer.Name)
-	feed.failures, feed.strangers = 0, 0
+	feed.failures, feed.successes, feed.pause = 0, 0, 0
 }
 
 func (feed *Feed) noteLeader(name string) {
@@ -344,7 +404,9 @@
 // HandleFollow answers a peer. From then on this VM follows the store itself for a while, so that VMs never follow each
 // other in a circle.
 func (feed *Feed) HandleFollow(ctx context.Context, _ string, request FollowRequest) (FollowReply, error) {
-	feed.demand(time.Now())
+	if !feed.demand(time.Now()) {
+		return FollowReply{}, errLeaving
+	}
 	deadline := time.NewTimer(min(max(0, request.Wait), pollWait))
 	defer deadline.Stop()
 	for {
@@ -363,15 +425,28 @@
 	}
 }
 
-// demand notes that a peer relies on this VM, which stops relying on another itself.
-func (feed *Feed) demand(now time.Time) {
+var errLeaving = errors.New("this VM is leaving")
+
+// Leave makes peers turn to other VMs.
+func (feed *Feed) Leave() {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.leaving = true
+}
+
+// demand notes that a peer relies on this VM, which stops relying on another itself. It reports false on a leaving VM.
+func (feed *Feed) demand(now time.Time) bool {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
+	if feed.leaving {
+		return false
+	}
 	feed.demanded = now
 	if feed.stopPoll != nil {
 		feed.stopPoll()
 		feed.stopPoll = nil
 	}
+	return true
 }
 
 // news returns what the request's sender lacks, and the signal of the next change.
--- a/internal/swfleet/fleet.go
+++ b/internal/swfleet/fleet.go
@@ -1,18 +1,16 @@
-// Package swfleet keeps the register of the VMs that run the gateway: who they are, where peers reach them, and whose keys
-// are theirs. Each VM writes its own object in the platform's store and reads the others'.
+// Package swfleet keeps the register of the VMs that run the gateway: who they are and where peers reach them. Each VM writes
+// its own object in the platform's store, once, and reads the others'.
 package swfleet
 
 import (
 	"encoding/json"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/sycamorewall/sycamorewall/internal/swfeed"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
-	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 )
 
@@ -26,10 +24,6 @@
 	DataCentre string
 	// Peer is the UDP address for other VMs.
 	Peer netip.AddrPort
-	// Key identifies the private key of the VM's present process.
-	Key []byte
-	// Started is when that process began, by its own clock.
-	Started time.Time
 }
 
 // Encode returns the value of the VM's object.
@@ -43,7 +37,7 @@
 	if err := json.Unmarshal(object.Value, &vm); err != nil {
 		return VM{}, false
 	}
-	return vm, vm.Name == object.Name && vm.Peer.IsValid() && len(vm.Key) == len(swpeer.Key{})
+	return vm, vm.Name == object.Name && vm.Peer.IsValid()
 }
 
 // Fleet holds the VMs that are registered. It is safe for concurrent use.
@@ -86,14 +80,6 @@
 	return len(fleet.vms)
 }
 
-// Trusts reports whether a VM of that name is registered with that key.
-func (fleet *Fleet) Trusts(name string, key swpeer.Key) bool {
-	fleet.mutex.RLock()
-	defer fleet.mutex.RUnlock()
-	vm, ok := fleet.vms[name]
-	return ok && swpeer.Key(vm.Key) == key
-}
-
 // followKey is the rendezvous key by which the VMs of a data centre agree on who follows the store.
 const followKey = "follow"
 
--- a/internal/swfleet/register.go
+++ b/internal/swfleet/register.go
@@ -15,25 +15,22 @@
 	registerMost  = time.Second
 )
 
-// Writer writes objects of the project's own kinds.
-type Writer interface {
+// Store reads and writes objects of the project's own kinds.
+type Store interface {
+	// ListStale lists the objects of a kind as of some seconds ago, which is cheaper than as of now.
+	ListStale(ctx context.Context, kind string) ([]swplatform.Object, uint64, error)
 	// PutObject creates or replaces an object.
 	PutObject(ctx context.Context, kind, name string, value []byte) error
-	// DeleteObject removes an object; one that does not exist is no error.
-	DeleteObject(ctx context.Context, kind, name string) error
 }
 
-// Register writes this VM's object, as often as it takes, and returns once it is there or the context ends.
-func (fleet *Fleet) Register(ctx context.Context, writer Writer, log zerolog.Logger) error {
-	value, err := fleet.self.Encode()
-	if err != nil {
-		return err
-	}
+// Join learns the other VMs and registers this one unless it is registered already, as after a restart. It tries until the
+// context ends.
+func (fleet *Fleet) Join(ctx context.Context, store Store, log zerolog.Logger) error {
 	backoff := swplatform.NewBackoff(swplatform.BackoffConfig{First: registerFirst, Max: registerMost})
 	for {
-		err := writer.PutObject(ctx, KindVM, fleet.self.Name, value)
+		err := fleet.join(ctx, store)
 		if err == nil {
-			log.Info().Stringer("Peer", fleet.self.Peer).Msg("registered at the platform's store")
+			log.Info().Stringer("Peer", fleet.self.Peer).Int("VMs", fleet.Len()).Msg("registered at the platform's store")
 			return nil
 		}
 		log.Warn().Err(err).Msg("not registered at the platform's store yet")
@@ -42,3 +39,29 @@
 		}
 	}
 }
+
+func (fleet *Fleet) join(ctx context.Context, store Store) error {
+	objects, _, err := store.ListStale(ctx, KindVM)
+	if err != nil {
+		return err
+	}
+	var vms []VM
+	registered := false
+	for _, object := range objects {
+		vm, ok := Decode(object)
+		if !ok {
+			continue
+		}
+		registered = registered || vm == fleet.self
+		vms = append(vms, vm)
+	}
+	fleet.Apply(vms, nil)
+	if registered {
+		return nil
+	}
+	value, err := fleet.self.Encode()
+	if err != nil {
+		return err
+	}
+	return store.PutObject(ctx, KindVM, fleet.self.Name, value)
+}
--- a/internal/swfollow/follower.go
+++ b/internal/swfollow/follower.go
@@ -20,9 +20,10 @@
 	// of the seconds that it may take once the store is back.
 	backoffFirst = 100 * time.Millisecond
 	backoffMost  = time.Second
-	// settle is the pause between a change and the next watch, in which further changes gather into one answer: each call
-	// is paid for, and replicas often change several at a time.
-	settle = 100 * time.Millisecond
+	// settleParts and settleMost give the pause between a change and the next watch, as a part of a watch's wait and at most,
+	// in which further changes gather into one answer: each call is paid for, and replicas often change several at a time.
+	settleParts = 4
+	settleMost  = 600 * time.Millisecond
 )
 
 // Source is the store that is followed.
@@ -118,7 +119,7 @@
 			continue
 		}
 		follower.config.Receive(Change{Objects: objects, Revision: follower.revision, Regained: follower.regained})
-		if err := swtimer.Wait(ctx, settle); err != nil {
+		if err := swtimer.Wait(ctx, min(settleMost, follower.config.WatchWait/settleParts)); err != nil {
 			return err
 		}
 	}
--- a/internal/swpeer/node.go
+++ b/internal/swpeer/node.go
@@ -18,8 +18,8 @@
 const (
 	// protocol is the TLS application protocol between VMs.
 	protocol = "sycamorewall/1"
-	// peerServerName is the DNS name in the certificate of every VM.
-	peerServerName = "sycamorewall"
+	// ServerName is the DNS name in the certificate of every VM.
+	ServerName = "sycamorewall"
 	// maxStreams is the number of exchanges that a peer may have open at once.
 	maxStreams = 8192
 	// idleTimeout closes connections that carry nothing.
@@ -83,7 +83,7 @@
 		ClientCAs:    authorities,
 		ClientAuth:   tls.RequireAndVerifyClientCert,
 		NextProtos:   []string{protocol},
-		ServerName:   peerServerName,
+		ServerName:   ServerName,
 	}
 }
 
