Hold few connections to replicas, and let only trials reach one that is down

Ruled out: slow view of the store (configuration in force 0.4 s after the start). VMs now keep to half of what replicas accept, by the number of VMs near and far, close spares after 1.5 s, mark a replica down when it resets or refuses, and try it by one connection with pauses. A search whose shards are not reachable is refused at once.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -85,7 +85,7 @@
 	return &swroute.Book{}
 }
 
-func newReplicas(config Config, group *swgroup.Group, routes *swroute.Book, log zerolog.Logger) *swreplica.Registry {
+func newReplicas(config Config, group *swgroup.Group, fleet *swfleet.Fleet, routes *swroute.Book, log zerolog.Logger) *swreplica.Registry {
 	pool := swreplica.NewPool(swreplica.PoolConfig{
 		Group: group,
 		MaxConnections: func(name string) int {
@@ -96,7 +96,8 @@
 			service, _ := table.Service(name)
 			return service.MaxConnections
 		},
-		Log: log,
+		Share: fleet.Share,
+		Log:   log,
 	})
 	return swreplica.NewRegistry(swreplica.RegistryConfig{
 		Pool: pool, DataCentre: config.Settings.DataCentre, Region: config.Settings.Region,
--- a/internal/swfleet/fleet.go
+++ b/internal/swfleet/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swfeed"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 )
 
 // KindVM is the kind of the store's objects that hold VMs, each under its name.
@@ -46,13 +47,15 @@
 
 	mutex sync.RWMutex
 	vms   map[string]VM
+	// counts holds the number of VMs by data centre.
+	counts map[string]int
 	// ahead caches the answer of Ahead; nil when it is to be worked out.
 	ahead []swfeed.Peer
 }
 
 // New returns a fleet of which only this VM is known.
 func New(self VM) *Fleet {
-	return &Fleet{self: self, vms: map[string]VM{self.Name: self}}
+	return &Fleet{self: self, vms: map[string]VM{self.Name: self}, counts: map[string]int{self.DataCentre: 1}}
 }
 
 // Apply takes the VMs that are new or changed and the names of those that are gone. This VM stays registered whatever the
@@ -71,6 +74,10 @@
 		}
 	}
 	fleet.ahead = nil
+	clear(fleet.counts)
+	for _, vm := range fleet.vms {
+		fleet.counts[vm.DataCentre]++
+	}
 }
 
 // Len returns the number of VMs, this one included.
@@ -80,6 +87,13 @@
 	return len(fleet.vms)
 }
 
+// Share returns how many VMs there are in a data centre, and in all.
+func (fleet *Fleet) Share(dataCentre string) swreplica.Share {
+	fleet.mutex.RLock()
+	defer fleet.mutex.RUnlock()
+	return swreplica.Share{Near: fleet.counts[dataCentre], All: len(fleet.vms)}
+}
+
 // followKey is the rendezvous key by which the VMs of a data centre agree on who follows the store.
 const followKey = "follow"
 
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -107,7 +107,7 @@
 	shard.replicas = make(map[string]*swreplica.Replica, len(replicas))
 	plan := swquery.ShardPlan{Number: position, Documents: 1}
 	for _, replica := range replicas {
-		if !replica.Taking() {
+		if !replica.Up() {
 			continue
 		}
 		id := replica.ID()
@@ -301,6 +301,7 @@
 	case swreplica.Withdrawn:
 		return swbackend.Answer{Outcome: swbackend.Cancelled, Ran: swcode.RanUnknown, Code: swcode.DeadlineExceeded}
 	case swreplica.Broken:
+		replica.ObserveFailure(result.at)
 		call.crashes = append(call.crashes, crash{replica: replica, at: result.at})
 		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed, Crash: call.request.route.Gathered()}
 	}
@@ -316,6 +317,7 @@
 		call.gateway.observe(call.request, call.shards[result.command.Shard].service, replica, result.at, result.at.Sub(result.answer.SentAt))
 		return swbackend.Answer{Outcome: swbackend.Answered, Ran: swcode.RanYes, Code: swcode.OK}
 	}
+	replica.ObserveFailure(result.at)
 	return swbackend.Answer{Outcome: swbackend.Failed, Ran: swcode.RanYes, Code: swcode.BackendFailed}
 }
 
--- a/internal/swreplica/choose.go
+++ b/internal/swreplica/choose.go
@@ -45,7 +45,7 @@
 	Unreachable bool
 	// Shedding replicas rejected work a moment ago.
 	Shedding bool
-	// Rejects is the share of attempts that the replica rejects, from 0 to 1.
+	// Rejects is the share of attempts that the replica rejects or fails, from 0 to 1.
 	Rejects float64
 	// Cold replicas warm up.
 	Cold     bool
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -135,9 +135,11 @@
 	delete(replica.inFlight, connection)
 }
 
-// noteSilent takes a request that was never answered. A replica that has answered nothing since is left alone for a while.
+// noteSilent takes a request that was never answered. A replica that has answered nothing since is left alone until a trial
+// reaches it.
 func (replica *Replica) noteSilent(now, sentAt time.Time) {
+	replica.ObserveFailure(now)
 	if !replica.AnsweredSince(sentAt) {
-		replica.noteDown(now)
+		replica.noteDown()
 	}
 }
--- a/internal/swreplica/limit.go
+++ b/internal/swreplica/limit.go
@@ -3,52 +3,71 @@
 import "time"
 
 const (
-	// firstLimit is the number of connections to a replica before anything is learned: one for each of the usual slots, and
-	// one beside them for hedges.
-	firstLimit = 3
-	// raiseEvery is how long a limit must have been enough for all before it rises by one.
-	raiseEvery = 2 * time.Second
-	// lowerEvery is the least time between two reductions, since several connections are reset together.
-	lowerEvery = 500 * time.Millisecond
+	// reservedPart is the part of what a replica accepts that all VMs together leave free: when VMs lose power, their
+	// connections count on at the replica for seconds, and their new ones must fit beside them.
+	reservedPart = 0.5
+	// nearPart is the part of the rest for the VMs of the replica's own data centre, which send nearly everything.
+	nearPart = 0.6
+	// unknownLimit is the number of connections to a replica that does not say how many it accepts.
+	unknownLimit = 4
+	// leastNear is the least number for a VM of the replica's data centre: one that works and one beside it.
+	leastNear = 2
+	// raiseEvery is how long a VM that is short of connections waits before it takes one more.
+	raiseEvery = 300 * time.Millisecond
+	// restEvery is how long after a reduction nothing is raised, and the least time between two reductions, since several
+	// connections are reset together.
+	restEvery = 2 * time.Second
 )
 
-// connectionLimit learns how many connections to one replica this VM may hold. All VMs share what the replica accepts and
-// do not know of each other's, so each raises its limit slowly while it is short of connections, and halves it when the
-// replica resets a new one.
+// Share tells how many VMs send to a replica.
+type Share struct {
+	// Near is the number of VMs in the replica's data centre, All that of all VMs.
+	Near int
+	All  int
+}
+
+// baseLimit returns how many connections this VM holds to a replica that accepts most from all VMs.
+func baseLimit(most int, distance Distance, share Share) int {
+	if most <= 0 {
+		return unknownLimit
+	}
+	usable := (1 - reservedPart) * float64(most)
+	if distance == SameDataCentre {
+		return max(leastNear, int(nearPart*usable/float64(max(1, share.Near))+0.5))
+	}
+	return max(1, int((1-nearPart)*usable/float64(max(1, share.All-share.Near))))
+}
+
+// connectionLimit learns how far this VM may go from its base: VMs do not know of each other's connections, so each goes up
+// one by one while it is short of them, and down by half when the replica resets a new one.
 type connectionLimit struct {
-	value   int
+	extra   int
 	raised  time.Time
 	lowered time.Time
 }
 
-// current returns the limit; most is what the replica accepts from all callers, or zero.
-func (limit *connectionLimit) current(most int) int {
-	if limit.value == 0 {
-		limit.value = firstLimit
-	}
-	if most > 0 {
-		return min(limit.value, most)
-	}
-	return limit.value
+// current returns the limit at a base.
+func (limit *connectionLimit) current(base int) int {
+	return max(1, base+limit.extra)
 }
 
 // short notes that a request found no connection within the limit.
-func (limit *connectionLimit) short(now time.Time, most int) {
-	if now.Sub(limit.raised) < raiseEvery || now.Sub(limit.lowered) < raiseEvery {
+func (limit *connectionLimit) short(now time.Time, base int) {
+	if now.Sub(limit.raised) < raiseEvery || now.Sub(limit.lowered) < restEvery {
 		return
 	}
-	limit.raised = now
-	limit.value = limit.current(0) + 1
-	if most > 0 {
-		limit.value = min(limit.value, max(1, most/2))
+	if limit.extra >= base {
+		return
 	}
+	limit.raised = now
+	limit.extra++
 }
 
 // reset notes that the replica reset a connection that it had never answered on.
-func (limit *connectionLimit) reset(now time.Time) {
-	if now.Sub(limit.lowered) < lowerEvery {
+func (limit *connectionLimit) reset(now time.Time, base int) {
+	if now.Sub(limit.lowered) < restEvery {
 		return
 	}
 	limit.lowered = now
-	limit.value = max(1, limit.current(0)/2)
+	limit.extra = max(1, limit.current(base)/2) - base
 }
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swconn"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
 const (
@@ -18,12 +19,19 @@
 	dialTimeout = 400 * time.Millisecond
 	// idleMost is how long an unused connection is kept when the replica does not say how long it keeps it.
 	idleMost = 10 * time.Second
+	// spareIdle is how long a connection beside the one that was used last is kept without use. What is held open counts at the
+	// replica against what all VMs may open, also for seconds after this VM has lost its power.
+	spareIdle = 1500 * time.Millisecond
 	// idleReserve is how much before the replica's own timeout an unused connection is no longer used.
 	idleReserve = 700 * time.Millisecond
 )
 
-// errRetired means that the replica is no longer listed.
-var errRetired = errors.New("the replica is no longer listed")
+var (
+	// errRetired means that the replica is no longer listed.
+	errRetired = errors.New("the replica is no longer listed")
+	// errDown means that the replica could not be reached a moment ago.
+	errDown = errors.New("the replica could not be reached a moment ago")
+)
 
 // Dial opens a connection.
 type Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
@@ -35,6 +43,8 @@
 	Dial Dial
 	// MaxConnections returns what one replica of a service accepts from all callers, or zero; it may be nil.
 	MaxConnections func(service string) int
+	// Share returns how many VMs send to the replicas of a data centre; it may be nil.
+	Share func(dataCentre string) Share
 	// OnDial is told of each opened connection; it may be nil.
 	OnDial func()
 	Log    zerolog.Logger
@@ -53,6 +63,9 @@
 	if config.MaxConnections == nil {
 		config.MaxConnections = func(string) int { return 0 }
 	}
+	if config.Share == nil {
+		config.Share = func(string) Share { return Share{Near: 1, All: 1} }
+	}
 	if config.OnDial == nil {
 		config.OnDial = func() {}
 	}
@@ -78,9 +91,9 @@
 
 // take returns a connection to send on: an idle one, a new one, or the next that comes free.
 func (replica *Replica) take(ctx context.Context) (*swconn.Connection, error) {
-	most := replica.pool.config.MaxConnections(replica.entry.Load().Service)
+	base := replica.baseLimit()
 	for {
-		connection, freed, err := replica.tryTake(time.Now(), most)
+		connection, freed, err := replica.tryTake(time.Now(), base)
 		switch {
 		case err != nil:
 			return nil, err
@@ -97,8 +110,15 @@
 	}
 }
 
+// baseLimit returns how many connections this VM may hold before anything is learned.
+func (replica *Replica) baseLimit() int {
+	entry := replica.entry.Load()
+	most := replica.pool.config.MaxConnections(entry.Service)
+	return baseLimit(most, replica.distance, replica.pool.config.Share(entry.DataCentre))
+}
+
 // tryTake returns an idle connection, or the signal of one that may have come free, or neither when the caller is to dial.
-func (replica *Replica) tryTake(now time.Time, most int) (*swconn.Connection, <-chan struct{}, error) {
+func (replica *Replica) tryTake(now time.Time, base int) (*swconn.Connection, <-chan struct{}, error) {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	if replica.retired {
@@ -107,11 +127,14 @@
 	if connection := replica.popIdle(now); connection != nil {
 		return connection, nil, nil
 	}
-	if len(replica.open)+replica.dialing < replica.limit.current(most) {
+	if replica.down {
+		return nil, nil, errDown
+	}
+	if len(replica.open)+replica.dialing < replica.limit.current(base) {
 		replica.dialing++
 		return nil, nil, nil
 	}
-	replica.limit.short(now, most)
+	replica.limit.short(now, base)
 	if replica.freed == nil {
 		replica.freed = make(chan struct{})
 	}
@@ -156,7 +179,7 @@
 	replica.pool.config.OnDial()
 	if err != nil {
 		if ctx.Err() == nil {
-			replica.noteDown(time.Now())
+			replica.noteDown()
 		}
 		replica.mutex.Lock()
 		replica.dialing--
@@ -180,10 +203,12 @@
 	return connection, nil
 }
 
-// ended drops a connection whose reading side is over.
+// ended drops a connection whose reading side is over. One that the replica reset before it ever answered was one too many,
+// or came to a server that is not there: no further ones are opened but by trials.
 func (replica *Replica) ended(connection *swconn.Connection, err error) {
+	refused := !connection.Proven() && !errors.Is(err, swconn.ErrClosed) && !errors.Is(err, swconn.ErrOrderly)
+	base := replica.baseLimit()
 	replica.mutex.Lock()
-	defer replica.mutex.Unlock()
 	delete(replica.open, connection)
 	for i, idle := range replica.idle {
 		if idle == connection {
@@ -191,28 +216,53 @@
 			break
 		}
 	}
-	if !connection.Proven() && !errors.Is(err, swconn.ErrClosed) && !errors.Is(err, swconn.ErrOrderly) {
-		replica.limit.reset(time.Now())
+	if refused {
+		replica.limit.reset(time.Now(), base)
 	}
+	alone := len(replica.open) == 0
 	replica.signalFreed()
+	replica.mutex.Unlock()
+	if refused && alone {
+		replica.noteDown()
+	}
 }
 
 // give puts a connection aside for the next request, or closes it.
 func (replica *Replica) give(connection *swconn.Connection) {
+	now := time.Now()
 	replica.mutex.Lock()
 	_, open := replica.open[connection]
 	keep := open && !replica.retired && connection.Usable()
+	var spare *swconn.Connection
 	if keep {
-		connection.UsedAt = time.Now()
+		connection.UsedAt = now
 		replica.idle = append(replica.idle, connection)
+		spare = replica.takeSpare(now)
 		replica.signalFreed()
 	}
 	replica.mutex.Unlock()
 	if !keep {
 		connection.Close()
 	}
+	if spare != nil {
+		spare.Close()
+	}
+}
+
+// takeSpare returns an idle connection that is not needed any more, or nil. The caller holds the mutex.
+func (replica *Replica) takeSpare(now time.Time) *swconn.Connection {
+	if len(replica.idle) < 2 || now.Sub(replica.idle[0].UsedAt) < spareIdle {
+		return nil
+	}
+	spare := replica.idle[0]
+	replica.idle = replica.idle[1:]
+	return spare
 }
 
+// settleTime is how long a new connection must stay open to count: a replica that has too many accepts and then resets it,
+// which takes the longest round trip between regions to show.
+const settleTime = 60 * time.Millisecond
+
 // Reachable opens a connection to find out whether the replica takes any, and keeps it.
 func (replica *Replica) Reachable(ctx context.Context) bool {
 	replica.mutex.Lock()
@@ -226,6 +276,9 @@
 	if err != nil {
 		return false
 	}
+	if swtimer.Wait(ctx, settleTime) != nil || !connection.Usable() {
+		return false
+	}
 	replica.give(connection)
 	return true
 }
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -1,12 +1,14 @@
 package swreplica
 
 import (
+	"context"
 	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swconn"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
 const (
@@ -14,15 +16,16 @@
 	latencyWeight = 0.1
 	// latencyMemory is the time after which an average that nothing renews has gone half the way back to the service's.
 	latencyMemory = 5 * time.Second
-	// shedWeight is the weight of an attempt in the share of those that a replica rejects, shedMemory the time after which a
-	// share that nothing renews has gone half the way back to none.
+	// shedWeight is the weight of an attempt in the share of those that a replica rejects or fails, shedMemory the time after
+	// which a share that nothing renews has gone half the way back to none.
 	shedWeight = 0.1
 	shedMemory = 3 * time.Second
 	// shedFor is how long a rejection counts: a queue of a dozen requests of ten milliseconds is worked off by then.
 	shedFor = 100 * time.Millisecond
-	// downLeast and downMost bound how long a replica that cannot be reached is left alone before it is tried again.
+	// downLeast and downMost bound the pause between trials of a replica that cannot be reached. Only trials open connections
+	// to it: requests that all did so would meet a server that comes back, or whose connections are used up, as a storm.
 	downLeast = 100 * time.Millisecond
-	downMost  = 2 * time.Second
+	downMost  = 800 * time.Millisecond
 )
 
 // Replica is one replica with what this VM knows of it.
@@ -47,12 +50,11 @@
 	average  time.Duration
 	observed time.Time
 	shedAt   time.Time
-	// shedShare is the share of attempts that the replica rejects, as of shedSeen.
+	// shedShare is the share of attempts that the replica rejects or fails, as of shedSeen.
 	shedShare float64
 	shedSeen  time.Time
-	// downUntil is when a replica that could not be reached is tried again, downPause how long it is left alone.
-	downUntil time.Time
-	downPause time.Duration
+	// down is set while the replica cannot be reached and trials go on.
+	down bool
 	// answeredAt is when the replica last answered anything.
 	answeredAt time.Time
 }
@@ -82,7 +84,7 @@
 		Usual:       typical,
 		Busy:        len(replica.inFlight) + replica.waiting,
 		Slots:       entry.Slots,
-		Unreachable: now.Before(replica.downUntil),
+		Unreachable: replica.down,
 		Shedding:    now.Sub(replica.shedAt) < shedFor,
 		Rejects:     replica.rejects(now),
 		Cold:        now.Before(replica.warmAt),
@@ -103,7 +105,7 @@
 	return typical + time.Duration(float64(replica.average-typical)/(1+age*age))
 }
 
-// rejects returns the share of attempts that the replica rejects. The caller holds the mutex.
+// rejects returns the share of attempts that the replica rejects or fails. The caller holds the mutex.
 func (replica *Replica) rejects(now time.Time) float64 {
 	if replica.shedShare == 0 {
 		return 0
@@ -123,7 +125,7 @@
 	defer replica.mutex.Unlock()
 	replica.noteAttempt(now, 0)
 	replica.answeredAt = now
-	replica.downUntil, replica.downPause = time.Time{}, 0
+	replica.down = false
 	if replica.observed.IsZero() {
 		replica.average = latency
 	} else {
@@ -132,6 +134,13 @@
 	replica.observed = now
 }
 
+// ObserveFailure takes an attempt that was sent and brought no answer for the client.
+func (replica *Replica) ObserveFailure(now time.Time) {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	replica.noteAttempt(now, 1)
+}
+
 // ObserveShed takes a rejection for want of room.
 func (replica *Replica) ObserveShed(now time.Time) {
 	replica.mutex.Lock()
@@ -139,18 +148,50 @@
 	replica.noteAttempt(now, 1)
 	replica.shedAt = now
 	replica.answeredAt = now
-	replica.downUntil, replica.downPause = time.Time{}, 0
+	replica.down = false
 }
 
-// noteDown takes a failure to reach the replica at all. It is left alone for a time that doubles with each failure.
-func (replica *Replica) noteDown(now time.Time) {
+// noteDown takes a failure to reach the replica at all: it gets nothing until a trial reaches it again.
+func (replica *Replica) noteDown() {
 	replica.mutex.Lock()
-	defer replica.mutex.Unlock()
-	if now.Before(replica.downUntil) {
-		return
+	begun := replica.down || replica.retired
+	replica.down = true
+	replica.mutex.Unlock()
+	if !begun {
+		replica.pool.config.Group.Go(replica.tryUntilUp)
+	}
+}
+
+// tryUntilUp opens connections, with pauses that double, until one stays open.
+func (replica *Replica) tryUntilUp(ctx context.Context) {
+	began := time.Now()
+	pause := downLeast
+	for {
+		if swtimer.Wait(ctx, pause) != nil {
+			return
+		}
+		pause = min(downMost, 2*pause)
+		replica.mutex.Lock()
+		over := !replica.down || replica.retired
+		replica.mutex.Unlock()
+		if over || replica.Reachable(ctx) {
+			break
+		}
 	}
-	replica.downPause = min(downMost, max(downLeast, 2*replica.downPause))
-	replica.downUntil = now.Add(replica.downPause)
+	replica.mutex.Lock()
+	replica.down = false
+	replica.mutex.Unlock()
+	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Dur("Down", time.Since(began)).Msg("a replica can be reached again")
+}
+
+// Up reports whether the replica takes new work and can be reached for all that is known.
+func (replica *Replica) Up() bool {
+	if !replica.Taking() {
+		return false
+	}
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return !replica.down
 }
 
 // AnsweredSince reports whether the replica has answered anything since a time.
