Spend repeats where an answer depends on them; hedge by the replica's own latency

Cause: with several slow replicas, hedges after three medians went to replicas that were known to be slow, used the budget up, and searches that needed every shard were denied theirs (2.6 denials a search at the worst).

--- a/internal/swgateway/budget.go
+++ b/internal/swgateway/budget.go
@@ -65,15 +65,16 @@
 	counted.requests[counted.advance(budget.stepAt(now))]++
 }
 
-// Take reports whether one more repeat at a service is granted, and counts it.
-func (budget *Budget) Take(now time.Time, service string) bool {
+// Take reports whether one more repeat at a service is granted, and counts it. share is the part of the allowance that may be
+// used up: less than one leaves the rest to requests that need it more.
+func (budget *Budget) Take(now time.Time, service string, share float64) bool {
 	counted := budget.service(service)
 	counted.mutex.Lock()
 	defer counted.mutex.Unlock()
 	at := counted.advance(budget.stepAt(now))
 	requests, repeats := counted.sums(at)
 	allowed := (1 - budgetReserve) * (budget.config.Ratio*requests + budget.config.Slack/float64(max(1, budget.config.VMs())))
-	if repeats+1 > allowed {
+	if repeats+1 > share*allowed {
 		return false
 	}
 	counted.repeats[at]++
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -21,6 +21,8 @@
 	lingerAnswered = 300 * time.Millisecond
 	// maxSends bounds the attempts for one service: more than any gather makes, so that results never block.
 	maxSends = 8
+	// spareShare is the part of the budget that repeats may use which no answer depends on.
+	spareShare = 0.5
 	// choiceJitter is the part by which an estimate varies at random, so that VMs do not all choose the same replica.
 	choiceJitter = 0.1
 )
@@ -139,9 +141,21 @@
 // coverageTolerance absorbs the rounding of a share that the configuration gives as a decimal fraction.
 const coverageTolerance = 1e-9
 
-// Take asks the budget of the shard's service for one more attempt.
+// critical reports whether each shard that has not answered is needed for the least coverage. A repeat then decides between an
+// answer and none; else it only makes an answer that comes anyway more complete.
+func (call *call) critical() bool {
+	return !call.enough(len(call.shards) - call.failed() - 1)
+}
+
+// Take asks the budget of the shard's service for one more attempt. It answers the load in which replicas of several shards
+// are slow and more repeats are wanted than may be made: searches that need every shard have the whole budget, the others
+// only a part of it.
 func (call *call) Take(shard int) bool {
-	return call.gateway.config.Budget.Take(time.Now(), call.shards[shard].service)
+	share := spareShare
+	if call.critical() {
+		share = 1
+	}
+	return call.gateway.config.Budget.Take(time.Now(), call.shards[shard].service, share)
 }
 
 // order sorts the replicas that are left by when each would answer a request sent now.
@@ -169,8 +183,14 @@
 }
 
 // hedgeAfter returns when an attempt is late.
-func (call *call) hedgeAfter(shard int, _ swquery.Target) time.Duration {
-	return call.gateway.hedgeAfter(call.request, call.shards[shard].service)
+func (call *call) hedgeAfter(shard int, target swquery.Target) time.Duration {
+	known := &call.shards[shard]
+	expected := time.Duration(0)
+	if replica, ok := known.replicas[target.Server]; ok {
+		prospect := replica.Prospect(time.Now(), call.gateway.latencies.Typical(known.service))
+		expected = prospect.Typical
+	}
+	return call.gateway.hedgeAfter(call.request, known.service, expected)
 }
 
 // run sends the request and returns once the answer is decided, the deadline has passed, or the client has left.
--- a/internal/swgateway/gateway.go
+++ b/internal/swgateway/gateway.go
@@ -143,19 +143,22 @@
 	}
 }
 
-// hedgeAfter returns when an attempt for the request at a service is late: when it takes longer than is usual there, and in
-// any case while a second attempt can still be in time.
-func (gateway *Gateway) hedgeAfter(request *request, service string) time.Duration {
-	usual := gateway.latencies.HedgeAfter(service, request.route.Priority)
-	if request.route.Target == 0 {
-		return usual
-	}
-	latest := request.route.Target/2 - clientMargin
-	return max(hedgeFloor, min(usual, latest))
+// hedgeAfter returns when an attempt for the request at a service is late: when it takes longer than is usual there and than
+// its replica is expected to take, and in any case while a second attempt can still be in time.
+func (gateway *Gateway) hedgeAfter(request *request, service string, expected time.Duration) time.Duration {
+	wait := max(gateway.latencies.HedgeAfter(service, request.route.Priority), lateFactor*expected)
+	if request.route.Target > 0 {
+		wait = min(wait, request.route.Target/2-clientMargin)
+	}
+	return max(hedgeFloor, wait)
 }
 
-// hedgeFloor is the least wait before a hedge.
-const hedgeFloor = 4 * time.Millisecond
+const (
+	// hedgeFloor is the least wait before a hedge.
+	hedgeFloor = 4 * time.Millisecond
+	// lateFactor is how much longer than its replica's average an attempt takes when it is late.
+	lateFactor = 2
+)
 
 // observe takes the latency of an answer.
 func (gateway *Gateway) observe(request *request, service string, replica *swreplica.Replica, now time.Time, latency time.Duration) {
--- a/internal/swgateway/gathered_test.go
+++ b/internal/swgateway/gathered_test.go
@@ -227,7 +227,7 @@
 				now := time.Now()
 				budgets[vm].Count(now, "s")
 				requests[i]++
-				for random.IntN(3) > 0 && budgets[vm].Take(now, "s") {
+				for random.IntN(3) > 0 && budgets[vm].Take(now, "s", 1) {
 					repeats[i]++
 				}
 			}
