Let patient requests wait for room at full services

Requests for one replica now wait in order of arrival while all replicas reject, are refused at once when the ones ahead take too long, and what a replica takes beside each other is learned from its rejections.

--- a/internal/swgateway/answer.go
+++ b/internal/swgateway/answer.go
@@ -37,7 +37,7 @@
 // refusal tells the client that there is no answer, and truthfully whether the request may have run.
 func (call *call) refusal() *Refusal {
 	if call.gather.Ran() == swcode.RanNo {
-		return &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.QueueFull, RetryAfter: shedRetryAfter}
+		return full(shedRetryAfter)
 	}
 	if call.late {
 		return refuse(http.StatusGatewayTimeout, swcode.DeadlineExceeded)
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -53,6 +53,8 @@
 	cancels map[uint64]context.CancelFunc
 	crashes []crash
 	answers int
+	// shed is set when a replica rejected the request for want of room.
+	shed bool
 	// partial is set when the answer left without waiting for every shard.
 	partial bool
 	// gone is set when the client left.
@@ -70,12 +72,16 @@
 	at      time.Time
 }
 
-// newCall plans a call: for each service the replicas that may serve it.
-func (gateway *Gateway) newCall(request *request) *call {
-	services := request.route.Shards
-	if !request.route.Gathered() {
-		services = []string{request.route.NextService()}
+// services returns the services that the request goes to.
+func (request *request) services() []string {
+	if request.route.Gathered() {
+		return request.route.Shards
 	}
+	return []string{request.route.NextService()}
+}
+
+// newCall plans a call: for each service the replicas that may serve it.
+func (gateway *Gateway) newCall(request *request, services []string) *call {
 	call := &call{
 		gateway: gateway,
 		request: request,
@@ -84,9 +90,7 @@
 		cancels: make(map[uint64]context.CancelFunc, len(services)),
 	}
 	plans := make([]swquery.ShardPlan, len(services))
-	now := time.Now()
 	for i, service := range services {
-		gateway.config.Budget.Count(now, service)
 		plans[i] = call.plan(i, service)
 	}
 	call.gather = swquery.NewGather(swquery.GatherConfig{
@@ -332,6 +336,7 @@
 		return swbackend.Answer{Outcome: swbackend.Shed, Ran: swcode.RanNo, Code: swcode.NoReplica}
 	case mark.NotRun:
 		replica.ObserveShed(result.at)
+		call.shed = true
 		return swbackend.Answer{Outcome: swbackend.Shed, Ran: swcode.RanNo, Code: swcode.QueueFull}
 	case call.acceptable(response, mark):
 		call.gateway.observe(call.request, call.shards[result.command.Shard].service, replica, result.at, result.at.Sub(result.answer.SentAt))
--- a/internal/swgateway/gateway.go
+++ b/internal/swgateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swquery"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
+	"github.com/sycamorewall/sycamorewall/internal/swtable"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
@@ -52,6 +53,7 @@
 	config    Config
 	latencies *swquery.Latencies
 	patience  *patience
+	rooms     *swtable.Table[string, *room]
 }
 
 // New returns a gateway.
@@ -60,6 +62,7 @@
 		config:    config,
 		latencies: swquery.NewLatencies(config.HedgePercentile),
 		patience:  newPatience(),
+		rooms:     swtable.New[string, *room](),
 	}
 }
 
@@ -72,26 +75,57 @@
 		gateway.logRefusal(request, message, refusal)
 		return
 	}
-	call := gateway.newCall(request)
-	if !call.servable() {
-		refusal := &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.NoReplica, RetryAfter: startingRetryAfter}
+	call, refusal := gateway.serve(message.Context(), request)
+	if call == nil {
 		refusal.write(writer)
 		gateway.logRefusal(request, message, refusal)
 		return
 	}
-	call.run(message.Context())
-	call.settle()
 	if call.gone {
 		gateway.logGone(call)
 		return
 	}
-	refusal = call.answer(writer)
+	if refusal == nil {
+		refusal = call.answer(writer)
+	}
 	if refusal != nil {
 		refusal.write(writer)
 	}
 	gateway.logCall(call, refusal)
 }
 
+// serve sends a request until it is decided. The call is nil for a refusal of a request that was never sent.
+func (gateway *Gateway) serve(ctx context.Context, request *request) (*call, *Refusal) {
+	services := request.services()
+	now := time.Now()
+	for _, service := range services {
+		gateway.config.Budget.Count(now, service)
+	}
+	var last *call
+	for {
+		if !request.route.Gathered() {
+			if refusal := gateway.enter(ctx, request, services[0]); refusal != nil {
+				return last, refusal
+			}
+		}
+		call := gateway.newCall(request, services)
+		if !call.servable() {
+			return last, &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.NoReplica, RetryAfter: startingRetryAfter}
+		}
+		call.run(ctx)
+		call.settle()
+		if !call.mayWait() || !gateway.config.Budget.Take(time.Now(), services[0], 1) {
+			return call, nil
+		}
+		last = call
+	}
+}
+
+// mayWait reports whether a request that all replicas rejected may be sent again once there is room.
+func (call *call) mayWait() bool {
+	return !call.request.route.Gathered() && !call.gone && !call.late && call.answers == 0 && call.shed && call.gather.Ran() == swcode.RanNo
+}
+
 // accept reads a request whole and decides whether it may be passed on.
 func (gateway *Gateway) accept(writer http.ResponseWriter, message *http.Request, arrived time.Time) (*request, *Refusal) {
 	envelope := gateway.config.Protocol.ReadEnvelope(message.Header)
--- a/internal/swgateway/harness_test.go
+++ b/internal/swgateway/harness_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -238,19 +239,23 @@
 
 func (deadlineRecorder) SetReadDeadline(time.Time) error { return nil }
 
-var lastID int
+var lastID atomic.Int64
 
 // ask sends one request to the gateway.
 func (bench *testBench) ask(ctx context.Context, method, path, body string) response {
-	lastID++
+	return bench.askFor(ctx, method, path, body, 2*time.Second)
+}
+
+// askFor sends one request of a client that waits so long.
+func (bench *testBench) askFor(ctx context.Context, method, path, body string, left time.Duration) response {
 	var reader io.Reader
 	if body != "" {
 		reader = strings.NewReader(body)
 	}
 	message := httptest.NewRequestWithContext(ctx, method, path, reader)
 	message.Host = "h"
-	message.Header.Set("Id", strconv.Itoa(lastID))
-	message.Header.Set("Left", "2s")
+	message.Header.Set("Id", strconv.FormatInt(lastID.Add(1), 10))
+	message.Header.Set("Left", left.String())
 	began := time.Now()
 	recorder := httptest.NewRecorder()
 	bench.ServeHTTP(deadlineRecorder{recorder}, message)
--- a/internal/swgateway/single_test.go
+++ b/internal/swgateway/single_test.go
@@ -70,7 +70,8 @@
 
 func TestWorkThatAReplicaRejectedGoesToAnother(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		bench := newBench(t, 1)
+		// The budget grants one repeat.
+		bench := newBench(t, 0.002)
 		defer bench.close()
 		bench.route(once())
 		full := answers(time.Millisecond, http.StatusServiceUnavailable, "Not-Run: 1\r\n", "")
--- a/internal/swreplica/choose.go
+++ b/internal/swreplica/choose.go
@@ -47,6 +47,8 @@
 	Shedding bool
 	// Rejects is the share of attempts that the replica rejects or fails, from 0 to 1.
 	Rejects float64
+	// Full replicas work on as many of this VM's requests as they last took beside each other.
+	Full bool
 	// Cold replicas warm up.
 	Cold     bool
 	Distance Distance
@@ -65,7 +67,7 @@
 		// What has been silent for long will on average be silent for as long again.
 		expected += prospect.Silence + late
 	}
-	if prospect.Shedding {
+	if prospect.Rejecting() {
 		expected += shedPenalty
 	}
 	expected += time.Duration(prospect.Rejects * prospect.unexplained() * float64(rejectPenalty))
@@ -81,6 +83,12 @@
 	return expected
 }
 
+// Rejecting reports whether a request sent now would likely be rejected: the replica has as many of this VM's as it takes, or
+// rejected one a moment ago while it had none, because others fill it.
+func (prospect *Prospect) Rejecting() bool {
+	return prospect.Full || prospect.Shedding && prospect.Busy == 0
+}
+
 // unexplained returns the part of the replica's rejections that its load does not explain. A replica with a full queue
 // answers slowly, which its latency tells already, and to shun it besides would send its load to the next one; one that
 // rejects although it answers fast will go on to do so.
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -20,6 +20,10 @@
 	// which a share that nothing renews has gone half the way back to none.
 	shedWeight = 0.1
 	shedMemory = 3 * time.Second
+	// placeGrowth is how much each answer adds to the places at a replica that rejected: about one try in ten answers.
+	placeGrowth = 0.1
+	// placesFor is how long after its last rejection a replica's places are kept to.
+	placesFor = 2 * time.Second
 	// shedFor is how long a rejection counts: a queue of a dozen requests of ten milliseconds is worked off by then.
 	shedFor = 100 * time.Millisecond
 	// downLeast and downMost bound the pause between trials of a replica that cannot be reached. Only trials open connections
@@ -53,6 +57,9 @@
 	// shedShare is the share of attempts that the replica rejects or fails, as of shedSeen.
 	shedShare float64
 	shedSeen  time.Time
+	// places is the number of this VM's requests that the replica took beside each other when it last rejected one, grown a
+	// little by each answer since; zero while it rejects none.
+	places float64
 	// down is set while the replica cannot be reached and trials go on.
 	down bool
 	// answeredAt is when the replica last answered anything.
@@ -90,6 +97,7 @@
 		Cold:        now.Before(replica.warmAt),
 		Distance:    replica.distance,
 	}
+	prospect.Full = replica.places > 0 && now.Sub(replica.shedAt) < placesFor && float64(prospect.Busy+1) > replica.places
 	for _, at := range replica.inFlight {
 		prospect.Silence = max(prospect.Silence, now.Sub(at))
 	}
@@ -124,6 +132,9 @@
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	replica.noteAttempt(now, 0)
+	if replica.places > 0 {
+		replica.places += placeGrowth
+	}
 	replica.answeredAt = now
 	replica.down = false
 	if replica.observed.IsZero() {
@@ -146,6 +157,7 @@
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	replica.noteAttempt(now, 1)
+	replica.places = max(1, float64(len(replica.inFlight)))
 	replica.shedAt = now
 	replica.answeredAt = now
 	replica.down = false
