--- /dev/null
+++ b/internal/swfeed/feed_test.go
@@ -0,0 +1,283 @@
+package swfeed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+)
+
+// testStore is a store of one kind with one object, whose value is its revision.
+type testStore struct {
+	mutex    sync.Mutex
+	revision uint64
+	changed  chan struct{}
+	down     bool
+	// refused VMs get no answer from the store.
+	refused map[int]bool
+	calls   int
+}
+
+func newTestStore() *testStore {
+	return &testStore{revision: 1, changed: make(chan struct{}), refused: make(map[int]bool)}
+}
+
+func (store *testStore) change() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.revision++
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+func (store *testStore) set(change func()) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	change()
+}
+
+// source is the store as one VM reaches it.
+type source struct {
+	store *testStore
+	vm    int
+}
+
+func (source source) read() ([]swplatform.Object, uint64, <-chan struct{}, error) {
+	store := source.store
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.calls++
+	if store.down || store.refused[source.vm] {
+		return nil, 0, nil, &swplatform.Error{Reason: swplatform.ErrUnavailable}
+	}
+	object := swplatform.Object{Name: "o", Revision: store.revision, Value: fmt.Append(nil, store.revision)}
+	return []swplatform.Object{object}, store.revision, store.changed, nil
+}
+
+func (source source) ListObjects(context.Context, string) ([]swplatform.Object, uint64, error) {
+	time.Sleep(4 * time.Millisecond)
+	objects, revision, _, err := source.read()
+	return objects, revision, err
+}
+
+func (source source) WatchObjects(ctx context.Context, _ string, after uint64, wait time.Duration) ([]swplatform.Object, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		objects, revision, changed, err := source.read()
+		if err != nil || revision > after {
+			return objects, revision, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// testFleet is a data centre of VMs in the order in which they follow the store.
+type testFleet struct {
+	t     *testing.T
+	store *testStore
+	group *swgroup.Group
+	feeds []*Feed
+	// cut VMs are reached by no other.
+	mutex sync.Mutex
+	cut   map[int]bool
+	// seen holds, by VM, the revision in force.
+	seen []uint64
+}
+
+func newTestFleet(t *testing.T, vms int) *testFleet {
+	t.Helper()
+	fleet := &testFleet{
+		t: t, store: newTestStore(), group: swgroup.New(context.Background()), cut: make(map[int]bool), seen: make([]uint64, vms),
+	}
+	for vm := range vms {
+		fleet.feeds = append(fleet.feeds, New(Config{
+			Source:    source{fleet.store, vm},
+			Transport: caller{fleet, vm},
+			Ahead:     func() []Peer { return peersBefore(vm) },
+			Kinds: []Kind{{Name: "k", Current: true, WatchWait: 1500 * time.Millisecond, Receive: func(change swfollow.Change) {
+				fleet.mutex.Lock()
+				defer fleet.mutex.Unlock()
+				fleet.seen[vm] = max(fleet.seen[vm], change.Revision)
+			}}},
+			Log: zerolog.Nop(),
+		}))
+	}
+	for _, feed := range fleet.feeds {
+		fleet.group.Go(feed.Run)
+	}
+	return fleet
+}
+
+func address(vm int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(vm))
+}
+
+func peersBefore(vm int) []Peer {
+	peers := make([]Peer, vm)
+	for i := range peers {
+		peers[i] = Peer{Name: fmt.Sprint(i), Address: address(i)}
+	}
+	return peers
+}
+
+// caller carries the calls of one VM.
+type caller struct {
+	fleet *testFleet
+	vm    int
+}
+
+func (caller caller) Call(ctx context.Context, target netip.AddrPort, _ swpeer.Method, request, reply any) error {
+	fleet := caller.fleet
+	fleet.mutex.Lock()
+	cut := fleet.cut[caller.vm] || fleet.cut[int(target.Port())]
+	fleet.mutex.Unlock()
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	answer, err := fleet.feeds[target.Port()].HandleFollow(ctx, "", *request.(*FollowRequest))
+	if err != nil {
+		return err
+	}
+	*reply.(*FollowReply) = answer
+	return nil
+}
+
+// changeReaches changes the store and checks that the VMs have the change within a time.
+func (fleet *testFleet) changeReaches(within time.Duration, vms ...int) {
+	fleet.t.Helper()
+	fleet.store.change()
+	time.Sleep(within)
+	synctest.Wait()
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for _, vm := range vms {
+		if diff := cmp.Diff(fleet.store.revision, fleet.seen[vm]); diff != "" {
+			fleet.t.Errorf("revision at VM %d after %s (-want +got):\n%s", vm, within, diff)
+		}
+	}
+}
+
+func TestChangesReachAllVMsThroughOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, 12)
+		defer fleet.group.Stop()
+		time.Sleep(5 * time.Second)
+		fleet.store.set(func() { fleet.store.calls = 0 })
+		fleet.changeReaches(500*time.Millisecond, 0, 1, 5, 11)
+		time.Sleep(30*time.Second - 500*time.Millisecond)
+		// Twenty watches of 1.5 s by the first VM, each read once or twice by this stand-in.
+		if fleet.store.calls > 50 {
+			t.Errorf("%d calls of the store in 30s, want those of one VM", fleet.store.calls)
+		}
+	})
+}
+
+func TestOtherVMsTakeOverFromOneThatIsCutOffOrTurnedAway(t *testing.T) {
+	for name, fault := range map[string]func(fleet *testFleet){
+		"first cut off":           func(fleet *testFleet) { fleet.cut[0] = true },
+		"first two cut off":       func(fleet *testFleet) { fleet.cut[0], fleet.cut[1] = true, true },
+		"first turned away":       func(fleet *testFleet) { fleet.store.refused[0] = true },
+		"first three turned away": func(fleet *testFleet) { fleet.store.refused = map[int]bool{0: true, 1: true, 2: true} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newTestFleet(t, 8)
+				defer fleet.group.Stop()
+				time.Sleep(5 * time.Second)
+				fleet.mutex.Lock()
+				fleet.store.set(func() { fault(fleet) })
+				fleet.mutex.Unlock()
+				time.Sleep(2500 * time.Millisecond)
+				fleet.changeReaches(3*time.Second, 4, 5, 6, 7)
+			})
+		})
+	}
+}
+
+func TestVMThatIsCutFromTheOthersFollowsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, 8)
+		defer fleet.group.Stop()
+		time.Sleep(5 * time.Second)
+		fleet.mutex.Lock()
+		fleet.cut[6] = true
+		fleet.mutex.Unlock()
+		fleet.changeReaches(4*time.Second, 5, 6, 7)
+	})
+}
+
+func TestStoreThatIsAwayGetsFewCallsAndChangesComeSoonAfterItsReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 12
+		fleet := newTestFleet(t, vms)
+		defer fleet.group.Stop()
+		time.Sleep(5 * time.Second)
+		fleet.store.set(func() { fleet.store.down, fleet.store.calls = true, 0 })
+		// The watch that is open hears nothing of the outage by itself; a change ends it.
+		fleet.store.change()
+		time.Sleep(20 * time.Second)
+		if perVM := float64(fleet.store.calls) / vms / 20; perVM > 1 {
+			t.Errorf("%.2f calls a second and VM of a store that is away, want 1 at most", perVM)
+		}
+		fleet.store.set(func() { fleet.store.down = false })
+		fleet.changeReaches(3*time.Second, 0, 3, 7, 11)
+	})
+}
+
+func TestCacheGivesLaggingPeersTheWhole(t *testing.T) {
+	cache := newCache()
+	object := func(name string, revision uint64) swplatform.Object {
+		return swplatform.Object{Name: name, Revision: revision, Value: []byte("1")}
+	}
+	cache.apply(swfollow.Change{Whole: true, Revision: 10, Objects: []swplatform.Object{object("a", 5)}})
+	for revision := uint64(11); revision < 11+2*maxLog; revision++ {
+		cache.apply(swfollow.Change{Revision: revision, Objects: []swplatform.Object{object("b", revision)}})
+	}
+	type outcome struct {
+		Whole   bool
+		Objects int
+	}
+	last := uint64(10 + 2*maxLog)
+	got := make(map[uint64]outcome)
+	for _, revision := range []uint64{0, 9, 10, last - 3, last} {
+		if change, ok := cache.since(revision); ok {
+			got[revision] = outcome{change.Whole, len(change.Objects)}
+		}
+	}
+	want := map[uint64]outcome{0: {true, 2}, 9: {true, 2}, 10: {true, 2}, last - 3: {false, 3}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error("changes (-want +got):\n" + diff)
+	}
+	if cache.apply(swfollow.Change{Whole: true, Revision: 5}) {
+		t.Error("a listing that is older than the cache was taken")
+	}
+}
+
+func TestLeavingVMTurnsPeersAway(t *testing.T) {
+	feed := New(Config{Kinds: []Kind{{Name: "k", Current: true}}})
+	feed.Leave()
+	if _, err := feed.HandleFollow(t.Context(), "", FollowRequest{Revisions: []uint64{0}}); !errors.Is(err, errLeaving) {
+		t.Errorf("error %v, want %v", err, errLeaving)
+	}
+}
--- a/internal/swgateway/server.go
+++ b/internal/swgateway/server.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/sycamorewall/sycamorewall/internal/swbody"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
 	"github.com/sycamorewall/sycamorewall/internal/swtable"
@@ -47,6 +48,7 @@
 	config  ServerConfig
 	clients net.Listener
 	ready   net.Listener
+	handler http.Handler
 	front   *http.Server
 	probes  *http.Server
 	leaving atomic.Bool
@@ -66,7 +68,11 @@
 		clients.Close()
 		return nil, errors.Wrapf(err, "listen for the balancer on %s", config.Ready)
 	}
-	server := &Server{config: config, clients: clients, ready: ready, idle: swtable.New[net.Conn, time.Time]()}
+	server := &Server{
+		config: config, clients: clients, ready: ready,
+		handler: swbody.Drained(config.Handler),
+		idle:    swtable.New[net.Conn, time.Time](),
+	}
 	discard := log.New(io.Discard, "", 0)
 	server.front = &http.Server{
 		Handler:           http.HandlerFunc(server.serveClient),
@@ -111,7 +117,7 @@
 	if server.leaving.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	server.config.Handler.ServeHTTP(writer, message)
+	server.handler.ServeHTTP(writer, message)
 }
 
 func (server *Server) serveReady(writer http.ResponseWriter, _ *http.Request) {
--- a/internal/swhttp/server.go
+++ b/internal/swhttp/server.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/sycamorewall/sycamorewall/internal/swbody"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swquery"
 	"github.com/sycamorewall/sycamorewall/pkg/swclient"
@@ -141,5 +142,5 @@
 	router.Handle(swclient.PathRuns, server.bounded(server.runs)).Methods(http.MethodPost)
 	router.NotFoundHandler = http.HandlerFunc(notFound)
 	router.MethodNotAllowedHandler = http.HandlerFunc(methodNotAllowed)
-	return server.recovering(router)
+	return server.recovering(swbody.Drained(router))
 }
