Count a held batch's time from its sending; look for a silent issuer again

(2) resends through two VMs got IssuerUnreachable on a busy machine: one search of 500 ms gave a paused issuer up with seconds left; the search is made three times now (test fails without). Ruled out for (2): a wrong check, since the deadline was far off.

--- a/internal/swkey/failure_test.go
+++ b/internal/swkey/failure_test.go
@@ -367,3 +367,19 @@
 	}
 	return count
 }
+
+// TestResendFindsAnIssuerThatWasPausedForAMoment replays a machine with more work than cores, on which an issuer says nothing for
+// longer than one search for it takes.
+func TestResendFindsAnIssuerThatWasPausedForAMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newFakeNetwork(t, "a", "b")
+		key := network.key(network.vms["a"])
+		network.pause("a")
+		network.group.Go(func(context.Context) {
+			time.Sleep(2 * defaultLocateTimeout)
+			network.wake("a")
+		})
+		check(t, "outcome", ranOnce, verdictOf(network.send(network.vms["b"], key, "match", testTimeout)))
+		check(t, "runs", 1, network.backend.count("match"))
+	})
+}
--- a/internal/swkey/forward.go
+++ b/internal/swkey/forward.go
@@ -15,6 +15,9 @@
 const (
 	// maxAsked is the number of possible successors that are asked for an authority.
 	maxAsked = 4
+	// locateTries is how often the holder of an authority is looked for before the issuer counts as unreachable. A
+	// pause of a second, as a busy machine gives, then costs no request its outcome.
+	locateTries = 3
 	// locationLife is how long a located authority is used without asking again. It bounds the drift between the clocks.
 	locationLife = 10 * time.Second
 	// maxHops bounds how often one request follows an authority that moved.
@@ -78,7 +81,7 @@
 // has shown that it holds the authority, with a bound on the authority's own clock for the start of the run. While no
 // answer comes it looks for the holder anew, as the authority may have moved.
 func (service *Service) forward(ctx context.Context, issuer Issuer, request RunRequest) Outcome {
-	found := service.locate(ctx, issuer)
+	found := service.locatePatiently(ctx, issuer)
 	if !found.found {
 		return absent(found)
 	}
@@ -130,6 +133,19 @@
 	return b
 }
 
+// locatePatiently looks for the holder again while VMs that were asked say nothing: one that is busy or was paused for a moment
+// is not gone, and nothing was sent yet.
+func (service *Service) locatePatiently(ctx context.Context, issuer Issuer) search {
+	found := service.locate(ctx, issuer)
+	for range locateTries - 1 {
+		if found.found || found.answered || ctx.Err() != nil {
+			break
+		}
+		found = service.locate(ctx, issuer)
+	}
+	return found
+}
+
 // locate finds the holder of an authority by memory, or by asking at once the successor on record, the issuer, and the
 // VMs that its successor would be chosen from.
 func (service *Service) locate(ctx context.Context, issuer Issuer) search {
--- a/internal/swquery/line.go
+++ b/internal/swquery/line.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
@@ -160,7 +161,7 @@
 	line.mutex.Lock()
 	defer line.mutex.Unlock()
 	if line.links[link.id] == link && !line.ended {
-		line.push(Envelope{ID: link.id, Start: true})
+		line.push(Envelope{ID: link.id, Start: true, RoundTrip: time.Since(link.sentAt)})
 	}
 }
 
--- a/internal/swquery/ownerline.go
+++ b/internal/swquery/ownerline.go
@@ -86,17 +86,19 @@
 		return nil
 	}
 	if envelope.Start {
-		line.startHeld(ctx, batch)
+		line.startHeld(ctx, batch, envelope.RoundTrip)
 	}
 	line.withdraw(batch, envelope)
 	return nil
 }
 
-// startHeld begins a batch that waited for the root's word.
-func (line *ownerLine) startHeld(ctx context.Context, batch *ownerBatch) {
+// startHeld begins a batch that waited for the root's word. Its time ends no later than the root's own, however long the batch
+// was on its way.
+func (line *ownerLine) startHeld(ctx context.Context, batch *ownerBatch, roundTrip time.Duration) {
 	line.mutex.Lock()
 	defer line.mutex.Unlock()
 	if batch.held != nil {
+		batch.expires = batch.expires.Add(-roundTrip)
 		line.start(ctx, batch, batch.held)
 	}
 }
--- a/internal/swquery/scatter.go
+++ b/internal/swquery/scatter.go
@@ -14,6 +14,8 @@
 	batch    *Batch
 	attempts map[uint64]struct{}
 	events   *eventQueue
+	// sentAt is when the batch was given to the line.
+	sentAt time.Time
 	// heard is the time of the last message from the owner, or of the sending.
 	heard time.Time
 	// lost marks a link whose attempts were given up.
@@ -147,7 +149,7 @@
 	if !known {
 		member = swmember.Member{Name: owner}
 	}
-	made := &link{owner: member, batch: &batch, attempts: make(map[uint64]struct{}), events: scatter.events, heard: now, held: header.Hold}
+	made := &link{owner: member, batch: &batch, attempts: make(map[uint64]struct{}), events: scatter.events, sentAt: now, heard: now, held: header.Hold}
 	scatter.links = append(scatter.links, made)
 	return made
 }
--- a/internal/swquery/wire.go
+++ b/internal/swquery/wire.go
@@ -17,6 +17,9 @@
 	Batch *Batch
 	// Start lets a batch that is held begin.
 	Start bool
+	// RoundTrip comes with Start: the time from the sending of the batch to its acknowledgement. The owner counts the batch's
+	// time from its coming, which may be that much later than the root does.
+	RoundTrip time.Duration
 	// Cancel lists attempts of the batch that are no longer wanted.
 	Cancel []uint64
 	// CancelAll withdraws every attempt of the batch.
