--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -42,6 +42,33 @@
 	return serve.command
 }
 
+// reloader is a program that takes changed settings while it runs.
+type reloader interface {
+	Reload(settings swsetting.Settings)
+}
+
+// reloadUntil reads the settings again at each SIGHUP, until the context ends. Settings that are not valid change nothing.
+func (serve *serveCommand) reloadUntil(ctx context.Context, app program) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		settings, err := swsetting.Load(serve.settings)
+		if err != nil {
+			serve.command.PrintErrln("sycamorewall: the settings stay as they are: " + err.Error())
+			continue
+		}
+		if reloading, ok := app.(reloader); ok {
+			reloading.Reload(settings)
+		}
+	}
+}
+
 // program is what serve runs: the search API or the gateway.
 type program interface {
 	Start(ctx context.Context) error
@@ -73,7 +100,7 @@
 	if err := app.Start(signalled); err != nil {
 		return err
 	}
-	<-signalled.Done()
+	serve.reloadUntil(signalled, app)
 	limit := settings.Stop.BalancerWait + 2*settings.Stop.DrainTimeout + stopReserve
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,12 +48,24 @@
 	Peers    *peers
 	Feed     *swfeed.Feed
 	Server   *swgateway.Server
+	Grace    *graceTime
 }
 
 // watchesWithin is the number of watches within the time that a change may take: after one that missed a change, the next
 // still comes in time.
 const watchesWithin = 2
 
+// graceTime is how long the process may go on after SIGTERM, in nanoseconds; a reload may change it.
+type graceTime struct {
+	atomic.Int64
+}
+
+func newGraceTime(config Config) *graceTime {
+	grace := &graceTime{}
+	grace.Store(int64(config.Settings.Gateway.Grace))
+	return grace
+}
+
 // NewGateway builds every part and opens the listeners. Nothing is served before Start.
 func NewGateway(config Config) (*Gateway, error) {
 	gateway := &Gateway{}
@@ -59,7 +73,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(config),
 		fx.Provide(
-			newLogger, newGroup, newPlatform, newRouteBook, newReplicas, newGatewayQuarantine,
+			newLogger, newGroup, newGraceTime, newPlatform, newRouteBook, newReplicas, newGatewayQuarantine,
 			newServerMirror, newObjectStore, newFleet, newVMMirror, newPeers, newRecordBoard, newFeed, newGatewayHandler, newGatewayServer,
 		),
 		fx.Invoke(bindGatewayLifecycle),
@@ -76,6 +90,16 @@
 	return errors.Wrap(gateway.fx.Start(ctx), "start")
 }
 
+// ClientAddress returns the TCP address for clients.
+func (gateway *Gateway) ClientAddress() netip.AddrPort {
+	return gateway.parts.Server.Address()
+}
+
+// ReadyAddress returns the TCP address for the balancer.
+func (gateway *Gateway) ReadyAddress() netip.AddrPort {
+	return gateway.parts.Server.ReadyAddress()
+}
+
 // Stop stops gracefully: no request is cut, as long as the context lasts.
 func (gateway *Gateway) Stop(ctx context.Context) error {
 	return errors.Wrap(gateway.fx.Stop(ctx), "stop")
@@ -128,9 +152,11 @@
 
 func newFleet(config Config) *swfleet.Fleet {
 	settings := config.Settings
-	return swfleet.New(swfleet.VM{
-		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Peer: settings.Peer.Listen,
-	})
+	peer := settings.Peer.Advertise
+	if !peer.IsValid() {
+		peer = settings.Peer.Listen
+	}
+	return swfleet.New(swfleet.VM{Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Peer: peer})
 }
 
 func newVMMirror(fleet *swfleet.Fleet) *swfollow.Mirror[swfleet.VM] {
@@ -242,7 +268,7 @@
 // finishes what is under way.
 func (parts *gatewayParts) stop(ctx context.Context) error {
 	began := time.Now()
-	grace := parts.Config.Settings.Gateway.Grace
+	grace := time.Duration(parts.Grace.Load())
 	parts.Server.SetLeaving()
 	parts.Log.Info().Int64("Held", parts.Server.Held()).Dur("Grace", grace).Msg("leaving")
 	parts.Feed.Leave()
