Soak the gateway's processes under overlapping faults

Stand-ins of the users' store and replicas, proxies and signals; clients and replicas are compared for every promise. Clocks are not disturbed: a process cannot be given another clock from outside without preloading.

--- a/lab/command.go
+++ b/lab/command.go
@@ -36,7 +36,7 @@
 		Use: "lab", Short: "Runs the whole system with stand-ins for everything around it",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(newDemoCommand(), newUpCommand(), newRunCommand(), newListCommand(), newCompareCommand(), newPlotCommand())
+	root.AddCommand(newDemoCommand(), newUpCommand(), newRunCommand(), newListCommand(), newCompareCommand(), newPlotCommand(), newSoakCommand())
 	return root
 }
 
--- /dev/null
+++ b/lab/internal/swlabbuild/build.go
@@ -0,0 +1,17 @@
+// Package swlabbuild builds the program that the lab runs as processes.
+package swlabbuild
+
+import (
+	"context"
+	"os"
+	"os/exec"
+
+	"github.com/pkg/errors"
+)
+
+// Program builds sycamorewall from this module into a file.
+func Program(ctx context.Context, path string) error {
+	build := exec.CommandContext(ctx, "go", "build", "-o", path, "github.com/sycamorewall/sycamorewall")
+	build.Stderr = os.Stderr
+	return errors.Wrap(build.Run(), "build sycamorewall")
+}
--- a/lab/internal/swlabkeys/keys_test.go
+++ b/lab/internal/swlabkeys/keys_test.go
@@ -9,7 +9,6 @@
 	"hash/crc32"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -20,6 +19,7 @@
 	_ "github.com/sycamorewall/sycamorewall/cmd"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbackend"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbuild"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabfleet"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabplatform"
 	"github.com/sycamorewall/sycamorewall/pkg/swclient"
@@ -41,9 +41,7 @@
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
 	binary = filepath.Join(directory, "sycamorewall")
-	build := exec.Command("go", "build", "-o", binary, "github.com/sycamorewall/sycamorewall")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
+	if err := swlabbuild.Program(context.Background(), binary); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
--- a/lab/internal/swlabscenario/process_test.go
+++ b/lab/internal/swlabscenario/process_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbackend"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbuild"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabcheck"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabfleet"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabload"
@@ -43,9 +43,7 @@
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
 	binary = filepath.Join(directory, "sycamorewall")
-	command := exec.Command("go", "build", "-o", binary, "github.com/sycamorewall/sycamorewall")
-	command.Stderr = os.Stderr
-	if err := command.Run(); err != nil {
+	if err := swlabbuild.Program(context.Background(), binary); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
--- /dev/null
+++ b/lab/soak.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbuild"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabsoak"
+)
+
+// soakCommand runs seeds of the fault soak.
+type soakCommand struct {
+	config  swlabsoak.Config
+	seeds   int
+	verbose bool
+}
+
+func newSoakCommand() *cobra.Command {
+	soak := &soakCommand{}
+	command := &cobra.Command{
+		Use: "soak", Short: "Run the gateway as processes under random faults and check every promise", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return soak.run(command) },
+	}
+	command.Flags().Uint64Var(&soak.config.Seed, "seed", 1, "first seed")
+	command.Flags().IntVar(&soak.seeds, "seeds", 1, "number of seeds")
+	command.Flags().DurationVar(&soak.config.Duration, "duration", 10*time.Second, "how long faults are injected")
+	command.Flags().IntVar(&soak.config.VMs, "vms", 4, "number of VMs")
+	command.Flags().IntVar(&soak.config.Clients, "clients", 12, "number of clients")
+	command.Flags().StringVar(&soak.config.Binary, "binary", "", "binary of sycamorewall; built when empty")
+	command.Flags().StringVar(&soak.config.Directory, "logs", "", "directory for logs; a temporary one, removed after a run without findings, when empty")
+	command.Flags().BoolVar(&soak.verbose, "verbose", false, "print each fault")
+	return command
+}
+
+func (soak *soakCommand) run(command *cobra.Command) error {
+	out := command.OutOrStdout()
+	directory := soak.config.Directory
+	if directory == "" {
+		made, err := os.MkdirTemp("", "sycamorewall-soak-")
+		if err != nil {
+			return errors.Wrap(err, "make directory for logs")
+		}
+		directory = made
+	}
+	if soak.config.Binary == "" {
+		soak.config.Binary = filepath.Join(directory, "sycamorewall")
+		if err := swlabbuild.Program(command.Context(), soak.config.Binary); err != nil {
+			return err
+		}
+	}
+	found := 0
+	for range soak.seeds {
+		config := soak.config
+		config.Out = io.Discard
+		if soak.verbose {
+			config.Out = out
+		}
+		config.Directory = filepath.Join(directory, fmt.Sprintf("seed-%d", config.Seed))
+		if err := os.MkdirAll(config.Directory, 0o700); err != nil {
+			return errors.Wrap(err, "make directory for logs")
+		}
+		report, err := swlabsoak.Run(command.Context(), config)
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", config.Seed)
+		}
+		fmt.Fprintf(out, "seed %d: %d faults, %d requests, %d served, %d refused, %d failed, %d promises broken\n",
+			report.Seed, report.Faults, report.Requests, report.Served, report.Refused, report.Failed, len(report.Wrong))
+		for _, wrong := range report.Wrong {
+			fmt.Fprintln(out, "  "+wrong)
+		}
+		found += len(report.Wrong)
+		soak.config.Seed++
+	}
+	if found > 0 {
+		return errors.Errorf("%d promises broken; logs are in %s", found, directory)
+	}
+	if soak.config.Directory == "" {
+		return errors.Wrap(os.RemoveAll(directory), "remove logs")
+	}
+	return nil
+}
