--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/sycamorewall/sycamorewall/internal/swapp"
+	"github.com/sycamorewall/sycamorewall/internal/swlog"
 	"github.com/sycamorewall/sycamorewall/internal/swsetting"
 )
 
@@ -34,7 +35,7 @@
 		Short: "Serve callers and peers until SIGTERM or SIGINT, then stop gracefully",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return serve.run(command.Context(), command.ErrOrStderr())
+			return serve.run(command.Context(), command.OutOrStdout())
 		},
 	}
 	serve.command.Flags().StringVar(&serve.settings, "settings", os.Getenv(settingsVariable),
@@ -91,7 +92,9 @@
 	if err != nil {
 		return err
 	}
-	app, err := newProgram(settings, logOut)
+	lines := swlog.NonBlocking(logOut)
+	defer lines.Close()
+	app, err := newProgram(settings, lines)
 	if err != nil {
 		return err
 	}
--- a/internal/swbackend/request.go
+++ b/internal/swbackend/request.go
@@ -70,6 +70,15 @@
 	UnknownServer Outcome = 9
 )
 
+var outcomeNames = [...]string{
+	"Answered", "Shed", "Late", "SnapshotNotHeld", "ServerLeaving", "Unreachable", "Broken", "Failed", "Cancelled", "UnknownServer",
+}
+
+// String returns the outcome's name.
+func (outcome Outcome) String() string {
+	return outcomeNames[outcome]
+}
+
 // Answer is what came of a SubRequest.
 type Answer struct {
 	Outcome Outcome `cbor:"1,keyasint,omitempty"`
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -55,6 +55,10 @@
 	answers int
 	// shed is set when a replica rejected the request for want of room.
 	shed bool
+	// denied counts the repeats that the budget did not grant.
+	denied int
+	// told describes the attempts in the order in which they were ordered.
+	told []attemptStory
 	// partial is set when the answer left without waiting for every shard.
 	partial bool
 	// gone is set when the client left.
@@ -88,6 +92,7 @@
 		shards:  make([]shardCall, len(services)),
 		results: make(chan attemptResult, maxSends*len(services)),
 		cancels: make(map[uint64]context.CancelFunc, len(services)),
+		told:    make([]attemptStory, 0, len(services)),
 	}
 	plans := make([]swquery.ShardPlan, len(services))
 	for i, service := range services {
@@ -123,6 +128,17 @@
 	return plan
 }
 
+// without lists the services of which no replica can be reached.
+func (call *call) without() []string {
+	var names []string
+	for i := range call.shards {
+		if len(call.shards[i].replicas) == 0 {
+			names = append(names, call.shards[i].service)
+		}
+	}
+	return names
+}
+
 // servable reports whether enough services have a replica.
 func (call *call) servable() bool {
 	reachable := 0
@@ -154,12 +170,21 @@
 // Take asks the budget of the shard's service for one more attempt. It answers the load in which replicas of several shards
 // are slow and more repeats are wanted than may be made: searches that need every shard have the whole budget, the others
 // only a part of it.
+//
+// A request for one replica is not sent on while all of them reject: it can wait for room without a repeat.
 func (call *call) Take(shard int) bool {
+	if !call.request.route.Gathered() && call.shed && !call.gateway.survey(call.shards[shard].service).open {
+		return false
+	}
 	share := spareShare
 	if call.critical() {
 		share = 1
 	}
-	return call.gateway.config.Budget.Take(time.Now(), call.shards[shard].service, share)
+	granted := call.gateway.config.Budget.Take(time.Now(), call.shards[shard].service, share)
+	if !granted {
+		call.denied++
+	}
+	return granted
 }
 
 // order sorts the replicas that are left by when each would answer a request sent now.
@@ -263,6 +288,9 @@
 		replica := call.shards[command.Shard].replicas[command.Target.Server]
 		ctx, cancel := context.WithCancel(call.gateway.config.Group.Context())
 		call.cancels[command.Attempt] = cancel
+		call.told = append(call.told, attemptStory{
+			id: command.Attempt, service: call.shards[command.Shard].service, replica: replica, begun: now, outcome: "None",
+		})
 		call.gateway.config.Group.Go(func(context.Context) { call.attempt(ctx, command, replica) })
 	}
 }
@@ -305,6 +333,11 @@
 func (call *call) take(result attemptResult) {
 	shard := &call.shards[result.command.Shard]
 	judged := call.judge(result)
+	for i := range call.told {
+		if call.told[i].id == result.command.Attempt {
+			call.told[i].ended, call.told[i].outcome = result.at, judged.Outcome.String()
+		}
+	}
 	if result.answer.Response != nil && !shard.answered {
 		shard.response, shard.mark = result.answer.Response, result.mark
 	}
--- a/internal/swgateway/gateway.go
+++ b/internal/swgateway/gateway.go
@@ -54,6 +54,7 @@
 	latencies *swquery.Latencies
 	patience  *patience
 	rooms     *swtable.Table[string, *room]
+	log       *requestLog
 }
 
 // New returns a gateway.
@@ -63,6 +64,7 @@
 		latencies: swquery.NewLatencies(config.HedgePercentile),
 		patience:  newPatience(),
 		rooms:     swtable.New[string, *room](),
+		log:       newRequestLog(config.Log),
 	}
 }
 
@@ -72,17 +74,17 @@
 	request, refusal := gateway.accept(writer, message, arrived)
 	if refusal != nil {
 		refusal.write(writer)
-		gateway.logRefusal(request, message, refusal)
+		gateway.log.refusal(request, message, refusal)
 		return
 	}
 	call, refusal := gateway.serve(message.Context(), request)
 	if call == nil {
 		refusal.write(writer)
-		gateway.logRefusal(request, message, refusal)
+		gateway.log.refusal(request, message, refusal)
 		return
 	}
 	if call.gone {
-		gateway.logGone(call)
+		gateway.log.gone(call)
 		return
 	}
 	if refusal == nil {
@@ -91,7 +93,7 @@
 	if refusal != nil {
 		refusal.write(writer)
 	}
-	gateway.logCall(call, refusal)
+	gateway.log.call(call, refusal)
 }
 
 // serve sends a request until it is decided. The call is nil for a refusal of a request that was never sent.
@@ -110,6 +112,7 @@
 		}
 		call := gateway.newCall(request, services)
 		if !call.servable() {
+			request.without = call.without()
 			return last, &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.NoReplica, RetryAfter: startingRetryAfter}
 		}
 		call.run(ctx)
@@ -197,6 +200,9 @@
 // observe takes the latency of an answer.
 func (gateway *Gateway) observe(request *request, service string, replica *swreplica.Replica, now time.Time, latency time.Duration) {
 	replica.Observe(now, latency)
+	if !request.route.Gathered() {
+		gateway.rooms.GetOrPut(service, newRoom).noteAnswer(now)
+	}
 	gateway.latencies.Observe(now, service, request.route.Priority, replica.ID(), latency)
 }
 
--- a/internal/swgateway/room.go
+++ b/internal/swgateway/room.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +31,42 @@
 	// turn holds an element while no request looks for room.
 	turn    chan struct{}
 	waiting atomic.Int64
+
+	mutex sync.Mutex
+	// answers counts this VM's answers from the service, of which those of rateMemory ago count half, as of counted.
+	answers float64
+	counted time.Time
+}
+
+// rateMemory is the time after which an answer counts half in the rate at which places come free.
+const rateMemory = time.Second
+
+// noteAnswer counts an answer.
+func (room *room) noteAnswer(now time.Time) {
+	room.mutex.Lock()
+	defer room.mutex.Unlock()
+	room.answers = room.decayed(now) + 1
+	room.counted = now
+}
+
+// decayed returns the count as of now. The caller holds the mutex.
+func (room *room) decayed(now time.Time) float64 {
+	if room.counted.IsZero() {
+		return 0
+	}
+	return room.answers * math.Exp2(-float64(now.Sub(room.counted))/float64(rateMemory))
+}
+
+// expectedWait estimates how long the last of so many waiting requests waits, as places come free as fast as lately. It is
+// zero before the first answer, when nothing is known.
+func (room *room) expectedWait(now time.Time, waiting int64) time.Duration {
+	room.mutex.Lock()
+	defer room.mutex.Unlock()
+	if room.counted.IsZero() {
+		return 0
+	}
+	perSecond := max(1, room.decayed(now)) * math.Ln2 / rateMemory.Seconds()
+	return time.Duration(float64(waiting) / perSecond * float64(time.Second))
 }
 
 func newRoom() *room {
@@ -43,8 +81,6 @@
 	open bool
 	// any is set when a replica can be reached at all.
 	any bool
-	// busy is the number of requests that they work on for this VM.
-	busy int
 	// typical is the usual latency.
 	typical time.Duration
 }
@@ -58,18 +94,11 @@
 		}
 		prospect := replica.Prospect(now, survey.typical)
 		survey.any = true
-		survey.busy += prospect.Busy
 		survey.open = survey.open || !prospect.Rejecting()
 	}
 	return survey
 }
 
-// expectedWait estimates how long the last of so many waiting requests waits: places come free as fast as this VM's requests
-// are answered.
-func (survey *survey) expectedWait(waiting int64) time.Duration {
-	return survey.typical * time.Duration(waiting) / time.Duration(max(1, survey.busy))
-}
-
 // enter waits until a replica of the service has room. A request that could not be served in time is refused at once, with the
 // time at which the ones ahead will be done.
 func (gateway *Gateway) enter(ctx context.Context, request *request, service string) *Refusal {
@@ -80,8 +109,9 @@
 		return nil
 	}
 	reserve := time.Duration(roomReserve * float64(survey.typical))
-	wait := survey.expectedWait(waiting + 1)
-	if time.Now().Add(wait + reserve).After(request.deadline) {
+	now := time.Now()
+	wait := room.expectedWait(now, waiting+1)
+	if now.Add(wait + reserve).After(request.deadline) {
 		return full(wait)
 	}
 	room.waiting.Add(1)
--- a/internal/swlog/log.go
+++ b/internal/swlog/log.go
@@ -1,15 +1,20 @@
-// Package swlog builds the logger: JSON lines with Pascal-case names.
+// Package swlog builds the logger: JSON lines with Pascal-case names, which never hold up who writes them.
 package swlog
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 )
 
+// bufferedLines is the number of lines that wait for a reader that is slow: a second of the most that a VM logs.
+const bufferedLines = 2048
+
 // fieldNames guards the field names of zerolog, which are package variables.
 var fieldNames sync.Once
 
@@ -23,6 +28,14 @@
 	DataCentre string
 }
 
+// NonBlocking returns a writer that passes lines on from a goroutine of its own. While out takes none, lines are dropped, and a
+// line that tells their number follows. Close passes on what waits.
+func NonBlocking(out io.Writer) io.WriteCloser {
+	return diode.NewWriter(out, bufferedLines, 0, func(missed int) {
+		fmt.Fprintf(out, "{\"Level\":\"warn\",\"Dropped\":%d,\"Message\":\"log lines were dropped, as their reader is too slow\"}\n", missed)
+	})
+}
+
 // New returns a logger. It returns an error for a level that does not exist.
 func New(config Config) (zerolog.Logger, error) {
 	level, err := zerolog.ParseLevel(config.Level)
--- /dev/null
+++ b/internal/swlog/log_test.go
@@ -0,0 +1,67 @@
+package swlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// stuckPipe takes nothing until it is released.
+type stuckPipe struct {
+	released chan struct{}
+	mutex    sync.Mutex
+	lines    bytes.Buffer
+}
+
+func (pipe *stuckPipe) Write(data []byte) (int, error) {
+	<-pipe.released
+	pipe.mutex.Lock()
+	defer pipe.mutex.Unlock()
+	return pipe.lines.Write(data)
+}
+
+func TestFullPipeHoldsNobodyUp(t *testing.T) {
+	pipe := &stuckPipe{released: make(chan struct{})}
+	lines := NonBlocking(pipe)
+	logger, err := New(Config{Out: lines, Level: "info", VM: "vm", DataCentre: "dc"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Nothing reads the pipe while these are written.
+	for i := range 3 * bufferedLines {
+		logger.Info().Int("Number", i).Msg("line")
+	}
+	close(pipe.released)
+	if err := lines.Close(); err != nil {
+		t.Fatal(err)
+	}
+	dropped, read := 0, 0
+	decoder := json.NewDecoder(strings.NewReader(pipe.text()))
+	for {
+		var line struct {
+			Number  *int
+			Dropped int
+		}
+		if err := decoder.Decode(&line); err == io.EOF {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		dropped += line.Dropped
+		if line.Number != nil {
+			read++
+		}
+	}
+	if dropped == 0 || dropped+read != 3*bufferedLines {
+		t.Errorf("%d lines read and %d told as dropped, of %d written", read, dropped, 3*bufferedLines)
+	}
+}
+
+func (pipe *stuckPipe) text() string {
+	pipe.mutex.Lock()
+	defer pipe.mutex.Unlock()
+	return pipe.lines.String()
+}
--- a/internal/swreplica/choose.go
+++ b/internal/swreplica/choose.go
@@ -15,6 +15,11 @@
 	OtherRegion Distance = 2
 )
 
+// String returns Near, Region or Far.
+func (distance Distance) String() string {
+	return [...]string{"Near", "Region", "Far"}[distance]
+}
+
 const (
 	// regionPenalty is what an exchange with another region counts beyond its measured latency: its traffic is dear, so that a
 	// replica there is worth it only when the near ones are far slower than usual.
