--- a/cmd/root.go
+++ b/cmd/root.go
@@ -54,7 +54,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServeCommand(), newSettingsCommand(), newSearchCommand(), newStatusCommand(), newVersionCommand())
+	root.AddCommand(newServeCommand(), newSettingsCommand(), newSearchCommand(), newStatusCommand(), newVersionCommand(), newExplainCommand())
 	root.AddCommand(newRulesCommand())
 	return root
 }
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -49,10 +49,7 @@
 }
 
 // reloadUntil reads the settings again at each SIGHUP, until the context ends. Settings that are not valid change nothing.
-func (serve *serveCommand) reloadUntil(ctx context.Context, app program) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func (serve *serveCommand) reloadUntil(ctx context.Context, hangups <-chan os.Signal, app program) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -85,6 +82,10 @@
 }
 
 func (serve *serveCommand) run(ctx context.Context, logOut io.Writer) error {
+	// Before anything else: a SIGHUP that comes while the program starts would end it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	if serve.settings == "" {
 		return errors.Errorf("no settings file: give --settings or set %s", settingsVariable)
 	}
@@ -103,7 +104,7 @@
 	if err := app.Start(signalled); err != nil {
 		return err
 	}
-	serve.reloadUntil(signalled, app)
+	serve.reloadUntil(signalled, hangups, app)
 	limit := settings.Stop.BalancerWait + 2*settings.Stop.DrainTimeout + stopReserve
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swgateway"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swmetric"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
@@ -48,6 +49,8 @@
 	Peers    *peers
 	Feed     *swfeed.Feed
 	Server   *swgateway.Server
+	Metrics  *metricServer
+	Recorder *swmetric.Recorder
 	Grace    *graceTime
 }
 
@@ -73,7 +76,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(config),
 		fx.Provide(
-			newLogger, newGroup, newGraceTime, newPlatform, newRouteBook, newReplicas, newGatewayQuarantine,
+			newLogger, newGroup, newRecorder, newMetricServer, newGraceTime, newPlatform, newRouteBook, newReplicas, newGatewayQuarantine,
 			newServerMirror, newObjectStore, newFleet, newVMMirror, newPeers, newRecordBoard, newFeed, newGatewayHandler, newGatewayServer,
 		),
 		fx.Invoke(bindGatewayLifecycle),
@@ -205,10 +208,10 @@
 	}
 }
 
-func newGatewayHandler(config Config, fleet *swfleet.Fleet, group *swgroup.Group, routes *swroute.Book, replicas *swreplica.Registry, quarantine *swquarantine.Register, log zerolog.Logger) *swgateway.Gateway {
+func newGatewayHandler(config Config, fleet *swfleet.Fleet, recorder *swmetric.Recorder, group *swgroup.Group, routes *swroute.Book, replicas *swreplica.Registry, quarantine *swquarantine.Register, log zerolog.Logger) *swgateway.Gateway {
 	settings := config.Settings
 	return swgateway.New(swgateway.Config{
-		Group: group, Protocol: platform.Headers{}, Routes: routes, Replicas: replicas, Quarantine: quarantine, Log: log,
+		Group: group, Protocol: platform.Headers{}, Routes: routes, Replicas: replicas, Quarantine: quarantine, Recorder: recorder, Log: log,
 		Budget: swgateway.NewBudget(swgateway.BudgetConfig{
 			Ratio: settings.Gateway.RepeatRatio, Slack: settings.Gateway.RepeatSlack, Window: settings.Gateway.RepeatWindow,
 			VMs: fleet.Len,
@@ -241,6 +244,7 @@
 	parts.Group.Go(parts.Servers.Run)
 	parts.Group.Go(parts.join)
 	parts.Server.Serve(parts.Group)
+	parts.Metrics.serve(parts.Group)
 	parts.Log.Info().Stringer("Clients", parts.Server.Address()).Stringer("Ready", parts.Server.ReadyAddress()).
 		Str("Version", parts.Config.Version).Msg("serving")
 	return nil
@@ -280,6 +284,10 @@
 	}
 	err := parts.Server.Shutdown(ctx)
 	parts.Log.Info().Int64("Held", parts.Server.Held()).Dur("Took", time.Since(began)).Msg("stopped")
+	parts.Metrics.close()
+	if recorderErr := parts.Recorder.Close(); err == nil {
+		err = recorderErr
+	}
 	parts.Group.Cancel()
 	if peerErr := parts.Peers.Close(); err == nil {
 		err = peerErr
--- /dev/null
+++ b/internal/swapp/metrics.go
@@ -0,0 +1,59 @@
+package swapp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swmetric"
+)
+
+// metricHeaderTimeout bounds how long the collector may take over a request's header.
+const metricHeaderTimeout = 5 * time.Second
+
+// metricServer serves the figures where clients do not come. Without an address it serves nothing.
+type metricServer struct {
+	listener net.Listener
+	server   *http.Server
+	log      zerolog.Logger
+}
+
+func newMetricServer(config Config, recorder *swmetric.Recorder, log zerolog.Logger) (*metricServer, error) {
+	address := config.Settings.Gateway.Metrics
+	if !address.IsValid() {
+		return &metricServer{}, nil
+	}
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for the collector on %s", address)
+	}
+	router := mux.NewRouter()
+	router.Handle("/metrics", recorder.Handler()).Methods(http.MethodGet)
+	return &metricServer{
+		listener: listener, log: log,
+		server: &http.Server{Handler: router, ReadHeaderTimeout: metricHeaderTimeout},
+	}, nil
+}
+
+func (metricServer *metricServer) serve(group *swgroup.Group) {
+	if metricServer.server == nil {
+		return
+	}
+	group.Go(func(context.Context) {
+		if err := metricServer.server.Serve(metricServer.listener); !errors.Is(err, http.ErrServerClosed) {
+			metricServer.log.Error().Err(err).Msg("the listener for the collector failed")
+		}
+	})
+}
+
+func (metricServer *metricServer) close() {
+	if metricServer.server != nil {
+		_ = metricServer.server.Close()
+	}
+}
--- /dev/null
+++ b/internal/swexplain/explain_test.go
@@ -0,0 +1,62 @@
+package swexplain
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestThreeKindsOfFailedRequests follows docs/OPERATIONS.md on the log of an incident that was played.
+func TestThreeKindsOfFailedRequests(t *testing.T) {
+	for name, test := range map[string]struct{ request, message, cause string }{
+		"refused": {
+			"fe632e09908be909", "refused",
+			"too few services had a replica that could be reached; Without names those without one",
+		},
+		"parts missing": {
+			"1058dae02e01d91d", "answered in part",
+			"the answer left at its target without dera69f: 2 attempts still without an answer",
+		},
+		"failed after it was sent": {
+			"719eb66fe3d9c296", "not answered", "1 attempts whose connection broke off",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log, err := os.Open("testdata/incident.log")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer log.Close()
+			story, err := Explain(test.request, log)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := []string{story.Lines[0].Message, story.Cause}
+			if diff := cmp.Diff([]string{test.message, test.cause}, got); diff != "" {
+				t.Error("message and cause (-want +got):\n" + diff)
+			}
+			if len(story.Around) == 0 {
+				t.Error("nothing is told of what the VM believed")
+			}
+		})
+	}
+}
+
+func TestLogsOfSeveralVMsAreInOrderOfTime(t *testing.T) {
+	first := `{"Time":"2026-01-01T00:00:02Z","VM":"b","Request":"r","Message":"refused","Code":"NotReady"}`
+	second := `12.5 a {"Time":"2026-01-01T00:00:01Z","VM":"a","Request":"r","Message":"refused","Code":"QueueFull"}`
+	story, err := Explain("r", strings.NewReader(first), strings.NewReader(second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := []string{story.Lines[0].VM, story.Lines[1].VM, story.Cause}
+	if diff := cmp.Diff([]string{"a", "b", "the VM had no configuration yet"}, got); diff != "" {
+		t.Error("VMs and cause (-want +got):\n" + diff)
+	}
+	if _, err := Explain("other", strings.NewReader(first)); !errors.Is(err, ErrNotFound) {
+		t.Errorf("error %v, want %v", err, ErrNotFound)
+	}
+}
--- a/internal/swgateway/gateway.go
+++ b/internal/swgateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
 	"github.com/sycamorewall/sycamorewall/internal/swtable"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
 )
 
 const (
@@ -35,6 +36,12 @@
 	Completed(fingerprint uint64)
 }
 
+// Recorder takes the figures of requests. Routes stand where the search API has callers.
+type Recorder interface {
+	Query(priority swrule.Priority, route string, code swcode.Code, total time.Duration, subRequests int)
+	Event(name string, count int64)
+}
+
 // Config holds what a Gateway is built from.
 type Config struct {
 	Group      *swgroup.Group
@@ -43,6 +50,7 @@
 	Replicas   *swreplica.Registry
 	Budget     *Budget
 	Quarantine Quarantine
+	Recorder   Recorder
 	Log        zerolog.Logger
 	// HedgePercentile is the percentile of a service's latency after which an attempt is hedged.
 	HedgePercentile float64
@@ -74,16 +82,19 @@
 	request, refusal := gateway.accept(writer, message, arrived)
 	if refusal != nil {
 		refusal.write(writer)
+		gateway.record(request, nil, refusal)
 		gateway.log.refusal(request, message, refusal)
 		return
 	}
 	call, refusal := gateway.serve(message.Context(), request)
 	if call == nil {
 		refusal.write(writer)
+		gateway.record(request, nil, refusal)
 		gateway.log.refusal(request, message, refusal)
 		return
 	}
 	if call.gone {
+		gateway.config.Recorder.Event("clients_gone", 1)
 		gateway.log.gone(call)
 		return
 	}
@@ -93,9 +104,36 @@
 	if refusal != nil {
 		refusal.write(writer)
 	}
+	gateway.record(request, call, refusal)
 	gateway.log.call(call, refusal)
 }
 
+// record counts the end of a request. The call is nil for one that was never sent.
+func (gateway *Gateway) record(request *request, call *call, refusal *Refusal) {
+	recorder := gateway.config.Recorder
+	priority, route, code := swrule.Deferrable, "", swcode.OK
+	if request.route != nil {
+		route = request.route.Name
+		priority = swrule.Priority(min(max(request.route.Priority, int(swrule.Urgent)), int(swrule.Deferrable)))
+	}
+	if refusal != nil {
+		code = refusal.Code
+	}
+	if call == nil {
+		recorder.Query(priority, route, code, time.Since(request.arrived), 0)
+		return
+	}
+	recorder.Query(priority, route, code, time.Since(request.arrived), call.gather.Attempts)
+	for name, count := range map[string]int{
+		"hedges": call.gather.Hedges, "retries": call.gather.Retries, "repeats_denied": call.denied,
+		"parts_missing": len(call.shards) - call.answers,
+	} {
+		if count > 0 {
+			recorder.Event(name, int64(count))
+		}
+	}
+}
+
 // serve sends a request until it is decided. The call is nil for a refusal of a request that was never sent.
 func (gateway *Gateway) serve(ctx context.Context, request *request) (*call, *Refusal) {
 	services := request.services()
--- a/internal/swgateway/harness_test.go
+++ b/internal/swgateway/harness_test.go
@@ -24,6 +24,8 @@
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
 )
 
 // testProtocol has header names of its own, so that no test leans on those of a platform.
@@ -158,12 +160,19 @@
 		Group: bench.group, Protocol: testProtocol{}, Routes: bench.book, Replicas: bench.registry,
 		Budget:          NewBudget(BudgetConfig{Ratio: budget, Slack: 1000 * budget, Window: 10 * time.Second, VMs: func() int { return 1 }}),
 		Quarantine:      swquarantine.New(swquarantine.Config{Name: "vm", CanaryWindow: time.Nanosecond}),
+		Recorder:        noRecorder{},
 		Log:             zerolog.Nop(),
 		HedgePercentile: 98,
 	})
 	return bench
 }
 
+// noRecorder drops all figures.
+type noRecorder struct{}
+
+func (noRecorder) Query(swrule.Priority, string, swcode.Code, time.Duration, int) {}
+func (noRecorder) Event(string, int64)                                            {}
+
 func (bench *testBench) close() {
 	for _, replica := range bench.replicas {
 		replica.crash()
--- a/internal/swsetting/setting.go
+++ b/internal/swsetting/setting.go
@@ -32,6 +32,8 @@
 	Listen netip.AddrPort `yaml:"Listen"`
 	// Ready is the TCP address at which the balancer asks whether this VM takes clients.
 	Ready netip.AddrPort `yaml:"Ready"`
+	// Metrics is the TCP address of /metrics; none when empty.
+	Metrics netip.AddrPort `yaml:"Metrics"`
 	// Regions maps each data centre to its region.
 	Regions map[string]string `yaml:"Regions"`
 	// Grace is how long the process may go on after SIGTERM.
@@ -42,9 +44,10 @@
 	RepeatSlack float64 `yaml:"RepeatSlack"`
 	// RepeatWindow is the time over which RepeatRatio and RepeatSlack hold.
 	RepeatWindow time.Duration `yaml:"RepeatWindow"`
-	// ApplyWithin is how soon a configuration must be in force, and DrainWithin how soon a leaving backend server gets
-	// nothing new. Watches of the platform end after half of that, since one may miss a change and say nothing.
+	// ApplyWithin is how soon a configuration must be in force. Watches for it end after half of that, since one may miss a
+	// change and say nothing.
 	ApplyWithin time.Duration `yaml:"ApplyWithin"`
+	// DrainWithin is how soon a leaving backend server gets nothing new. Watches for servers end after half of that.
 	DrainWithin time.Duration `yaml:"DrainWithin"`
 	// EntryGrace is how long after an outage of the platform a backend server's missing entry is kept.
 	EntryGrace time.Duration `yaml:"EntryGrace"`
--- a/lab/internal/swlabsoak/fleet.go
+++ b/lab/internal/swlabsoak/fleet.go
@@ -50,9 +50,14 @@
 	store    *swlabproxy.TCP
 	peer     *swlabproxy.UDP
 
+	// onExit is told when the process ended although no signal asked it to, and how long it had run.
+	onExit func(vm *vm, age time.Duration)
+
 	mutex   sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
+	// asked is set once a signal asked the process to end.
+	asked bool
 }
 
 // member is one replica with the proxy in front of it.
@@ -73,6 +78,7 @@
 	journal   *swlabusers.Journal
 	group     *swgroup.Group
 	vms       []*vm
+	record    *record
 
 	mutex   sync.Mutex
 	members map[string]*member
@@ -89,7 +95,7 @@
 	}
 	fleet := &fleet{
 		binary: config.Binary, directory: config.Directory, network: swlabproxy.NewNetwork(config.Seed), store: store,
-		journal: swlabusers.NewJournal(), group: swgroup.New(context.Background()), members: make(map[string]*member),
+		journal: swlabusers.NewJournal(), group: swgroup.New(context.Background()), record: &record{}, members: make(map[string]*member),
 	}
 	for _, service := range fleet.services() {
 		for i := range replicasOf {
@@ -226,7 +232,7 @@
 // newVM prepares a VM with free ports.
 func (fleet *fleet) newVM(number int) (*vm, error) {
 	name := fmt.Sprintf("vm-%d", number)
-	made := &vm{name: name, group: name, path: filepath.Join(fleet.directory, name+".yaml")}
+	made := &vm{name: name, group: name, path: filepath.Join(fleet.directory, name+".yaml"), onExit: fleet.restartExited}
 	ports := make([]netip.AddrPort, 3)
 	for i := range ports {
 		port, err := freePort()
@@ -285,19 +291,43 @@
 	if err := command.Start(); err != nil {
 		return errors.Wrap(err, "start VM")
 	}
-	ended := make(chan struct{})
-	vm.command, vm.ended = command, ended
+	ended, began := make(chan struct{}), time.Now()
+	vm.command, vm.ended, vm.asked = command, ended, false
 	swgroup.New(context.Background()).Go(func(context.Context) {
 		_ = command.Wait()
 		close(ended)
+		vm.mutex.Lock()
+		asked := vm.asked
+		vm.mutex.Unlock()
+		if !asked {
+			vm.onExit(vm, time.Since(began))
+		}
 	})
 	return nil
 }
 
+// startupTime is how long a process may take until it handles SIGHUP; one that comes before ends it, as for any program.
+const startupTime = 500 * time.Millisecond
+
+// restartExited does what the platform does with a process that ends by itself, and notes it unless a SIGHUP may have met its
+// start.
+func (fleet *fleet) restartExited(vm *vm, age time.Duration) {
+	if age > startupTime {
+		fleet.record.fault("EXIT: %s ended by itself after %s", vm.name, age)
+	}
+	if swtimer.Wait(fleet.group.Context(), heartbeat) != nil {
+		return
+	}
+	if err := vm.start(fleet.binary, fleet.directory); err != nil {
+		fleet.record.fault("EXIT: %s does not start again: %v", vm.name, err)
+	}
+}
+
 // signal sends a signal to the VM's process, and waits for its end after SIGKILL.
 func (vm *vm) signal(signal syscall.Signal) {
 	vm.mutex.Lock()
 	command, ended := vm.command, vm.ended
+	vm.asked = vm.asked || signal == syscall.SIGTERM || signal == syscall.SIGKILL
 	vm.mutex.Unlock()
 	if command == nil {
 		return
--- a/lab/internal/swlabsoak/soak.go
+++ b/lab/internal/swlabsoak/soak.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return report, err
 	}
-	record := &record{}
+	record := fleet.record
 	within, applied := readyWithin, applyWithin
 	if config.Safety {
 		within, applied = patientFactor*readyWithin, patientFactor*applyWithin
--- a/lab/internal/swlabsoak/soak_test.go
+++ b/lab/internal/swlabsoak/soak_test.go
@@ -19,7 +19,12 @@
 	if err := swlabbuild.Program(t.Context(), binary); err != nil {
 		t.Fatal(err)
 	}
-	for _, seed := range []uint64{1} {
+	seeds := []uint64{
+		1,
+		// A SIGHUP met a process that had just started and ended it, as its handler came after the settings.
+		202,
+	}
+	for _, seed := range seeds {
 		report, err := Run(t.Context(), Config{
 			Binary: binary, Directory: t.TempDir(), Seed: seed, Duration: 4 * time.Second, VMs: 3, Clients: 6, Safety: true, Out: io.Discard,
 		})
