--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -159,7 +159,9 @@
 	if !peer.IsValid() {
 		peer = settings.Peer.Listen
 	}
-	return swfleet.New(swfleet.VM{Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Peer: peer})
+	return swfleet.New(swfleet.VM{
+		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Peer: peer, Capacity: settings.Gateway.Capacity,
+	})
 }
 
 func newVMMirror(fleet *swfleet.Fleet) *swfollow.Mirror[swfleet.VM] {
--- a/internal/swfeed/cache.go
+++ b/internal/swfeed/cache.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
+	"github.com/sycamorewall/sycamorewall/internal/swpack"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 )
 
@@ -25,6 +26,14 @@
 	// regained is when the store last came back after an outage.
 	regained time.Time
 	synced   bool
+	// packed holds the compressed values of large objects, once a peer has asked for them.
+	packed map[string]packedValue
+}
+
+// packedValue is the compressed value of an object at a revision; nothing where compression failed.
+type packedValue struct {
+	revision uint64
+	value    []byte
 }
 
 // loggedObject is a changed or deleted object with the revision at which the change became known.
@@ -34,7 +43,7 @@
 }
 
 func newCache() *cache {
-	return &cache{objects: make(map[string]swplatform.Object)}
+	return &cache{objects: make(map[string]swplatform.Object), packed: make(map[string]packedValue)}
 }
 
 // apply takes a change. It reports false for one that is older than what the cache holds.
@@ -83,6 +92,7 @@
 func (cache *cache) put(object swplatform.Object, at uint64) {
 	if object.Deleted {
 		delete(cache.objects, object.Name)
+		delete(cache.packed, object.Name)
 	} else {
 		cache.objects[object.Name] = object
 	}
@@ -124,3 +134,23 @@
 	defer cache.mutex.Unlock()
 	return cache.revision
 }
+
+// pack returns the compressed value of a large object, made once for all peers, or nothing for one that travels as it is.
+func (cache *cache) pack(object *swplatform.Object) []byte {
+	if len(object.Value) < packFrom {
+		return nil
+	}
+	cache.mutex.Lock()
+	defer cache.mutex.Unlock()
+	known, ok := cache.packed[object.Name]
+	if ok && known.revision == object.Revision {
+		return known.value
+	}
+	value, err := swpack.Pack(object.Value)
+	if err != nil {
+		// It travels as it is.
+		value = nil
+	}
+	cache.packed[object.Name] = packedValue{revision: object.Revision, value: value}
+	return value
+}
--- a/internal/swfeed/feed.go
+++ b/internal/swfeed/feed.go
@@ -228,9 +228,15 @@
 	}
 	now := time.Now()
 	for i := range reply.Changes {
-		if reply.Changes[i].Revision > 0 {
-			feed.receive(i, reply.Changes[i].decode(feed.config.Kinds[i].Name, now))
+		if reply.Changes[i].Revision == 0 {
+			continue
+		}
+		change, err := reply.Changes[i].decode(feed.config.Kinds[i].Name, now)
+		if err != nil {
+			feed.distrust(peer, err)
+			return
 		}
+		feed.receive(i, change)
 	}
 	if reply.Overdue > overdueMost {
 		feed.passOver(peer, reply.Overdue)
@@ -462,7 +468,7 @@
 			revision = request.Revisions[i]
 		}
 		if change, ok := cache.since(revision); ok {
-			reply.Changes[i] = encodeChange(change, now)
+			reply.Changes[i] = encodeChange(change, now, cache.pack)
 		}
 	}
 	return reply, changed
--- a/internal/swfeed/message.go
+++ b/internal/swfeed/message.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
+	"github.com/sycamorewall/sycamorewall/internal/swpack"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 )
 
@@ -47,14 +50,28 @@
 	Revision uint64
 	Value    []byte
 	Deleted  bool
+	// Packed tells that Value is compressed.
+	Packed bool
 }
 
-func encodeChange(change swfollow.Change, now time.Time) KindChange {
+const (
+	// packFrom is the size in bytes from which values are compressed: a configuration, but not a server's entry.
+	packFrom = 1 << 10
+	// maxValue is the largest value that is taken from a peer, in bytes: the platform's bound.
+	maxValue = 1 << 20
+)
+
+// encodeChange returns a change as it travels. packed returns the compressed value of an object, or nothing.
+func encodeChange(change swfollow.Change, now time.Time, packed func(object *swplatform.Object) []byte) KindChange {
 	encoded := KindChange{Whole: change.Whole, Revision: change.Revision, Objects: make([]Object, len(change.Objects))}
 	for i, object := range change.Objects {
 		encoded.Objects[i] = Object{Name: object.Name, Revision: object.Revision, Deleted: object.Deleted}
-		if !object.Deleted {
-			encoded.Objects[i].Value = object.Value
+		if object.Deleted {
+			continue
+		}
+		encoded.Objects[i].Value = object.Value
+		if small := packed(&object); small != nil {
+			encoded.Objects[i].Value, encoded.Objects[i].Packed = small, true
 		}
 	}
 	if !change.Regained.IsZero() {
@@ -63,9 +80,16 @@
 	return encoded
 }
 
-func (encoded *KindChange) decode(kind string, now time.Time) swfollow.Change {
+func (encoded *KindChange) decode(kind string, now time.Time) (swfollow.Change, error) {
 	change := swfollow.Change{Whole: encoded.Whole, Revision: encoded.Revision, Objects: make([]swplatform.Object, len(encoded.Objects))}
 	for i, object := range encoded.Objects {
+		if object.Packed {
+			value, err := swpack.Unpack(object.Value, maxValue)
+			if err != nil {
+				return swfollow.Change{}, errors.Wrapf(err, "%s/%s", kind, object.Name)
+			}
+			object.Value = value
+		}
 		change.Objects[i] = swplatform.Object{
 			Kind: kind, Name: object.Name, Version: object.Revision, Revision: object.Revision,
 			Value: object.Value, Deleted: object.Deleted,
@@ -74,5 +98,5 @@
 	if encoded.RegainedAgo > 0 {
 		change.Regained = now.Add(-encoded.RegainedAgo)
 	}
-	return change
+	return change, nil
 }
--- a/internal/swfleet/fleet.go
+++ b/internal/swfleet/fleet.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -25,6 +27,8 @@
 	DataCentre string
 	// Peer is the UDP address for other VMs.
 	Peer netip.AddrPort
+	// Capacity is the VM's size beside the others'.
+	Capacity float64
 }
 
 // Encode returns the value of the VM's object.
@@ -107,18 +111,21 @@
 	}
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	var members []swmember.Member
+	// Changes go from one VM to all others of the data centre, so the largest come first.
+	sizes := make(map[float64][]swmember.Member)
 	for _, vm := range fleet.vms {
 		if vm.DataCentre == fleet.self.DataCentre {
-			members = append(members, swmember.Member{Name: vm.Name, Peer: vm.Peer})
+			sizes[vm.Capacity] = append(sizes[vm.Capacity], swmember.Member{Name: vm.Name, Peer: vm.Peer})
 		}
 	}
 	fleet.ahead = []swfeed.Peer{}
-	for _, member := range swmember.Rank(members, followKey) {
-		if member.Name == fleet.self.Name {
-			break
+	for _, size := range slices.Backward(slices.Sorted(maps.Keys(sizes))) {
+		for _, member := range swmember.Rank(sizes[size], followKey) {
+			if member.Name == fleet.self.Name {
+				return fleet.ahead
+			}
+			fleet.ahead = append(fleet.ahead, swfeed.Peer{Name: member.Name, Address: member.Peer})
 		}
-		fleet.ahead = append(fleet.ahead, swfeed.Peer{Name: member.Name, Address: member.Peer})
 	}
 	return fleet.ahead
 }
--- /dev/null
+++ b/internal/swfleet/fleet_test.go
@@ -0,0 +1,87 @@
+package swfleet
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"testing/synctest"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+)
+
+// newVM returns a VM of a data centre.
+func newVM(number int, dataCentre string, capacity float64) VM {
+	return VM{
+		Name: fmt.Sprint("vm-", number), DataCentre: dataCentre, Region: "r", Capacity: capacity,
+		Peer: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(number+1)),
+	}
+}
+
+func TestAllVMsAgreeOnWhoIsAhead(t *testing.T) {
+	var vms []VM
+	for i := range 12 {
+		vms = append(vms, newVM(i, "one", float64(20+180*(i%3/2))))
+	}
+	vms = append(vms, newVM(99, "two", 1000))
+	lengths := make(map[int]bool)
+	for _, self := range vms[:12] {
+		fleet := New(self)
+		fleet.Apply(vms, nil)
+		ahead := fleet.Ahead()
+		lengths[len(ahead)] = true
+		if self.Capacity < 100 && len(ahead) < 4 {
+			t.Errorf("%s is small and has only %d VMs ahead, want the four large ones at least", self.Name, len(ahead))
+		}
+		for _, peer := range ahead {
+			if peer.Name == "vm-99" || peer.Name == self.Name {
+				t.Errorf("%s has %s ahead", self.Name, peer.Name)
+			}
+		}
+	}
+	if diff := cmp.Diff(12, len(lengths)); diff != "" {
+		t.Error("different places in the order (-want +got):\n" + diff)
+	}
+}
+
+// memoryRegister is a store that holds VMs.
+type memoryRegister struct {
+	objects []swplatform.Object
+	writes  []string
+	fails   int
+}
+
+func (register *memoryRegister) ListStale(context.Context, string) ([]swplatform.Object, uint64, error) {
+	if register.fails > 0 {
+		register.fails--
+		return nil, 0, &swplatform.Error{Reason: swplatform.ErrUnavailable}
+	}
+	return register.objects, 1, nil
+}
+
+func (register *memoryRegister) PutObject(_ context.Context, _, name string, value []byte) error {
+	register.objects = append(register.objects, swplatform.Object{Name: name, Value: slices.Clone(value)})
+	register.writes = append(register.writes, name)
+	return nil
+}
+
+func TestVMRegistersOnceAndAgainWhenItChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		register := &memoryRegister{fails: 2, objects: []swplatform.Object{{Name: "stranger", Value: []byte("7")}}}
+		moved := newVM(1, "one", 1)
+		moved.Peer = netip.MustParseAddrPort("10.0.0.9:1")
+		for _, self := range []VM{newVM(1, "one", 1), newVM(1, "one", 1), newVM(2, "one", 1), moved} {
+			fleet := New(self)
+			if err := fleet.Join(t.Context(), register, zerolog.Nop()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if diff := cmp.Diff([]string{"vm-1", "vm-2", "vm-1"}, register.writes); diff != "" {
+			t.Error("writes (-want +got):\n" + diff)
+		}
+	})
+}
--- a/internal/swrollout/pull.go
+++ b/internal/swrollout/pull.go
@@ -9,6 +9,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
+	"github.com/sycamorewall/sycamorewall/internal/swpack"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
@@ -76,7 +77,7 @@
 	if current == document.Version && packed != nil {
 		return packed, nil
 	}
-	packed, err := pack(document.Value)
+	packed, err := swpack.Pack(document.Value)
 	if err != nil {
 		return nil, err
 	}
@@ -202,7 +203,7 @@
 	if err := store.config.Transport.Call(ctx, target.Peer, swpeer.MethodFetch, request, &reply); err != nil || reply.Version == 0 {
 		return false
 	}
-	value, err := unpack(reply.Packed)
+	value, err := swpack.Unpack(reply.Packed, MaxValue)
 	if err != nil {
 		store.config.Log.Warn().Err(err).Str("From", target.Name).Msg("document cannot be read")
 		return false
--- a/internal/swsetting/setting.go
+++ b/internal/swsetting/setting.go
@@ -44,6 +44,8 @@
 	RepeatSlack float64 `yaml:"RepeatSlack"`
 	// RepeatWindow is the time over which RepeatRatio and RepeatSlack hold.
 	RepeatWindow time.Duration `yaml:"RepeatWindow"`
+	// Capacity is this VM's size beside the others', such as its link in Mbit/s. The larger ones bring changes to the rest.
+	Capacity float64 `yaml:"Capacity"`
 	// ApplyWithin is how soon a configuration must be in force. Watches for it end after half of that, since one may miss a
 	// change and say nothing.
 	ApplyWithin time.Duration `yaml:"ApplyWithin"`
