--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -43,7 +43,7 @@
 	var files []*os.File
 	closeAll := func() {
 		for _, file := range files {
-			file.Close()
+			_ = file.Close()
 		}
 	}
 	for _, path := range paths {
--- a/internal/swauthority/shared.go
+++ b/internal/swauthority/shared.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// Kind and Name are where the system's authority lies in the platform's store.
+	// Kind is the kind of the store's object that holds the system's authority.
 	Kind = "sycamorewall-keys"
+	// Name is that object's name.
 	Name = "authority"
 	// createSpread is the time over which VMs that find no authority spread their creating one, since all start together when
 	// the system does.
--- a/internal/swconn/connection.go
+++ b/internal/swconn/connection.go
@@ -114,19 +114,19 @@
 	if connection.closed.Load() {
 		err = ErrClosed
 	}
-	if _, _, waiting := connection.takeWaiting(); waiting {
+	if connection.takeWaiting() {
 		connection.results <- Result{Err: err}
 	}
 	connection.hooks.Ended(connection, err)
 }
 
-// takeWaiting ends the wait for a response and returns what would have accepted it.
-func (connection *Connection) takeWaiting() (accept func(*Response) bool, method string, waiting bool) {
+// takeWaiting ends the wait for a response, and reports whether there was one.
+func (connection *Connection) takeWaiting() bool {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	accept, method = connection.accept, connection.method
+	waiting := connection.accept != nil
 	connection.accept = nil
-	return accept, method, accept != nil
+	return waiting
 }
 
 func (connection *Connection) waiting() (accept func(*Response) bool, method string) {
@@ -164,7 +164,7 @@
 		if last || connection.reader.Buffered() > 0 {
 			connection.unusable.Store(true)
 		}
-		if _, _, waiting := connection.takeWaiting(); !waiting {
+		if !connection.takeWaiting() {
 			return ErrUnsolicited
 		}
 		connection.results <- Result{Response: response}
--- a/internal/swexplain/explain_test.go
+++ b/internal/swexplain/explain_test.go
@@ -29,7 +29,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer log.Close()
+			defer func() { _ = log.Close() }()
 			story, err := Explain(test.request, log)
 			if err != nil {
 				t.Fatal(err)
--- a/lab/internal/swlabsoak/client.go
+++ b/lab/internal/swlabsoak/client.go
@@ -82,7 +82,7 @@
 }
 
 // send makes one request. net/http sends nothing again by itself: the requests have bodies that cannot be read twice.
-func (client *client) send(ctx context.Context, method, path, body string) (response *http.Response, read []byte, sent attempt) {
+func (client *client) send(ctx context.Context, method, path, body string) (header http.Header, read []byte, sent attempt) {
 	client.number++
 	sent = attempt{id: fmt.Sprintf("%s-%d", client.name, client.number), once: method == http.MethodPost, at: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, clientPatience+time.Second)
@@ -98,26 +98,27 @@
 	if method == http.MethodGet {
 		request.Body = nil
 	}
-	response, sent.err = client.http.Do(request)
-	if sent.err == nil {
+	response, err := client.http.Do(request)
+	sent.err = err
+	if err == nil {
 		read, sent.err = io.ReadAll(response.Body)
 		response.Body.Close()
-		sent.status = response.StatusCode
+		header, sent.status = response.Header, response.StatusCode
 	}
 	sent.took = time.Since(sent.at)
 	client.record.add(sent)
-	return response, read, sent
+	return header, read, sent
 }
 
 func (client *client) post(ctx context.Context) {
 	path, body := fmt.Sprintf("/post/%s-%d", client.name, client.number), strings.Repeat("x", client.random.IntN(2000))
-	response, read, sent := client.send(ctx, http.MethodPost, path, body)
-	if sent.err != nil || response.StatusCode != http.StatusOK {
+	header, read, sent := client.send(ctx, http.MethodPost, path, body)
+	if sent.err != nil || sent.status != http.StatusOK {
 		return
 	}
-	service, _, _ := strings.Cut(response.Header.Get("X-Server-Stamp"), ".")
-	if response.Header.Get("X-Server-Stamp") != swlabusers.Stamp(service, sent.id) {
-		client.record.fault("MIXED: %s has the signature %q", sent.id, response.Header.Get("X-Server-Stamp"))
+	service, _, _ := strings.Cut(header.Get("X-Server-Stamp"), ".")
+	if header.Get("X-Server-Stamp") != swlabusers.Stamp(service, sent.id) {
+		client.record.fault("MIXED: %s has the signature %q", sent.id, header.Get("X-Server-Stamp"))
 	}
 	if !bytes.Equal(read, swlabusers.EchoOf(service, http.MethodPost, path, []byte(body))) {
 		client.record.fault("MIXED: %s has the body of another request", sent.id)
@@ -126,11 +127,11 @@
 
 func (client *client) search(ctx context.Context) {
 	path := fmt.Sprintf("/search/%s-%d", client.name, client.number)
-	response, read, sent := client.send(ctx, http.MethodGet, path, "")
-	if sent.err != nil || response.StatusCode != http.StatusOK {
+	header, read, sent := client.send(ctx, http.MethodGet, path, "")
+	if sent.err != nil || sent.status != http.StatusOK {
 		return
 	}
-	if problem := checkGathered(response.Header, read, sent.id, path); problem != "" {
+	if problem := checkGathered(header, read, sent.id, path); problem != "" {
 		client.record.fault("MIXED: %s %s", sent.id, problem)
 	}
 }
--- a/lab/internal/swlabsoak/fleet.go
+++ b/lab/internal/swlabsoak/fleet.go
@@ -65,7 +65,6 @@
 	replica    *swlabusers.Replica
 	proxy      *swlabproxy.TCP
 	dataCentre string
-	sequence   int
 	leaving    bool
 }
 
@@ -285,7 +284,7 @@
 	if err != nil {
 		return errors.Wrap(err, "open log")
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	command := exec.Command(binary, "serve", "--settings", vm.path)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
--- a/lab/internal/swlabsoak/soak.go
+++ b/lab/internal/swlabsoak/soak.go
@@ -204,10 +204,10 @@
 		known[attempt.id] = true
 		runs := fleet.journal.Runs(attempt.id)
 		report.Requests++
-		switch {
-		case attempt.status == http.StatusOK:
+		switch attempt.status {
+		case http.StatusOK:
 			report.Served++
-		case attempt.status == http.StatusServiceUnavailable:
+		case http.StatusServiceUnavailable:
 			report.Refused++
 		default:
 			report.Failed++
--- a/lab/internal/swlabusers/replica.go
+++ b/lab/internal/swlabusers/replica.go
@@ -21,8 +21,9 @@
 )
 
 const (
-	// RecordSize is the size of a record in bytes, RecordsPerPart the number in each shard's answer.
-	RecordSize     = 16
+	// RecordSize is the size of a record in bytes.
+	RecordSize = 16
+	// RecordsPerPart is the number of records in each shard's answer.
 	RecordsPerPart = 6
 	// queueSize is the number of requests that wait for a slot before a replica rejects.
 	queueSize = 8
