Refuse whole searches while shards are over capacity

A route's searches below the top priority are admitted by a level that falls while more than 35 % end without their least coverage because of queues, and rises again; those that come back go first.

--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -59,6 +59,8 @@
 	denied int
 	// told describes the attempts in the order in which they were ordered.
 	told []attemptStory
+	// crowded is set when a replica rejected the request because of its queue.
+	crowded bool
 	// partial is set when the answer left without waiting for every shard.
 	partial bool
 	// gone is set when the client left.
@@ -370,6 +372,7 @@
 	case mark.NotRun:
 		replica.ObserveShed(result.at)
 		call.shed = true
+		call.crowded = call.crowded || replica.Crowded()
 		return swbackend.Answer{Outcome: swbackend.Shed, Ran: swcode.RanNo, Code: swcode.QueueFull}
 	case call.acceptable(response, mark):
 		call.gateway.observe(call.request, call.shards[result.command.Shard].service, replica, result.at, result.at.Sub(result.answer.SentAt))
--- a/internal/swgateway/gateway.go
+++ b/internal/swgateway/gateway.go
@@ -62,17 +62,20 @@
 	latencies *swquery.Latencies
 	patience  *patience
 	rooms     *swtable.Table[string, *room]
-	log       *requestLog
+	// admissions holds those of the gathered routes, by name.
+	admissions *swtable.Table[string, *admission]
+	log        *requestLog
 }
 
 // New returns a gateway.
 func New(config Config) *Gateway {
 	return &Gateway{
-		config:    config,
-		latencies: swquery.NewLatencies(config.HedgePercentile),
-		patience:  newPatience(),
-		rooms:     swtable.New[string, *room](),
-		log:       newRequestLog(config.Log),
+		config:     config,
+		latencies:  swquery.NewLatencies(config.HedgePercentile),
+		patience:   newPatience(),
+		rooms:      swtable.New[string, *room](),
+		admissions: swtable.New[string, *admission](),
+		log:        newRequestLog(config.Log),
 	}
 }
 
@@ -141,6 +144,9 @@
 	for _, service := range services {
 		gateway.config.Budget.Count(now, service)
 	}
+	if refusal := gateway.admit(request); refusal != nil {
+		return nil, refusal
+	}
 	var last *call
 	for {
 		if !request.route.Gathered() {
@@ -155,6 +161,7 @@
 		}
 		call.run(ctx)
 		call.settle()
+		call.noteCrowding(time.Now())
 		if !call.mayWait() || !gateway.config.Budget.Take(time.Now(), services[0], 1) {
 			return call, nil
 		}
@@ -204,6 +211,7 @@
 	spent := time.Duration(0)
 	if left > 0 {
 		spent = gateway.patience.spent(route.Name, left)
+		request.returned = spent > 0
 	}
 	wait := defaultTimeout
 	if left > 0 {
--- a/internal/swgateway/request.go
+++ b/internal/swgateway/request.go
@@ -34,6 +34,8 @@
 	arrived     time.Time
 	// deadline is when the client, or the operator for it, stops waiting.
 	deadline time.Time
+	// returned is set when the client has tried before.
+	returned bool
 	// without lists the services that a refused request could not reach.
 	without []string
 	// answerBy is when an answer must leave to be in time for the route's target; the zero time when there is none.
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -16,6 +16,11 @@
 	latencyWeight = 0.1
 	// latencyMemory is the time after which an average that nothing renews has gone half the way back to the service's.
 	latencyMemory = 5 * time.Second
+	// floorFall and floorRise are the weights of an answer in a replica's floor, below and above it.
+	floorFall = 0.2
+	floorRise = 0.005
+	// crowdedFactor is how many times its floor the average of a replica with a queue is.
+	crowdedFactor = 2.5
 	// shedWeight is the weight of an attempt in the share of those that a replica rejects or fails, shedMemory the time after
 	// which a share that nothing renews has gone half the way back to none.
 	shedWeight = 0.1
@@ -52,6 +57,8 @@
 	freed    chan struct{}
 	limit    connectionLimit
 	average  time.Duration
+	// floor is what an answer takes without a queue: it follows fast answers quickly and slow ones hardly.
+	floor time.Duration
 	observed time.Time
 	shedAt   time.Time
 	// shedShare is the share of attempts that the replica rejects or fails, as of shedSeen.
@@ -113,6 +120,13 @@
 	return typical + time.Duration(float64(replica.average-typical)/(1+age*age))
 }
 
+// Crowded reports whether the replica's answers wait in a queue, as its latency shows.
+func (replica *Replica) Crowded() bool {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return float64(replica.average) > crowdedFactor*float64(replica.floor)
+}
+
 // rejects returns the share of attempts that the replica rejects or fails. The caller holds the mutex.
 func (replica *Replica) rejects(now time.Time) float64 {
 	if replica.shedShare == 0 {
@@ -138,8 +152,13 @@
 	replica.answeredAt = now
 	replica.down = false
 	if replica.observed.IsZero() {
-		replica.average = latency
+		replica.average, replica.floor = latency, latency
 	} else {
+		weight := floorRise
+		if latency < replica.floor {
+			weight = floorFall
+		}
+		replica.floor += time.Duration(weight * float64(latency-replica.floor))
 		replica.average += time.Duration(latencyWeight * float64(latency-replica.average))
 	}
 	replica.observed = now
