--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -58,7 +58,7 @@
 	limit    connectionLimit
 	average  time.Duration
 	// floor is what an answer takes without a queue: it follows fast answers quickly and slow ones hardly.
-	floor time.Duration
+	floor    time.Duration
 	observed time.Time
 	shedAt   time.Time
 	// shedShare is the share of attempts that the replica rejects or fails, as of shedSeen.
