Keep to the configuration's header limits

Cause: the limits of the configuration for headers and for the time at one were not read: a client within a larger limit would have been refused, and one that never ends its header was held for five seconds whatever the limit. The size is checked per request now (431), connections at a header or idle beyond the limits in force are closed. The test of a huge header sends 300 KB, as net/http reads up to 256 KB.

--- a/internal/swgateway/gateway.go
+++ b/internal/swgateway/gateway.go
@@ -190,6 +190,9 @@
 	if request.route == nil {
 		return request, refuse(http.StatusNotFound, swcode.NotFound)
 	}
+	if limit := request.table.Limits.HeaderBytes; limit > 0 && headerSize(message) > limit {
+		return request, refuse(http.StatusRequestHeaderFieldsTooLarge, swcode.BadRequest)
+	}
 	body, refusal := readBody(writer, message, request.table.Limits)
 	if refusal != nil {
 		return request, refusal
--- a/internal/swgateway/harness_test.go
+++ b/internal/swgateway/harness_test.go
@@ -210,7 +210,7 @@
 	if table := bench.book.Current(); table != nil {
 		version = table.Version + 1
 	}
-	bench.book.Offer(swroute.NewTable(version, swroute.Limits{BodyBytes: 1000, HeaderTimeout: time.Second}, nil, []*swroute.Route{route}))
+	bench.book.Offer(swroute.NewTable(version, swroute.Limits{HeaderBytes: 2000, BodyBytes: 1000, HeaderTimeout: time.Second}, nil, []*swroute.Route{route}))
 }
 
 // once is a route to one replica of service s whose requests may run once.
--- a/internal/swgateway/request.go
+++ b/internal/swgateway/request.go
@@ -65,6 +65,18 @@
 	return path
 }
 
+// headerSize returns the size of a request's line and header in bytes, as the client sent them but for folded white space.
+func headerSize(message *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(message.Method) + len(message.RequestURI) + len(message.Host)
+	for name, values := range message.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 // readBody reads the whole body within the limits.
 func readBody(writer http.ResponseWriter, message *http.Request, limits swroute.Limits) ([]byte, *Refusal) {
 	if message.Body == nil || message.Body == http.NoBody {
--- a/internal/swgateway/server.go
+++ b/internal/swgateway/server.go
@@ -22,12 +22,13 @@
 )
 
 const (
-	// headerTimeout bounds the reading of a request's header while no configuration says otherwise.
-	headerTimeout = 5 * time.Second
-	// maxHeader is the largest request header in bytes while no configuration says otherwise.
-	maxHeader = 16 << 10
-	// idleCheck is how often connections are looked at for having been idle too long.
-	idleCheck = time.Second
+	// headerTimeout bounds the reading of a request's header whatever the configuration says, probeTimeout that of the balancer.
+	headerTimeout = time.Minute
+	probeTimeout  = 5 * time.Second
+	// maxHeader is the largest request header that is read, in bytes; the configuration's limit is below it.
+	maxHeader = 256 << 10
+	// limitCheck is how often connections are looked at for having been idle, or at a header, too long.
+	limitCheck = time.Second
 )
 
 // ServerConfig holds what a Server is built from.
@@ -52,9 +53,11 @@
 	front   *http.Server
 	probes  *http.Server
 	leaving atomic.Bool
-	// idle holds when each connection without a request last carried one.
-	idle *swtable.Table[net.Conn, time.Time]
-	held atomic.Int64
+	// idle holds when each connection without a request last carried one, reading when one began to send a header that has not
+	// come whole.
+	idle    *swtable.Table[net.Conn, time.Time]
+	reading *swtable.Table[net.Conn, time.Time]
+	held    atomic.Int64
 }
 
 // Listen opens both addresses. Nothing is served before Serve.
@@ -68,10 +71,18 @@
 		clients.Close()
 		return nil, errors.Wrapf(err, "listen for the balancer on %s", config.Ready)
 	}
+	server := newServer(config)
+	server.clients, server.ready = clients, ready
+	return server, nil
+}
+
+// newServer returns a server without listeners.
+func newServer(config ServerConfig) *Server {
 	server := &Server{
-		config: config, clients: clients, ready: ready,
+		config:  config,
 		handler: swbody.Drained(config.Handler),
 		idle:    swtable.New[net.Conn, time.Time](),
+		reading: swtable.New[net.Conn, time.Time](),
 	}
 	discard := log.New(io.Discard, "", 0)
 	server.front = &http.Server{
@@ -79,12 +90,15 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeader,
 		ConnState:         server.noteState,
-		ErrorLog:          discard,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, conn)
+		},
+		ErrorLog: discard,
 	}
 	router := mux.NewRouter()
 	router.HandleFunc(config.ReadyPath, server.serveReady).Methods(http.MethodGet)
-	server.probes = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: discard}
-	return server, nil
+	server.probes = &http.Server{Handler: router, ReadHeaderTimeout: probeTimeout, ErrorLog: discard}
+	return server
 }
 
 // Address returns the TCP address for clients.
@@ -108,10 +122,16 @@
 	}
 	serve(server.front, server.clients)
 	serve(server.probes, server.ready)
-	group.Go(server.closeIdle)
+	group.Go(server.keepLimits)
 }
 
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
 func (server *Server) serveClient(writer http.ResponseWriter, message *http.Request) {
+	if conn, ok := message.Context().Value(connectionKey{}).(net.Conn); ok {
+		server.reading.Delete(conn)
+	}
 	server.held.Add(1)
 	defer server.held.Add(-1)
 	if server.leaving.Load() {
@@ -153,34 +173,50 @@
 	return errors.Wrap(err, "shut down the listeners")
 }
 
-// noteState keeps the time since which a connection is idle.
+// noteState keeps the time since which a connection is idle, or at a header.
 func (server *Server) noteState(conn net.Conn, state http.ConnState) {
 	switch state {
+	case http.StateNew:
+		server.reading.Put(conn, time.Now())
+	case http.StateActive:
+		server.idle.Delete(conn)
+		server.reading.GetOrPut(conn, time.Now)
 	case http.StateIdle:
+		server.reading.Delete(conn)
 		server.idle.Put(conn, time.Now())
-	case http.StateActive, http.StateClosed, http.StateHijacked:
+	case http.StateClosed, http.StateHijacked:
+		server.reading.Delete(conn)
 		server.idle.Delete(conn)
 	}
 }
 
-// closeIdle closes connections that were idle for longer than the limits in force allow.
-func (server *Server) closeIdle(ctx context.Context) {
-	for swtimer.Wait(ctx, idleCheck) == nil {
+// keepLimits closes connections that were idle, or at a header, for longer than the configuration in force allows.
+func (server *Server) keepLimits(ctx context.Context) {
+	for swtimer.Wait(ctx, limitCheck) == nil {
 		table := server.config.Routes.Current()
-		if table == nil || table.Limits.Idle <= 0 {
+		if table == nil {
 			continue
 		}
-		now := time.Now()
-		var over []net.Conn
-		server.idle.Range(func(conn net.Conn, since time.Time) bool {
-			if now.Sub(since) > table.Limits.Idle {
-				over = append(over, conn)
-			}
-			return true
-		})
-		for _, conn := range over {
-			server.idle.Delete(conn)
-			conn.Close()
+		closeOver(server.idle, table.Limits.Idle)
+		closeOver(server.reading, table.Limits.HeaderTimeout)
+	}
+}
+
+// closeOver closes the connections that have stood in a table for longer than a limit; zero is none.
+func closeOver(connections *swtable.Table[net.Conn, time.Time], limit time.Duration) {
+	if limit <= 0 {
+		return
+	}
+	now := time.Now()
+	var over []net.Conn
+	connections.Range(func(conn net.Conn, since time.Time) bool {
+		if now.Sub(since) > limit {
+			over = append(over, conn)
 		}
+		return true
+	})
+	for _, conn := range over {
+		connections.Delete(conn)
+		conn.Close()
 	}
 }
--- a/internal/swgateway/server_test.go
+++ b/internal/swgateway/server_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
@@ -171,7 +172,7 @@
 		"space in a name":   {"GET /x HTTP/1.1\r\nHost: h\r\nA b: c\r\n\r\n", "400"},
 		"two hosts":         {"GET /x HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", "400"},
 		"bad chunk":         {"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", "400"},
-		"huge header":       {"GET /x HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 64<<10) + "\r\n\r\n", "431"},
+		"huge header":       {"GET /x HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 300<<10) + "\r\n\r\n", "431"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := startServer(t, echo, nil)
@@ -186,3 +187,54 @@
 		})
 	}
 }
+
+// pipes is a listener whose connections are pipes, for virtual time.
+type pipes struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (pipes *pipes) Accept() (net.Conn, error) {
+	select {
+	case conn := <-pipes.conns:
+		return conn, nil
+	case <-pipes.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (pipes *pipes) Close() error   { close(pipes.closed); return nil }
+func (pipes *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func TestConnectionsKeepToTheLimitsInForce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		server := newServer(ServerConfig{Handler: http.HandlerFunc(echo), Routes: &swroute.Book{}})
+		listener := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
+		group := swgroup.New(context.Background())
+		defer group.Stop()
+		defer server.front.Close()
+		group.Go(func(context.Context) { _ = server.front.Serve(listener) })
+		group.Go(server.keepLimits)
+		server.config.Routes.Offer(swroute.NewTable(1, swroute.Limits{Idle: 15 * time.Second, HeaderTimeout: 3 * time.Second}, nil, nil))
+		open := func(text string) (ended <-chan time.Duration) {
+			near, far := net.Pipe()
+			listener.conns <- far
+			began, end := time.Now(), make(chan time.Duration, 1)
+			group.Go(func(context.Context) {
+				_, _ = near.Write([]byte(text))
+				_, _ = io.Copy(io.Discard, near)
+				end <- time.Since(began)
+			})
+			return end
+		}
+		idle, slow, silent := open(get), open("GET /x HTTP/1.1\r\nHo"), open("")
+		for name, test := range map[string]struct {
+			ended <-chan time.Duration
+			limit time.Duration
+		}{"idle": {idle, 15 * time.Second}, "unfinished header": {slow, 3 * time.Second}, "no request": {silent, 3 * time.Second}} {
+			if took := <-test.ended; took < test.limit || took > test.limit+2*limitCheck {
+				t.Errorf("%s: closed after %s, want soon after %s", name, took, test.limit)
+			}
+		}
+	})
+}
--- a/internal/swgateway/single_test.go
+++ b/internal/swgateway/single_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -223,6 +224,9 @@
 		if got := bench.ask(t.Context(), http.MethodPost, "/x", string(make([]byte, 1001))); got.Code != http.StatusRequestEntityTooLarge {
 			t.Errorf("status %d for a body over the limit, want 413", got.Code)
 		}
+		if got := bench.ask(t.Context(), http.MethodGet, "/"+strings.Repeat("x", 2000), ""); got.Code != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("status %d for a header over the limit, want 431", got.Code)
+		}
 		if diff := cmp.Diff(0, replica.count()); diff != "" {
 			t.Error("sendings (-want +got):\n" + diff)
 		}
