--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -4,15 +4,12 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"time"
 
-	"github.com/sycamorewall/sycamorewall/internal/swbackend"
 	"github.com/sycamorewall/sycamorewall/internal/swconn"
 	"github.com/sycamorewall/sycamorewall/internal/swquery"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
-	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
 const (
@@ -37,12 +34,6 @@
 	answered bool
 }
 
-// crash is a replica that broke off a request.
-type crash struct {
-	replica *swreplica.Replica
-	at      time.Time
-}
-
 // call is one request on its way to the replicas of its services. One goroutine runs it.
 type call struct {
 	gateway *Gateway
@@ -69,15 +60,6 @@
 	late bool
 }
 
-// attemptResult is the end of one attempt.
-type attemptResult struct {
-	command swquery.Command
-	replica *swreplica.Replica
-	answer  swreplica.Answer
-	mark    Mark
-	at      time.Time
-}
-
 // services returns the services that the request goes to.
 func (request *request) services() []string {
 	if request.route.Gathered() {
@@ -303,99 +285,3 @@
 		cancel()
 	}
 }
-
-// attempt sends the request to one replica.
-func (call *call) attempt(ctx context.Context, command swquery.Command, replica *swreplica.Replica) {
-	request := call.request
-	protocol := call.gateway.config.Protocol
-	answer := replica.Exchange(ctx, &swreplica.Request{
-		Method: request.method,
-		Encode: func(now time.Time) ([]byte, bool) {
-			left := request.deadline.Sub(now)
-			if left < time.Millisecond || !replica.Taking() {
-				return nil, false
-			}
-			return request.encode(protocol, Attempt{Replica: command.Target.Server, Left: left}), true
-		},
-		Accept: func(response *swconn.Response) bool {
-			mark := protocol.ReadMark(response.Status, response.Header)
-			return mark.RequestID == request.id || mark.RequestID == "" && (mark.NotRun || mark.OtherReplica || response.Status >= http.StatusBadRequest)
-		},
-		Deadline: request.deadline,
-		Linger:   lingerAnswered,
-	})
-	result := attemptResult{command: command, replica: replica, answer: answer, at: time.Now()}
-	if answer.Response != nil {
-		result.mark = protocol.ReadMark(answer.Response.Status, answer.Response.Header)
-	}
-	call.results <- result
-}
-
-// take judges the end of an attempt and goes on accordingly.
-func (call *call) take(result attemptResult) {
-	shard := &call.shards[result.command.Shard]
-	judged := call.judge(result)
-	for i := range call.told {
-		if call.told[i].id == result.command.Attempt {
-			call.told[i].ended, call.told[i].outcome = result.at, judged.Outcome.String()
-		}
-	}
-	if result.answer.Response != nil && !shard.answered {
-		shard.response, shard.mark = result.answer.Response, result.mark
-	}
-	if judged.Outcome == swbackend.Answered && !shard.answered {
-		shard.answered = true
-		call.answers++
-	}
-	orders, _, _ := call.gather.Answer(result.at, result.command.Attempt, result.command.Target.Server, judged)
-	call.carryOut(result.at, orders)
-}
-
-// judge tells what the end of an attempt means for its shard, and lets the replica's record know.
-func (call *call) judge(result attemptResult) swbackend.Answer {
-	replica := result.replica
-	switch result.answer.Outcome {
-	case swreplica.NotSent:
-		return swbackend.Answer{Outcome: swbackend.Unreachable, Ran: swcode.RanNo, Code: swcode.NoReplica}
-	case swreplica.Withdrawn:
-		return swbackend.Answer{Outcome: swbackend.Cancelled, Ran: swcode.RanUnknown, Code: swcode.DeadlineExceeded}
-	case swreplica.Broken:
-		replica.ObserveFailure(result.at)
-		call.crashes = append(call.crashes, crash{replica: replica, at: result.at})
-		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed, Crash: call.request.route.Gathered()}
-	}
-	response, mark := result.answer.Response, result.mark
-	switch {
-	case mark.OtherReplica:
-		replica.Retire()
-		return swbackend.Answer{Outcome: swbackend.Shed, Ran: swcode.RanNo, Code: swcode.NoReplica}
-	case mark.NotRun:
-		replica.ObserveShed(result.at)
-		call.shed = true
-		call.crowded = call.crowded || replica.Crowded()
-		return swbackend.Answer{Outcome: swbackend.Shed, Ran: swcode.RanNo, Code: swcode.QueueFull}
-	case call.acceptable(response, mark):
-		call.gateway.observe(call.request, call.shards[result.command.Shard].service, replica, result.at, result.at.Sub(result.answer.SentAt))
-		return swbackend.Answer{Outcome: swbackend.Answered, Ran: swcode.RanYes, Code: swcode.OK}
-	}
-	replica.ObserveFailure(result.at)
-	return swbackend.Answer{Outcome: swbackend.Failed, Ran: swcode.RanYes, Code: swcode.BackendFailed}
-}
-
-// acceptable reports whether a response is an answer that the client may have. A replica's refusal of a request that goes
-// to no other shard is one: another replica would say the same.
-func (call *call) acceptable(response *swconn.Response, mark Mark) bool {
-	if mark.Signature == "" || !plainBody(response.Header) {
-		return false
-	}
-	if response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices {
-		return true
-	}
-	return !call.request.route.Gathered() && response.Status < http.StatusInternalServerError
-}
-
-// plainBody reports whether the body is as the replica made it.
-func plainBody(header http.Header) bool {
-	encoding := header.Get("Content-Encoding")
-	return encoding == "" || encoding == "identity"
-}
--- a/internal/swgateway/server_test.go
+++ b/internal/swgateway/server_test.go
@@ -212,7 +212,7 @@
 		listener := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
 		group := swgroup.New(context.Background())
 		defer group.Stop()
-		defer server.front.Close()
+		defer func() { _ = server.front.Close() }()
 		group.Go(func(context.Context) { _ = server.front.Serve(listener) })
 		group.Go(server.keepLimits)
 		server.config.Routes.Offer(swroute.NewTable(1, swroute.Limits{Idle: 15 * time.Second, HeaderTimeout: 3 * time.Second}, nil, nil))
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -45,9 +45,7 @@
 	MaxConnections func(service string) int
 	// Share returns how many VMs send to the replicas of a data centre; it may be nil.
 	Share func(dataCentre string) Share
-	// OnDial is told of each opened connection; it may be nil.
-	OnDial func()
-	Log    zerolog.Logger
+	Log   zerolog.Logger
 }
 
 // Pool opens the connections to all replicas.
@@ -66,9 +64,6 @@
 	if config.Share == nil {
 		config.Share = func(string) Share { return Share{Near: 1, All: 1} }
 	}
-	if config.OnDial == nil {
-		config.OnDial = func() {}
-	}
 	return &Pool{config: config}
 }
 
@@ -176,7 +171,6 @@
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := replica.pool.config.Dial(dialCtx, replica.entry.Load().Address)
-	replica.pool.config.OnDial()
 	if err != nil {
 		if ctx.Err() == nil {
 			replica.noteDown()
