--- a/internal/swsetting/setting.go
+++ b/internal/swsetting/setting.go
@@ -152,7 +152,7 @@
 	DrainTimeout time.Duration `yaml:"DrainTimeout"`
 }
 
-// Log sets the JSON lines on standard error.
+// Log sets the JSON lines on standard output.
 type Log struct {
 	// Level is debug, info, warn or error.
 	Level string `yaml:"Level" validate:"oneof=debug info warn error"`
