--- a/internal/swpeer/node.go
+++ b/internal/swpeer/node.go
@@ -253,14 +253,13 @@
 
 // Open starts an exchange with the peer at target, making a connection when there is none.
 func (node *Node) Open(ctx context.Context, target netip.AddrPort, method Method) (*Stream, error) {
-	connection, err := node.connection(ctx, target)
-	if err != nil {
-		return nil, err
+	connection, stream, err := node.openStream(ctx, target)
+	if err != nil && connection != nil && ctx.Err() == nil {
+		// The connection had ended and was not known to have: nothing was sent, and a fresh one finds out.
+		connection, stream, err = node.openStream(ctx, target)
 	}
-	stream, err := connection.OpenStreamSync(ctx)
 	if err != nil {
-		node.drop(target, connection)
-		return nil, errors.Wrapf(err, "open stream to %s", target)
+		return nil, err
 	}
 	if _, err := stream.Write([]byte{byte(method)}); err != nil {
 		return nil, errors.Wrapf(err, "write to %s", target)
@@ -268,6 +267,20 @@
 	return newStream(stream, peerCertificate(connection)), nil
 }
 
+// openStream opens a stream on the connection to target, and drops a connection that takes none; it is returned with the error.
+func (node *Node) openStream(ctx context.Context, target netip.AddrPort) (*quic.Conn, *quic.Stream, error) {
+	connection, err := node.connection(ctx, target)
+	if err != nil {
+		return nil, nil, err
+	}
+	stream, err := connection.OpenStreamSync(ctx)
+	if err != nil {
+		node.drop(target, connection)
+		return connection, nil, errors.Wrapf(err, "open stream to %s", target)
+	}
+	return connection, stream, nil
+}
+
 // Call sends request and reads one reply. When the peer does not answer before the context ends, the connection is no
 // longer used for new exchanges, so that the next one finds out whether the path or the peer is gone.
 func (node *Node) Call(ctx context.Context, target netip.AddrPort, method Method, request, reply any) error {
