Drop a field that nothing reads

call.partial was set when an answer left without every shard; the log tells that from the answers themselves. No change of behaviour; the package's tests and linters pass.

--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -52,8 +52,6 @@
 	told []attemptStory
 	// crowded is set when a replica rejected the request because of its queue.
 	crowded bool
-	// partial is set when the answer left without waiting for every shard.
-	partial bool
 	// gone is set when the client left.
 	gone bool
 	// late is set when the deadline passed.
@@ -242,7 +240,6 @@
 	case call.request.route.Gathered() && !call.enough(len(call.shards)-call.failed()):
 		return true
 	case !call.request.answerBy.IsZero() && !now.Before(call.request.answerBy) && call.request.route.Gathered() && call.enough(call.answers):
-		call.partial = true
 		return true
 	}
 	return false
