Send far attempts through a VM beside the replica, and hedge in time for it

Three things added up. A hedge waited for the 98th percentile of one service, which a VM that sees one request of it a second never learns from its start of 50 ms. The hedge then went to another region on a new connection, two round trips and a handshake, and a fifth of them found the replica's connections used up by idle ones of 60 VMs. Replicas that were slow kept their old estimate, since attempts at them were withdrawn before they answered.

Now the pace is learned by route over all its shards, attempts for other regions go over QUIC to a VM near the replica (swrelay), answers that come after their withdrawal count for the replica, a hedge that reached no server is replaced at once.

A process has no slack for the first window; TestBudgetHoldsOverAllVMs with restarts failed before.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swmetric"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
+	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
 	"github.com/sycamorewall/sycamorewall/platform"
@@ -77,7 +78,7 @@
 		fx.Supply(config),
 		fx.Provide(
 			newLogger, newGroup, newRecorder, newMetricServer, newGraceTime, newPlatform, newRouteBook, newReplicas, newGatewayQuarantine,
-			newServerMirror, newObjectStore, newFleet, newVMMirror, newPeers, newRecordBoard, newFeed, newGatewayHandler, newGatewayServer,
+			newServerMirror, newObjectStore, newFleet, newVMMirror, newPeers, newRecordBoard, newFeed, newRelays, newGatewayHandler, newGatewayServer,
 		),
 		fx.Invoke(bindGatewayLifecycle),
 		fx.Invoke(func(parts gatewayParts) { gateway.parts = &parts }),
@@ -210,15 +211,19 @@
 	}
 }
 
-func newGatewayHandler(config Config, fleet *swfleet.Fleet, recorder *swmetric.Recorder, group *swgroup.Group, routes *swroute.Book, replicas *swreplica.Registry, quarantine *swquarantine.Register, log zerolog.Logger) *swgateway.Gateway {
+func newRelays(group *swgroup.Group, peers *peers, fleet *swfleet.Fleet, log zerolog.Logger) *swrelay.Client {
+	return swrelay.NewClient(swrelay.ClientConfig{Group: group, Transport: peers, Relays: fleet.Relays, Log: log})
+}
+
+func newGatewayHandler(config Config, fleet *swfleet.Fleet, relays *swrelay.Client, recorder *swmetric.Recorder, group *swgroup.Group, routes *swroute.Book, replicas *swreplica.Registry, quarantine *swquarantine.Register, log zerolog.Logger) *swgateway.Gateway {
 	settings := config.Settings
 	return swgateway.New(swgateway.Config{
 		Group: group, Protocol: platform.Headers{}, Routes: routes, Replicas: replicas, Quarantine: quarantine, Recorder: recorder, Log: log,
+		Relays: relays,
 		Budget: swgateway.NewBudget(swgateway.BudgetConfig{
 			Ratio: settings.Gateway.RepeatRatio, Slack: settings.Gateway.RepeatSlack, Window: settings.Gateway.RepeatWindow,
 			VMs: fleet.Len,
 		}),
-		HedgePercentile: settings.Query.HedgePercentile,
 	})
 }
 
@@ -254,7 +259,10 @@
 
 // join makes this VM known to the others and follows the store, or one of them, from then on.
 func (parts *gatewayParts) join(ctx context.Context) {
-	if err := parts.Peers.open(ctx, parts.Config.Settings, parts.Store, parts.Feed); err != nil {
+	relay := swrelay.NewServer(swrelay.ServerConfig{
+		Replicas: parts.Replicas, Codec: swgateway.Codec{Protocol: platform.Headers{}}, Leaving: parts.Server.Leaving,
+	})
+	if err := parts.Peers.open(ctx, parts.Config.Settings, parts.Store, parts.Feed, relay); err != nil {
 		parts.Log.Error().Err(err).Msg("no exchange with other VMs; following the platform's store")
 	}
 	if parts.Fleet.Join(ctx, parts.Store, parts.Log) != nil {
--- a/internal/swapp/peers.go
+++ b/internal/swapp/peers.go
@@ -11,6 +11,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swauthority"
 	"github.com/sycamorewall/sycamorewall/internal/swfeed"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 	"github.com/sycamorewall/sycamorewall/internal/swsetting"
 )
 
@@ -36,8 +37,15 @@
 	return node.Call(ctx, target, method, request, reply)
 }
 
-// open reads the authority, listens, and serves the feed's peers.
-func (peers *peers) open(ctx context.Context, settings swsetting.Settings, store swauthority.Store, feed *swfeed.Feed) error {
+// Forget makes the next call to target open a connection of its own.
+func (peers *peers) Forget(target netip.AddrPort) {
+	if node := peers.node.Load(); node != nil {
+		node.Forget(target)
+	}
+}
+
+// open reads the authority, listens, and serves the peers that follow this VM or send attempts through it.
+func (peers *peers) open(ctx context.Context, settings swsetting.Settings, store swauthority.Store, feed *swfeed.Feed, relay *swrelay.Server) error {
 	authority, err := swauthority.Shared(ctx, store)
 	if err != nil {
 		return errors.Wrap(err, "read the authority")
@@ -57,6 +65,7 @@
 		return err
 	}
 	swpeer.HandleCall(node, swpeer.MethodFollow, feed.HandleFollow)
+	swpeer.HandleCall(node, swpeer.MethodRelay, relay.Handle)
 	node.Serve()
 	peers.node.Store(node)
 	return nil
--- a/internal/swfleet/fleet.go
+++ b/internal/swfleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swfeed"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 )
 
@@ -55,11 +56,13 @@
 	counts map[string]int
 	// ahead caches the answer of Ahead; nil when it is to be worked out.
 	ahead []swfeed.Peer
+	// relays caches the answers of Relays by data centre.
+	relays map[string][]swrelay.Relay
 }
 
 // New returns a fleet of which only this VM is known.
 func New(self VM) *Fleet {
-	return &Fleet{self: self, vms: map[string]VM{self.Name: self}, counts: map[string]int{self.DataCentre: 1}}
+	return &Fleet{self: self, vms: map[string]VM{self.Name: self}, counts: map[string]int{self.DataCentre: 1}, relays: make(map[string][]swrelay.Relay)}
 }
 
 // Apply takes the VMs that are new or changed and the names of those that are gone. This VM stays registered whatever the
@@ -78,6 +81,7 @@
 		}
 	}
 	fleet.ahead = nil
+	clear(fleet.relays)
 	clear(fleet.counts)
 	for _, vm := range fleet.vms {
 		fleet.counts[vm.DataCentre]++
--- a/internal/swgateway/attempt.go
+++ b/internal/swgateway/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swbackend"
 	"github.com/sycamorewall/sycamorewall/internal/swconn"
 	"github.com/sycamorewall/sycamorewall/internal/swquery"
+	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
@@ -25,33 +26,45 @@
 	answer  swreplica.Answer
 	mark    Mark
 	at      time.Time
+	// relayed is set when another VM sent the attempt.
+	relayed bool
 }
 
 // attempt sends the request to one replica.
 func (call *call) attempt(ctx context.Context, command swquery.Command, replica *swreplica.Replica) {
-	request := call.request
-	protocol := call.gateway.config.Protocol
-	answer := replica.Exchange(ctx, &swreplica.Request{
+	result := attemptResult{command: command, replica: replica}
+	result.answer, result.relayed = call.exchange(ctx, command.Target.Server, replica)
+	result.at = time.Now()
+	if result.answer.Response != nil {
+		result.mark = call.gateway.config.Protocol.ReadMark(result.answer.Response.Status, result.answer.Response.Header)
+	}
+	call.results <- result
+}
+
+// exchange sends the request straight to the replica, or through a VM near it. Answers that are passed on as they are, with all
+// their headers, come straight.
+func (call *call) exchange(ctx context.Context, id string, replica *swreplica.Replica) (answer swreplica.Answer, relayed bool) {
+	request, codec := call.request, Codec{Protocol: call.gateway.config.Protocol}
+	attempt := swrelay.Attempt{Replica: id, Method: request.method, RequestID: request.id, Head: request.head, Body: request.body}
+	if relays := call.gateway.config.Relays; relays != nil && request.route.Gathered() {
+		if relay, ok := relays.Find(replica); ok {
+			attempt.Left = time.Until(request.deadline)
+			return relays.Exchange(ctx, replica, relay, &attempt), true
+		}
+	}
+	return replica.Exchange(ctx, &swreplica.Request{
 		Method: request.method,
 		Encode: func(now time.Time) ([]byte, bool) {
 			left := request.deadline.Sub(now)
 			if left < time.Millisecond || !replica.Taking() {
 				return nil, false
 			}
-			return request.encode(protocol, Attempt{Replica: command.Target.Server, Left: left}), true
-		},
-		Accept: func(response *swconn.Response) bool {
-			mark := protocol.ReadMark(response.Status, response.Header)
-			return mark.RequestID == request.id || mark.RequestID == "" && (mark.NotRun || mark.OtherReplica || response.Status >= http.StatusBadRequest)
+			return codec.Encode(&attempt, left), true
 		},
+		Accept:   func(response *swconn.Response) bool { return codec.Answers(response, request.id) },
 		Deadline: request.deadline,
-		Linger:   lingerAnswered,
-	})
-	result := attemptResult{command: command, replica: replica, answer: answer, at: time.Now()}
-	if answer.Response != nil {
-		result.mark = protocol.ReadMark(answer.Response.Status, answer.Response.Header)
-	}
-	call.results <- result
+		Linger:   swrelay.Linger,
+	}), false
 }
 
 // take judges the end of an attempt and goes on accordingly.
@@ -79,9 +92,15 @@
 	replica := result.replica
 	switch result.answer.Outcome {
 	case swreplica.NotSent:
+		if result.relayed {
+			replica.ObserveFailure(result.at)
+		}
 		return swbackend.Answer{Outcome: swbackend.Unreachable, Ran: swcode.RanNo, Code: swcode.NoReplica}
 	case swreplica.Withdrawn:
+		call.gateway.pace.observeWithdrawn(call.request.route.Name, result.at.Sub(result.answer.SentAt))
 		return swbackend.Answer{Outcome: swbackend.Cancelled, Ran: swcode.RanUnknown, Code: swcode.DeadlineExceeded}
+	case swreplica.Lost:
+		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed}
 	case swreplica.Broken:
 		replica.ObserveFailure(result.at)
 		call.crashes = append(call.crashes, crash{replica: replica, at: result.at})
--- a/internal/swgateway/budget.go
+++ b/internal/swgateway/budget.go
@@ -73,7 +73,7 @@
 	defer counted.mutex.Unlock()
 	at := counted.advance(budget.stepAt(now))
 	requests, repeats := counted.sums(at)
-	allowed := (1 - budgetReserve) * (budget.config.Ratio*requests + budget.config.Slack/float64(max(1, budget.config.VMs())))
+	allowed := (1 - budgetReserve) * (budget.config.Ratio*requests + budget.slack(now))
 	if repeats+1 > share*allowed {
 		return false
 	}
@@ -81,6 +81,15 @@
 	return true
 }
 
+// slack returns this VM's part of the slack. A process that has just started has none: it does not know whether another one on
+// this VM has spent it within the window.
+func (budget *Budget) slack(now time.Time) float64 {
+	if now.Sub(budget.began) < budget.config.Window {
+		return 0
+	}
+	return budget.config.Slack / float64(max(1, budget.config.VMs()))
+}
+
 func (budget *Budget) stepAt(now time.Time) int64 {
 	return int64(now.Sub(budget.began)) / max(1, int64(budget.config.Window)/budgetSteps)
 }
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -13,13 +13,11 @@
 )
 
 const (
-	// lingerAnswered is how long an attempt that is no longer needed may still be answered, so that its connection is kept: a
-	// little more than replicas commonly stand still.
-	lingerAnswered = 300 * time.Millisecond
 	// maxSends bounds the attempts for one service: more than any gather makes, so that results never block.
 	maxSends = 8
-	// spareShare is the part of the budget that repeats may use which no answer depends on.
-	spareShare = 0.5
+	// spareShare is the part of the budget that repeats may use which no answer depends on. A VM of many sees few requests of a
+	// shard, so that its part of the budget is a handful of repeats in a window; less than nearly all of it would be none.
+	spareShare = 0.9
 	// choiceJitter is the part by which an estimate varies at random, so that VMs do not all choose the same replica.
 	choiceJitter = 0.1
 )
@@ -176,7 +174,7 @@
 	}
 	now := time.Now()
 	known := &call.shards[shard]
-	typical := call.gateway.latencies.Typical(known.service)
+	typical := call.gateway.pace.typical(known.service)
 	type scored struct {
 		target swquery.Target
 		expect time.Duration
@@ -198,10 +196,10 @@
 	known := &call.shards[shard]
 	expected := time.Duration(0)
 	if replica, ok := known.replicas[target.Server]; ok {
-		prospect := replica.Prospect(time.Now(), call.gateway.latencies.Typical(known.service))
+		prospect := replica.Prospect(time.Now(), call.gateway.pace.typical(known.service))
 		expected = prospect.Typical
 	}
-	return call.gateway.hedgeAfter(call.request, known.service, expected)
+	return call.gateway.pace.hedgeAfter(call.request.route, expected)
 }
 
 // run sends the request and returns once the answer is decided, the deadline has passed, or the client has left.
@@ -281,8 +279,14 @@
 	}
 }
 
-// withdraw ends all attempts that are still under way.
+// withdraw ends all attempts that are still under way. How long they have taken so far tells of late ones as answers do.
 func (call *call) withdraw() {
+	now := time.Now()
+	for i := range call.told {
+		if call.told[i].ended.IsZero() {
+			call.gateway.pace.observeWithdrawn(call.request.route.Name, now.Sub(call.told[i].begun))
+		}
+	}
 	for _, cancel := range call.cancels {
 		cancel()
 	}
--- a/internal/swgateway/gateway.go
+++ b/internal/swgateway/gateway.go
@@ -9,7 +9,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
-	"github.com/sycamorewall/sycamorewall/internal/swquery"
+	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
 	"github.com/sycamorewall/sycamorewall/internal/swtable"
@@ -44,24 +44,24 @@
 
 // Config holds what a Gateway is built from.
 type Config struct {
-	Group      *swgroup.Group
-	Protocol   Protocol
-	Routes     *swroute.Book
-	Replicas   *swreplica.Registry
-	Budget     *Budget
+	Group    *swgroup.Group
+	Protocol Protocol
+	Routes   *swroute.Book
+	Replicas *swreplica.Registry
+	Budget   *Budget
+	// Relays carry attempts for replicas of other regions; it may be nil, and every attempt then goes straight to its replica.
+	Relays     *swrelay.Client
 	Quarantine Quarantine
 	Recorder   Recorder
 	Log        zerolog.Logger
-	// HedgePercentile is the percentile of a service's latency after which an attempt is hedged.
-	HedgePercentile float64
 }
 
 // Gateway answers clients' requests. Construct it with New.
 type Gateway struct {
-	config    Config
-	latencies *swquery.Latencies
-	patience  *patience
-	rooms     *swtable.Table[string, *room]
+	config   Config
+	pace     *pace
+	patience *patience
+	rooms    *swtable.Table[string, *room]
 	// admissions holds those of the gathered routes, by name.
 	admissions *swtable.Table[string, *admission]
 	log        *requestLog
@@ -71,7 +71,7 @@
 func New(config Config) *Gateway {
 	return &Gateway{
 		config:     config,
-		latencies:  swquery.NewLatencies(config.HedgePercentile),
+		pace:       newPace(),
 		patience:   newPatience(),
 		rooms:      swtable.New[string, *room](),
 		admissions: swtable.New[string, *admission](),
@@ -232,30 +232,13 @@
 	}
 }
 
-// hedgeAfter returns when an attempt for the request at a service is late: when it takes longer than is usual there and than
-// its replica is expected to take, and in any case while a second attempt can still be in time.
-func (gateway *Gateway) hedgeAfter(request *request, service string, expected time.Duration) time.Duration {
-	wait := max(gateway.latencies.HedgeAfter(service, request.route.Priority), lateFactor*expected)
-	if request.route.Target > 0 {
-		wait = min(wait, request.route.Target/2-clientMargin)
-	}
-	return max(hedgeFloor, wait)
-}
-
-const (
-	// hedgeFloor is the least wait before a hedge.
-	hedgeFloor = 4 * time.Millisecond
-	// lateFactor is how much longer than its replica's average an attempt takes when it is late.
-	lateFactor = 2
-)
-
 // observe takes the latency of an answer.
 func (gateway *Gateway) observe(request *request, service string, replica *swreplica.Replica, now time.Time, latency time.Duration) {
 	replica.Observe(now, latency)
 	if !request.route.Gathered() {
 		gateway.rooms.GetOrPut(service, newRoom).noteAnswer(now)
 	}
-	gateway.latencies.Observe(now, service, request.route.Priority, replica.ID(), latency)
+	gateway.pace.observe(request.route.Name, service, latency)
 }
 
 // settle judges what broke off: a request that nothing answered may be what crashes replicas, if those that broke off are
--- a/internal/swgateway/gathered_test.go
+++ b/internal/swgateway/gathered_test.go
@@ -201,51 +201,71 @@
 // TestBudgetHoldsOverAllVMs replays requests at VMs of uneven load that repeat as much as they are granted, and counts the
 // repeats in every window over all of them.
 func TestBudgetHoldsOverAllVMs(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		const (
-			vms    = 9
-			ratio  = 0.2
-			slack  = 58.0
-			window = 10 * time.Second
-			step   = 10 * time.Millisecond
-		)
-		random := rand.New(rand.NewPCG(1, 1))
-		budgets := make([]*Budget, vms)
-		for i := range budgets {
-			budgets[i] = NewBudget(BudgetConfig{Ratio: ratio, Slack: slack, Window: window, VMs: func() int { return vms }})
-			time.Sleep(37 * time.Millisecond)
-		}
-		const steps = 4000
-		var requests, repeats [steps]int
-		for i := range steps {
-			time.Sleep(step)
-			for vm := range budgets {
-				// Load swings between none and much, and differs between VMs.
-				if random.IntN(10) > vm || i/500%2 == 1 && random.IntN(5) > 0 {
-					continue
-				}
-				now := time.Now()
-				budgets[vm].Count(now, "s")
-				requests[i]++
-				for random.IntN(3) > 0 && budgets[vm].Take(now, "s", 1) {
-					repeats[i]++
-				}
-			}
+	for name, restartEvery := range map[string]int{
+		"VMs that stay":                     0,
+		"VMs that restart in turn, rolling": 130,
+		"all VMs restart again and again":   20,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) { checkBudget(t, restartEvery) })
+		})
+	}
+}
+
+// checkBudget plays the load; one VM restarts, and so forgets what it has spent, each time that so many steps have passed.
+func checkBudget(t *testing.T, restartEvery int) {
+	t.Helper()
+	const (
+		vms    = 9
+		ratio  = 0.2
+		slack  = 58.0
+		window = 10 * time.Second
+		step   = 10 * time.Millisecond
+		steps  = 4000
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	start := func() *Budget {
+		return NewBudget(BudgetConfig{Ratio: ratio, Slack: slack, Window: window, VMs: func() int { return vms }})
+	}
+	budgets := make([]*Budget, vms)
+	for i := range budgets {
+		budgets[i] = start()
+		time.Sleep(37 * time.Millisecond)
+	}
+	// Traffic starts after the VMs do.
+	time.Sleep(window)
+	var requests, repeats [steps]int
+	for i := range steps {
+		time.Sleep(step)
+		if restartEvery > 0 && i > steps/2 && i%restartEvery == 0 {
+			budgets[i/restartEvery%vms] = start()
 		}
-		total := 0
-		for i := 0; i+int(window/step) <= steps; i++ {
-			asked, repeated := 0, 0
-			for j := range int(window / step) {
-				asked += requests[i+j]
-				repeated += repeats[i+j]
+		for vm := range budgets {
+			// Load swings between none and much, and differs between VMs.
+			if random.IntN(10) > vm || i/500%2 == 1 && random.IntN(5) > 0 {
+				continue
 			}
-			total = max(total, repeated)
-			if allowed := ratio*float64(asked) + slack; float64(repeated) > allowed {
-				t.Fatalf("%d repeats of %d requests in the window from step %d, want %.0f at most", repeated, asked, i, allowed)
+			now := time.Now()
+			budgets[vm].Count(now, "s")
+			requests[i]++
+			for random.IntN(3) > 0 && budgets[vm].Take(now, "s", 1) {
+				repeats[i]++
 			}
 		}
-		if total < 100 {
-			t.Errorf("at most %d repeats in a window; the budget grants too little to be of use", total)
+	}
+	total := 0
+	for i := 0; i+int(window/step) <= steps; i++ {
+		asked, repeated := 0, 0
+		for j := range int(window / step) {
+			asked += requests[i+j]
+			repeated += repeats[i+j]
 		}
-	})
+		total = max(total, repeated)
+		if allowed := ratio*float64(asked) + slack; float64(repeated) > allowed {
+			t.Fatalf("%d repeats of %d requests in the window from step %d, want %.0f at most", repeated, asked, i, allowed)
+		}
+	}
+	if total < 100 {
+		t.Errorf("at most %d repeats in a window; the budget grants too little to be of use", total)
+	}
 }
--- a/internal/swgateway/harness_test.go
+++ b/internal/swgateway/harness_test.go
@@ -163,7 +163,11 @@
 	replicas map[netip.AddrPort]*testReplica
 }
 
-// newBench returns a gateway without replicas; budget is the share of repeats, none at zero.
+// testWindow is the window of the budget in tests.
+const testWindow = 10 * time.Second
+
+// newBench returns a gateway without replicas that has run for longer than the window of its budget; budget is the share of
+// repeats, none at zero.
 func newBench(t *testing.T, budget float64) *testBench {
 	t.Helper()
 	bench := &testBench{t: t, group: swgroup.New(context.Background()), book: &swroute.Book{}, replicas: make(map[netip.AddrPort]*testReplica)}
@@ -171,12 +175,12 @@
 	bench.registry = swreplica.NewRegistry(swreplica.RegistryConfig{Pool: pool, DataCentre: "dc", Region: "r"})
 	bench.Gateway = New(Config{
 		Group: bench.group, Protocol: testProtocol{}, Routes: bench.book, Replicas: bench.registry,
-		Budget:          NewBudget(BudgetConfig{Ratio: budget, Slack: 1000 * budget, Window: 10 * time.Second, VMs: func() int { return 1 }}),
-		Quarantine:      swquarantine.New(swquarantine.Config{Name: "vm", CanaryWindow: time.Nanosecond}),
-		Recorder:        noRecorder{},
-		Log:             zerolog.Nop(),
-		HedgePercentile: 98,
+		Budget:     NewBudget(BudgetConfig{Ratio: budget, Slack: 1000 * budget, Window: testWindow, VMs: func() int { return 1 }}),
+		Quarantine: swquarantine.New(swquarantine.Config{Name: "vm", CanaryWindow: time.Nanosecond}),
+		Recorder:   noRecorder{},
+		Log:        zerolog.Nop(),
 	})
+	time.Sleep(testWindow)
 	return bench
 }
 
--- a/internal/swgateway/request.go
+++ b/internal/swgateway/request.go
@@ -170,15 +170,6 @@
 	return named
 }
 
-// encode returns the bytes of one attempt.
-func (request *request) encode(protocol Protocol, attempt Attempt) []byte {
-	data := make([]byte, 0, len(request.head)+len(request.body)+128)
-	data = append(data, request.head...)
-	data = protocol.AppendAttempt(data, attempt)
-	data = append(data, "\r\n"...)
-	return append(data, request.body...)
-}
-
 // fingerprintOf identifies what a request asks for, whoever sends it and however often.
 func fingerprintOf(method, host, target string, body []byte) uint64 {
 	digest := xxhash.New()
--- a/internal/swgateway/room.go
+++ b/internal/swgateway/room.go
@@ -87,7 +87,7 @@
 
 func (gateway *Gateway) survey(service string) survey {
 	now := time.Now()
-	survey := survey{typical: gateway.latencies.Typical(service)}
+	survey := survey{typical: gateway.pace.typical(service)}
 	for _, replica := range gateway.config.Replicas.Service(service) {
 		if !replica.Up() {
 			continue
--- a/internal/swpeer/stream.go
+++ b/internal/swpeer/stream.go
@@ -37,6 +37,8 @@
 	MethodReport Method = 10
 	// MethodFollow waits for changes of the platform's objects that a peer knows.
 	MethodFollow Method = 11
+	// MethodRelay passes an attempt on to a backend server near the peer.
+	MethodRelay Method = 12
 )
 
 // streamCancelled is the QUIC error code of a withdrawn stream.
--- a/internal/swquery/gather_test.go
+++ b/internal/swquery/gather_test.go
@@ -230,6 +230,38 @@
 }
 
 // TestAnswerOfAnotherEpochOrServerIsUnknown checks that answers that crossed are not taken.
+// TestHedgeThatReachedNoServerIsReplaced replays a shard whose first replica stands still while the connections of the second
+// are used up: without a replacement the shard waits for another hedge to be due.
+func TestHedgeThatReachedNoServerIsReplaced(t *testing.T) {
+	for name, test := range map[string]struct {
+		outcome swbackend.Outcome
+		want    []string
+	}{
+		"it reached no server":                {swbackend.Unreachable, []string{"s0-2"}},
+		"its server rejected it":              {swbackend.Shed, nil},
+		"its server failed it, which may run": {swbackend.Failed, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gather := NewGather(GatherConfig{
+				Shards: testPlan(1, 3), Idempotent: true, Budget: grantAll{},
+				HedgeAfter: func(int, Target) time.Duration { return 10 * time.Millisecond },
+			})
+			now := time.Unix(0, 0)
+			gather.Start(now, 0, 1)
+			now = now.Add(10 * time.Millisecond)
+			hedge := gather.Tick(now).Send[0]
+			orders, _, _ := gather.Answer(now, hedge.Attempt, hedge.Target.Server, swbackend.Answer{Outcome: test.outcome, Ran: swcode.RanNo})
+			var got []string
+			for _, command := range orders.Send {
+				got = append(got, command.Target.Server)
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("sent in place of the hedge (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestAnswerOfAnotherEpochOrServerIsUnknown(t *testing.T) {
 	gather := NewGather(GatherConfig{Shards: testPlan(1, 2), Epoch: 2, Idempotent: true, Budget: grantAll{}})
 	now := time.Unix(0, 0)
--- a/internal/swquery/latency.go
+++ b/internal/swquery/latency.go
@@ -55,8 +55,8 @@
 type Latencies struct {
 	percentile float64
 	servers    *swtable.Table[string, *serverLatency]
-	shards     *swtable.Table[shardKey, *quantile]
-	typical    *swtable.Table[string, *typicalLatency]
+	shards     *swtable.Table[shardKey, *Quantile]
+	typical    *swtable.Table[string, *Average]
 }
 
 type shardKey struct {
@@ -72,17 +72,17 @@
 	return &Latencies{
 		percentile: percentile / 100,
 		servers:    swtable.New[string, *serverLatency](),
-		shards:     swtable.New[shardKey, *quantile](),
-		typical:    swtable.New[string, *typicalLatency](),
+		shards:     swtable.New[shardKey, *Quantile](),
+		typical:    swtable.New[string, *Average](),
 	}
 }
 
 // Observe takes the age of an answered attempt.
 func (latencies *Latencies) Observe(now time.Time, index string, shard int, server string, age time.Duration) {
 	latencies.server(server).observe(now, age, age > latencies.HedgeAfter(index, shard))
-	latencies.shard(index, shard).observe(age, latencies.percentile)
-	latencies.shard(index, wholeIndex).observe(age, median)
-	latencies.typicalOf(index).observe(age)
+	latencies.shard(index, shard).Observe(age)
+	latencies.shard(index, wholeIndex).Observe(age)
+	latencies.typicalOf(index).Observe(age)
 }
 
 // ObserveFailure makes a server less attractive for a while.
@@ -97,17 +97,17 @@
 
 // ObserveWithdrawn takes the age of an attempt that was withdrawn without an answer.
 func (latencies *Latencies) ObserveWithdrawn(index string, shard int, age time.Duration) {
-	latencies.shard(index, shard).observeAbove(age, latencies.percentile)
-	latencies.shard(index, wholeIndex).observeAbove(age, median)
+	latencies.shard(index, shard).ObserveAbove(age)
+	latencies.shard(index, wholeIndex).ObserveAbove(age)
 }
 
 // Typical returns the average time of an answer over all servers of an index.
 func (latencies *Latencies) Typical(index string) time.Duration {
-	return latencies.typicalOf(index).value()
+	return latencies.typicalOf(index).Value()
 }
 
-func (latencies *Latencies) typicalOf(index string) *typicalLatency {
-	return latencies.typical.GetOrPut(index, func() *typicalLatency { return &typicalLatency{average: typicalStart} })
+func (latencies *Latencies) typicalOf(index string) *Average {
+	return latencies.typical.GetOrPut(index, NewAverage)
 }
 
 // Expect estimates what an answer of the server would take now. prior is the estimate for a server not observed lately.
@@ -123,8 +123,8 @@
 // multiple of the whole index's median where that is lower, since a shard whose every replica answers late gains from an
 // early hedge. One bad shard hardly moves the median.
 func (latencies *Latencies) HedgeAfter(index string, shard int) time.Duration {
-	own := latencies.shard(index, shard).value()
-	whole := medianFactor * latencies.shard(index, wholeIndex).value()
+	own := latencies.shard(index, shard).Value()
+	whole := medianFactor * latencies.shard(index, wholeIndex).Value()
 	return max(min(own, whole), quantileFloor)
 }
 
@@ -132,13 +132,12 @@
 	return latencies.servers.GetOrPut(name, func() *serverLatency { return &serverLatency{} })
 }
 
-func (latencies *Latencies) shard(index string, shard int) *quantile {
-	return latencies.shards.GetOrPut(shardKey{index: index, shard: shard}, func() *quantile {
-		step := quantileStep
+func (latencies *Latencies) shard(index string, shard int) *Quantile {
+	return latencies.shards.GetOrPut(shardKey{index: index, shard: shard}, func() *Quantile {
 		if shard == wholeIndex {
-			step = wholeStep
+			return &Quantile{percentile: median, step: wholeStep, estimate: float64(quantileStart)}
 		}
-		return &quantile{estimate: float64(quantileStart), step: step}
+		return NewQuantile(latencies.percentile, quantileStart)
 	})
 }
 
@@ -195,22 +194,29 @@
 	return prior
 }
 
-// typicalLatency is a moving average.
-type typicalLatency struct {
-	mutex   sync.Mutex
-	average time.Duration
+// Average is a moving average of latencies. Construct it with NewAverage; it is safe for concurrent use.
+type Average struct {
+	mutex sync.Mutex
+	value time.Duration
+}
+
+// NewAverage returns an average that starts low, so that a hedge comes too early rather than too late.
+func NewAverage() *Average {
+	return &Average{value: typicalStart}
 }
 
-func (typicalLatency *typicalLatency) observe(age time.Duration) {
-	typicalLatency.mutex.Lock()
-	defer typicalLatency.mutex.Unlock()
-	typicalLatency.average += time.Duration(typicalWeight * float64(age-typicalLatency.average))
+// Observe takes the latency of an answer.
+func (average *Average) Observe(age time.Duration) {
+	average.mutex.Lock()
+	defer average.mutex.Unlock()
+	average.value += time.Duration(typicalWeight * float64(age-average.value))
 }
 
-func (typicalLatency *typicalLatency) value() time.Duration {
-	typicalLatency.mutex.Lock()
-	defer typicalLatency.mutex.Unlock()
-	return typicalLatency.average
+// Value returns the average.
+func (average *Average) Value() time.Duration {
+	average.mutex.Lock()
+	defer average.mutex.Unlock()
+	return average.value
 }
 
 func (serverLatency *serverLatency) expect(now time.Time, prior time.Duration) time.Duration {
@@ -224,34 +230,44 @@
 	return prior + time.Duration(kept*float64(serverLatency.average-prior))
 }
 
-// quantile estimates a percentile by stochastic approximation, in constant memory.
-type quantile struct {
+// Quantile estimates a percentile by stochastic approximation, in constant memory. Construct it with NewQuantile; it is safe
+// for concurrent use.
+type Quantile struct {
+	// percentile is between 0 and 1, step the greatest change of the estimate by one observation, as a part of it.
+	percentile float64
+	step       float64
+
 	mutex    sync.Mutex
 	estimate float64
-	// step is the greatest change of the estimate by one observation, as a part of it.
-	step float64
 }
 
-func (quantile *quantile) observe(age time.Duration, percentile float64) {
+// NewQuantile returns an estimate of a percentile, between 0 and 1, that starts at a latency.
+func NewQuantile(percentile float64, start time.Duration) *Quantile {
+	return &Quantile{percentile: percentile, step: quantileStep, estimate: float64(start)}
+}
+
+// Observe takes the age of an answer.
+func (quantile *Quantile) Observe(age time.Duration) {
 	quantile.mutex.Lock()
 	defer quantile.mutex.Unlock()
 	step := quantile.step * quantile.estimate
 	if float64(age) > quantile.estimate {
-		quantile.estimate += step * percentile
+		quantile.estimate += step * quantile.percentile
 	} else {
-		quantile.estimate -= step * (1 - percentile)
+		quantile.estimate -= step * (1 - quantile.percentile)
 	}
 	quantile.estimate = max(quantile.estimate, float64(quantileFloor)/2)
 }
 
-// observeAbove takes an age that would have grown further; below the estimate it tells nothing.
-func (quantile *quantile) observeAbove(age time.Duration, percentile float64) {
-	if age > quantile.value() {
-		quantile.observe(age, percentile)
+// ObserveAbove takes an age that would have grown further; below the estimate it tells nothing.
+func (quantile *Quantile) ObserveAbove(age time.Duration) {
+	if age > quantile.Value() {
+		quantile.Observe(age)
 	}
 }
 
-func (quantile *quantile) value() time.Duration {
+// Value returns the estimate.
+func (quantile *Quantile) Value() time.Duration {
 	quantile.mutex.Lock()
 	defer quantile.mutex.Unlock()
 	return time.Duration(quantile.estimate)
--- a/internal/swreplica/choose.go
+++ b/internal/swreplica/choose.go
@@ -23,7 +23,7 @@
 const (
 	// regionPenalty is what an exchange with another region counts beyond its measured latency: its traffic is dear, so that a
 	// replica there is worth it only when the near ones are far slower than usual.
-	regionPenalty = 30 * time.Millisecond
+	regionPenalty = 20 * time.Millisecond
 	// dataCentrePenalty is the same for another data centre of the region.
 	dataCentrePenalty = 2 * time.Millisecond
 	// unreachablePenalty puts replicas that do not answer behind all others.
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -37,6 +37,8 @@
 	Broken Outcome = 2
 	// Withdrawn attempts were sent and given up by the sender; they may have run.
 	Withdrawn Outcome = 3
+	// Lost attempts went through another VM that did not tell what became of them; they may have run.
+	Lost Outcome = 4
 )
 
 // Answer is the end of an attempt.
@@ -68,57 +70,65 @@
 		replica.give(connection)
 		return Answer{Outcome: NotSent, Err: errTooLate}
 	}
-	replica.began(connection, now)
+	flight := replica.Begin(now)
 	results, sent, err := connection.Send(request.Method, data, request.Deadline, request.Accept)
 	if err != nil {
-		replica.finished(connection)
+		flight.End()
 		connection.Close()
 		if !sent {
 			return Answer{Outcome: NotSent, Err: err}
 		}
 		return Answer{Outcome: Broken, Err: err, SentAt: now}
 	}
-	return replica.await(ctx, connection, request, results, now)
+	return replica.await(ctx, connection, request, results, flight)
 }
 
 // await waits for the result of a request that was sent.
-func (replica *Replica) await(ctx context.Context, connection *swconn.Connection, request *Request, results <-chan swconn.Result, sentAt time.Time) Answer {
+func (replica *Replica) await(ctx context.Context, connection *swconn.Connection, request *Request, results <-chan swconn.Result, flight *Flight) Answer {
 	select {
 	case result := <-results:
-		return replica.conclude(connection, result, sentAt)
+		return replica.conclude(connection, result, flight)
 	case <-ctx.Done():
 	}
 	if request.Linger <= 0 {
-		replica.finished(connection)
+		flight.End()
 		connection.Close()
-		return Answer{Outcome: Withdrawn, Err: ctx.Err(), SentAt: sentAt}
+		return Answer{Outcome: Withdrawn, Err: ctx.Err(), SentAt: flight.sentAt}
 	}
 	replica.pool.config.Group.Go(func(poolCtx context.Context) {
 		timer := time.NewTimer(request.Linger)
 		defer timer.Stop()
 		select {
 		case result := <-results:
-			replica.conclude(connection, result, sentAt)
+			if answer := replica.conclude(connection, result, flight); answer.Response != nil {
+				now := time.Now()
+				replica.ObserveLate(now, answer.Response.Status, now.Sub(flight.sentAt))
+			}
 			return
 		case <-timer.C:
 		case <-poolCtx.Done():
 		}
-		replica.finished(connection)
+		flight.End()
 		connection.Close()
-		replica.noteSilent(time.Now(), sentAt)
+		replica.noteSilent(time.Now(), flight.sentAt)
 	})
-	return Answer{Outcome: Withdrawn, Err: ctx.Err(), SentAt: sentAt}
+	return Answer{Outcome: Withdrawn, Err: ctx.Err(), SentAt: flight.sentAt}
 }
 
 // conclude takes the result of a request.
-func (replica *Replica) conclude(connection *swconn.Connection, result swconn.Result, sentAt time.Time) Answer {
-	replica.finished(connection)
+func (replica *Replica) conclude(connection *swconn.Connection, result swconn.Result, flight *Flight) Answer {
+	flight.End()
 	if result.Err != nil {
 		connection.Close()
-		return Answer{Outcome: Broken, Err: result.Err, SentAt: sentAt}
+		return Answer{Outcome: Broken, Err: result.Err, SentAt: flight.sentAt}
 	}
 	replica.give(connection)
-	return Answer{Outcome: Answered, Response: result.Response, SentAt: sentAt}
+	return Answer{Outcome: Answered, Response: result.Response, SentAt: flight.sentAt}
+}
+
+// Unreserve ends a reservation that no Exchange takes up.
+func (replica *Replica) Unreserve() {
+	replica.addWaiting(-1)
 }
 
 func (replica *Replica) addWaiting(count int) {
@@ -127,16 +137,26 @@
 	replica.waiting += count
 }
 
-func (replica *Replica) began(connection *swconn.Connection, now time.Time) {
-	replica.mutex.Lock()
-	defer replica.mutex.Unlock()
-	replica.inFlight[connection] = now
+// Flight is one request of this VM that the replica works on.
+type Flight struct {
+	replica *Replica
+	sentAt  time.Time
 }
 
-func (replica *Replica) finished(connection *swconn.Connection) {
+// Begin counts a request as in flight from now on.
+func (replica *Replica) Begin(now time.Time) *Flight {
+	flight := &Flight{replica: replica, sentAt: now}
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
-	delete(replica.inFlight, connection)
+	replica.inFlight[flight] = struct{}{}
+	return flight
+}
+
+// End counts the request as in flight no longer.
+func (flight *Flight) End() {
+	flight.replica.mutex.Lock()
+	defer flight.replica.mutex.Unlock()
+	delete(flight.replica.inFlight, flight)
 }
 
 // noteSilent takes a request that was never answered. A replica that has answered nothing since is left alone until a trial
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -77,7 +77,7 @@
 		pool:     pool,
 		distance: distance,
 		warmAt:   now.Add(entry.WarmUp),
-		inFlight: make(map[*swconn.Connection]time.Time),
+		inFlight: make(map[*Flight]struct{}),
 		open:     make(map[*swconn.Connection]struct{}),
 	}
 	replica.entry.Store(&entry)
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// latencyWeight is the weight of a new answer in a replica's moving average: about the last ten answers count.
-	latencyWeight = 0.1
+	// latencyWeight is the weight of a new answer in a replica's moving average: about the last five answers count.
+	latencyWeight = 0.2
+	// latencyClip bounds how many times the average a new answer counts as, so that one which met a replica that stood still
+	// says little, and several slow ones in a row say much.
+	latencyClip = 4
 	// latencyMemory is the time after which an average that nothing renews has gone half the way back to the service's.
 	latencyMemory = 5 * time.Second
 	// floorFall and floorRise are the weights of an answer in a replica's floor, below and above it.
@@ -47,9 +50,8 @@
 
 	mutex sync.Mutex
 	// retired replicas are no longer listed.
-	retired bool
-	// inFlight holds the times at which the requests in flight were sent.
-	inFlight map[*swconn.Connection]time.Time
+	retired  bool
+	inFlight map[*Flight]struct{}
 	waiting  int
 	idle     []*swconn.Connection
 	open     map[*swconn.Connection]struct{}
@@ -105,8 +107,8 @@
 		Distance:    replica.distance,
 	}
 	prospect.Full = replica.places > 0 && now.Sub(replica.shedAt) < placesFor && float64(prospect.Busy+1) > replica.places
-	for _, at := range replica.inFlight {
-		prospect.Silence = max(prospect.Silence, now.Sub(at))
+	for flight := range replica.inFlight {
+		prospect.Silence = max(prospect.Silence, now.Sub(flight.sentAt))
 	}
 	return prospect
 }
@@ -141,6 +143,14 @@
 	replica.shedSeen = now
 }
 
+// ObserveLate takes the latency of an answer that came after its attempt was withdrawn. Replicas that are slow would else look
+// as fast as they were before, since attempts at them are withdrawn.
+func (replica *Replica) ObserveLate(now time.Time, status int, latency time.Duration) {
+	if status >= 200 && status < 300 {
+		replica.Observe(now, latency)
+	}
+}
+
 // Observe takes the latency of an answer that the caller judged to be one.
 func (replica *Replica) Observe(now time.Time, latency time.Duration) {
 	replica.mutex.Lock()
@@ -159,7 +169,8 @@
 			weight = floorFall
 		}
 		replica.floor += time.Duration(weight * float64(latency-replica.floor))
-		replica.average += time.Duration(latencyWeight * float64(latency-replica.average))
+		clipped := min(latency, latencyClip*max(replica.average, time.Millisecond))
+		replica.average += time.Duration(latencyWeight * float64(clipped-replica.average))
 	}
 	replica.observed = now
 }
