Leave a replica that goes on rejecting alone for longer

Each VM forgot after two seconds that a replica was full, tried it again with nothing to show for it, and the client had its refusal.

Ruled out: a larger part of the budget for sending rejected requests on; 85 rejections a second are three times what it grants.

Rejections in a row now count for twice as long each time, the places that a replica has for this VM are kept to for 5 s and grow by 0.03 an answer in place of 0.1.

--- a/internal/swgateway/room_test.go
+++ b/internal/swgateway/room_test.go
@@ -59,6 +59,55 @@
 	})
 }
 
+// TestBurstOverManyVMsIsNotSpentOnRejections replays a burst of 1.3 times what the replicas take, for six seconds, spread over VMs
+// that do not know of each other's requests: a VM learns that a replica is full by a rejection, which costs a client its
+// request or the service a repeat, and must not go on finding out.
+func TestBurstOverManyVMsIsNotSpentOnRejections(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const vms, replicas, slots = 6, 4, 4
+		benches := make([]*testBench, vms)
+		for i := range benches {
+			benches[i] = newBench(t, 0.2)
+			defer benches[i].close()
+			benches[i].route(once())
+			if i > 0 {
+				benches[i].replicas = benches[0].replicas
+			}
+		}
+		for i := range replicas {
+			replica := benches[0].add("s", fmt.Sprint(i), limited(slots))
+			for _, bench := range benches[1:] {
+				bench.registry.Update([]swreplicaEntry{benches[0].registry.Find(replica.id).Entry()}, nil)
+			}
+		}
+		// Sixteen slots of 50 ms take 320 a second.
+		const burst, spacing = 2500, 2400 * time.Microsecond
+		var clients sync.WaitGroup
+		var mutex sync.Mutex
+		statuses := make(map[int]int)
+		for i := range burst {
+			clients.Go(func() {
+				got := benches[i%vms].askFor(t.Context(), http.MethodPost, "/x", "work", 6*time.Second)
+				mutex.Lock()
+				defer mutex.Unlock()
+				statuses[got.Code]++
+			})
+			time.Sleep(spacing)
+		}
+		clients.Wait()
+		arrived := 0
+		for _, replica := range benches[0].replicas {
+			arrived += replica.count()
+		}
+		if rejected := arrived - statuses[http.StatusOK]; rejected > burst/10 {
+			t.Errorf("%d of %d arrivals were rejected, statuses %v; want at most one in ten", rejected, arrived, statuses)
+		}
+		if statuses[http.StatusOK] < burst*9/10 {
+			t.Errorf("statuses %v, want nearly all served: what waits fits into the deadline", statuses)
+		}
+	})
+}
+
 func TestWorkThatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		bench := newBench(t, 0.2)
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -28,12 +28,15 @@
 	// which a share that nothing renews has gone half the way back to none.
 	shedWeight = 0.1
 	shedMemory = 3 * time.Second
-	// placeGrowth is how much each answer adds to the places at a replica that rejected: about one try in ten answers.
-	placeGrowth = 0.1
-	// placesFor is how long after its last rejection a replica's places are kept to.
-	placesFor = 2 * time.Second
-	// shedFor is how long a rejection counts: a queue of a dozen requests of ten milliseconds is worked off by then.
-	shedFor = 100 * time.Millisecond
+	// placeGrowth is how much each answer adds to the places at a replica that rejected: about one try in thirty answers.
+	placeGrowth = 0.03
+	// placesFor is how long after its last rejection a replica's places are kept to: a burst lasts for seconds.
+	placesFor = 5 * time.Second
+	// shedFor is how long a rejection counts: a queue of a dozen requests of ten milliseconds is worked off by then. It doubles
+	// with each further rejection in a row, up to shedDoublings times, so that the VMs of a fleet do not try a replica that others
+	// fill again and again.
+	shedFor       = 100 * time.Millisecond
+	shedDoublings = 4
 	// downLeast and downMost bound the pause between trials of a replica that cannot be reached. Only trials open connections
 	// to it: requests that all did so would meet a server that comes back, or whose connections are used up, as a storm.
 	downLeast = 100 * time.Millisecond
@@ -63,6 +66,8 @@
 	floor    time.Duration
 	observed time.Time
 	shedAt   time.Time
+	// shedInRow is the number of rejections since the last answer.
+	shedInRow int
 	// shedShare is the share of attempts that the replica rejects or fails, as of shedSeen.
 	shedShare float64
 	shedSeen  time.Time
@@ -101,7 +106,7 @@
 		Busy:        len(replica.inFlight) + replica.waiting,
 		Slots:       entry.Slots,
 		Unreachable: replica.down,
-		Shedding:    now.Sub(replica.shedAt) < shedFor,
+		Shedding:    now.Sub(replica.shedAt) < shedFor<<min(max(0, replica.shedInRow-1), shedDoublings),
 		Rejects:     replica.rejects(now),
 		Cold:        now.Before(replica.warmAt),
 		Distance:    replica.distance,
@@ -156,6 +161,7 @@
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	replica.noteAttempt(now, 0)
+	replica.shedInRow = 0
 	if replica.places > 0 {
 		replica.places += placeGrowth
 	}
@@ -189,6 +195,7 @@
 	replica.noteAttempt(now, 1)
 	replica.places = max(1, float64(len(replica.inFlight)))
 	replica.shedAt = now
+	replica.shedInRow++
 	replica.answeredAt = now
 	replica.down = false
 }
