--- a/internal/swquery/interleave_test.go
+++ b/internal/swquery/interleave_test.go
@@ -37,6 +37,7 @@
 				world.drop("s1", shard, dataCentres...)
 			}
 			world.breakStreams(vmAddress("b"))
+			world.breakStreams(vmAddress("c"))
 		}, "s2"},
 	}
 	for title, test := range cases {
