Halve what a VM sends to a replica that rejects

Cause: TestBurstOverManyVMsIsNotSpentOnRejections failed about once in five runs: 258 of 2,643 arrivals rejected where one in ten is the bound. A VM kept all that it had in flight after a rejection, so VMs held unequal parts, and those with little tried in vain; how many rejections came of it depended on the order of a few early ones (78 to 790 in 30 runs).

Ruled out: slower growth (0.02, 0.015 an answer: 106 to 462), a cut to 0.8 or 0.6 (89 to 714 with slow growth, 126 to 258 with 0.1).

A rejection halves the places, to this VM's even part of the slots at least, and answers add a tenth each.

--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -28,8 +28,12 @@
 	// which a share that nothing renews has gone half the way back to none.
 	shedWeight = 0.1
 	shedMemory = 3 * time.Second
-	// placeGrowth is how much each answer adds to the places at a replica that rejected: about one try in thirty answers.
-	placeGrowth = 0.03
+	// placeGrowth is how much each answer adds to the places at a replica that rejected, about one try in ten answers, and
+	// placeCut the part of the requests in flight that a rejection leaves. VMs that halve what they take when a replica is full and
+	// add little by little come to equal parts of it, with few rejections, though none knows of the others. No VM goes below its
+	// even part of the replica's slots.
+	placeGrowth = 0.1
+	placeCut    = 0.5
 	// placesFor is how long after its last rejection a replica's places are kept to: a burst lasts for seconds.
 	placesFor = 5 * time.Second
 	// shedFor is how long a rejection counts: a queue of a dozen requests of ten milliseconds is worked off by then. It doubles
@@ -71,8 +75,8 @@
 	// shedShare is the share of attempts that the replica rejects or fails, as of shedSeen.
 	shedShare float64
 	shedSeen  time.Time
-	// places is the number of this VM's requests that the replica took beside each other when it last rejected one, grown a
-	// little by each answer since; zero while it rejects none.
+	// places is the number of this VM's requests that the replica may have beside each other: cut by each rejection, grown a
+	// little by each answer; zero while it rejects none.
 	places float64
 	// down is set while the replica cannot be reached and trials go on.
 	down bool
@@ -190,10 +194,12 @@
 
 // ObserveShed takes a rejection for want of room.
 func (replica *Replica) ObserveShed(now time.Time) {
+	entry := replica.entry.Load()
+	part := float64(entry.Slots) / float64(max(1, replica.pool.config.Share(entry.DataCentre).All))
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	replica.noteAttempt(now, 1)
-	replica.places = max(1, float64(len(replica.inFlight)))
+	replica.places = max(1, part, placeCut*float64(len(replica.inFlight)))
 	replica.shedAt = now
 	replica.shedInRow++
 	replica.answeredAt = now
