--- a/cmd/rules.go
+++ b/cmd/rules.go
@@ -11,8 +11,10 @@
 	"github.com/spf13/cobra"
 
 	"github.com/sycamorewall/sycamorewall/internal/swedit"
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/pkg/swrule"
+	"github.com/sycamorewall/sycamorewall/platform"
 )
 
 // standardInput is the file name that stands for standard input.
@@ -51,11 +53,14 @@
 	url         string
 	timeout     time.Duration
 	callTimeout time.Duration
+	// gateway is set when the platform is the users', whose store the gateway's VMs follow.
+	gateway bool
 }
 
 func (options *platformOptions) register(command *cobra.Command) {
 	flags := command.Flags()
 	flags.StringVar(&options.url, "platform", os.Getenv(platformEnvironment), "base URL of the platform's object API; $"+platformEnvironment+" is the default")
+	flags.BoolVar(&options.gateway, "gateway", false, "the platform is the users', whose store the gateway's VMs follow")
 	flags.DurationVar(&options.timeout, "timeout", defaultTimeout, "how long to retry calls to the platform")
 	flags.DurationVar(&options.callTimeout, "call-timeout", defaultCallTimeout, "how long one call to the platform may take")
 }
@@ -67,6 +72,14 @@
 	return swplatform.New(swplatform.Config{URL: options.url, Timeout: options.callTimeout})
 }
 
+// rules returns where the rules stand at the platform that a client calls.
+func (options *platformOptions) rules(client *swplatform.Client) swedit.Store {
+	if options.gateway {
+		return swedit.NewCountedStore(platform.NewStore(client), swfollow.KindShared, swfollow.PrefixRules)
+	}
+	return client
+}
+
 // retryRead calls read until it succeeds, fails for good or the timeout passes.
 func retryRead[Value any](ctx context.Context, options *platformOptions, read func(ctx context.Context) (Value, error)) (Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, options.timeout)
@@ -101,7 +114,7 @@
 	}
 	defer client.Close()
 	object, err := retryRead(ctx, options, func(ctx context.Context) (swplatform.Object, error) {
-		return client.Get(ctx, swedit.KindRules, swedit.NameMain)
+		return options.rules(client).Get(ctx, swedit.KindRules, swedit.NameMain)
 	})
 	if err != nil {
 		return rulesInStore{}, err
--- a/cmd/rules_apply.go
+++ b/cmd/rules_apply.go
@@ -93,6 +93,9 @@
 
 func (apply *rulesApplyCommand) run(command *cobra.Command, args []string) error {
 	path := args[0]
+	if apply.wait && apply.platform.gateway {
+		return errors.New("the gateway's VMs tell in their logs when rules are in force: look for \"rules in force\", or leave --wait out")
+	}
 	request, err := apply.request(command, path)
 	if err != nil {
 		return err
@@ -145,7 +148,7 @@
 func (apply *rulesApplyCommand) edit(ctx context.Context, client *swplatform.Client, request swedit.Request) (swedit.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, apply.platform.timeout)
 	defer cancel()
-	return swedit.New(swedit.Config{Store: client}).Apply(ctx, request)
+	return swedit.New(swedit.Config{Store: apply.platform.rules(client)}).Apply(ctx, request)
 }
 
 // explain prints an outcome that is no success and returns the error that ends the command.
--- a/cmd/rules_match.go
+++ b/cmd/rules_match.go
@@ -45,6 +45,8 @@
 	flags.StringVar(&test.request.Caller, "caller", "", "caller of the request")
 	flags.StringVar(&test.request.Kind, "kind", "", "kind of the request")
 	flags.StringVar(&test.request.Index, "index", "", "index of the request")
+	flags.StringVar(&test.request.Host, "host", "", "host of a gateway request")
+	flags.StringVar(&test.request.Path, "path", "", "path of a gateway request")
 	flags.StringVar(&test.request.Fingerprint, "fingerprint", "", "fingerprint of the request")
 	return test
 }
--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -12,7 +12,9 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/sycamorewall/sycamorewall/internal/swadmission"
 	"github.com/sycamorewall/sycamorewall/internal/swboard"
+	"github.com/sycamorewall/sycamorewall/internal/swedit"
 	"github.com/sycamorewall/sycamorewall/internal/swfeed"
 	"github.com/sycamorewall/sycamorewall/internal/swfleet"
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
@@ -49,6 +51,7 @@
 	VMs      *swfollow.Mirror[swfleet.VM]
 	Peers    *peers
 	Feed     *swfeed.Feed
+	Limiter  *swadmission.Limiter
 	Server   *swgateway.Server
 	Metrics  *metricServer
 	Recorder *swmetric.Recorder
@@ -78,7 +81,7 @@
 		fx.Supply(config),
 		fx.Provide(
 			newLogger, newGroup, newRecorder, newMetricServer, newGraceTime, newPlatform, newRouteBook, newReplicas, newGatewayQuarantine,
-			newServerMirror, newObjectStore, newFleet, newVMMirror, newPeers, newRecordBoard, newFeed, newRelays, newGatewayHandler, newGatewayServer,
+			newServerMirror, newObjectStore, newFleet, newVMMirror, newPeers, newRecordBoard, newFeed, newRelays, newRuleBook, newGatewayLimiter, newGatewayHandler, newGatewayServer,
 		),
 		fx.Invoke(bindGatewayLifecycle),
 		fx.Invoke(func(parts gatewayParts) { gateway.parts = &parts }),
@@ -178,7 +181,7 @@
 const slowWatch = 12 * time.Second
 
 func newFeed(config Config, store *platform.Store, peers *peers, fleet *swfleet.Fleet, routes *swroute.Book, servers *swfollow.Mirror[swreplica.Entry],
-	vms *swfollow.Mirror[swfleet.VM], board *swboard.Board, log zerolog.Logger,
+	vms *swfollow.Mirror[swfleet.VM], board *swboard.Board, rules *ruleBook, log zerolog.Logger,
 ) *swfeed.Feed {
 	settings := config.Settings.Gateway
 	return swfeed.New(swfeed.Config{
@@ -188,8 +191,12 @@
 				receiveConfig(routes, change, log)
 			}},
 			{Name: platform.KindServers, Current: true, WatchWait: settings.DrainWithin / watchesWithin, Receive: servers.Receive},
-			{Name: swfleet.KindVM, WatchWait: slowWatch, Receive: vms.Receive},
-			{Name: swboard.Kind, WatchWait: slowWatch, Receive: board.Receive},
+			{Name: swfollow.KindShared, WatchWait: slowWatch, Receive: func(change swfollow.Change) {
+				vms.Receive(change.Named(swfollow.PrefixVM))
+				board.Receive(change.Named(swfollow.PrefixRecord))
+				receiveRules(rules, change.Named(swfollow.PrefixRules), log)
+				rules.known.Store(true)
+			}},
 		},
 	})
 }
@@ -211,15 +218,42 @@
 	}
 }
 
+// receiveRules puts the newest rules of a change in force. Rules that were deleted stay in force: nothing that they refuse may pass
+// because of a mistake at the store.
+func receiveRules(rules *ruleBook, change swfollow.Change, log zerolog.Logger) {
+	for _, object := range change.Objects {
+		if object.Name != swfollow.PrefixRules+swedit.NameMain {
+			continue
+		}
+		if object.Deleted {
+			log.Error().Msg("the rules were deleted, the last ones stay in force")
+			continue
+		}
+		counted, err := swedit.DecodeCounted(object.Value)
+		if err == nil {
+			err = rules.put(counted.Version, counted.Value)
+		}
+		if err != nil {
+			log.Error().Err(err).Uint64("Revision", object.Revision).Msg("invalid rules, the last good ones stay in force")
+			continue
+		}
+		log.Info().Uint64("Rules", counted.Version).Uint64("Revision", object.Revision).Msg("rules in force")
+	}
+}
+
+func newGatewayLimiter(fleet *swfleet.Fleet, peers *peers) *swadmission.Limiter {
+	return swadmission.NewLimiter(swadmission.LimiterConfig{View: fleet.View, Peers: peers})
+}
+
 func newRelays(group *swgroup.Group, peers *peers, fleet *swfleet.Fleet, log zerolog.Logger) *swrelay.Client {
 	return swrelay.NewClient(swrelay.ClientConfig{Group: group, Transport: peers, Relays: fleet.Relays, Log: log})
 }
 
-func newGatewayHandler(config Config, fleet *swfleet.Fleet, relays *swrelay.Client, recorder *swmetric.Recorder, group *swgroup.Group, routes *swroute.Book, replicas *swreplica.Registry, quarantine *swquarantine.Register, log zerolog.Logger) *swgateway.Gateway {
+func newGatewayHandler(config Config, fleet *swfleet.Fleet, relays *swrelay.Client, rules *ruleBook, limiter *swadmission.Limiter, recorder *swmetric.Recorder, group *swgroup.Group, routes *swroute.Book, replicas *swreplica.Registry, quarantine *swquarantine.Register, log zerolog.Logger) *swgateway.Gateway {
 	settings := config.Settings
 	return swgateway.New(swgateway.Config{
 		Group: group, Protocol: platform.Headers{}, Routes: routes, Replicas: replicas, Quarantine: quarantine, Recorder: recorder, Log: log,
-		Relays: relays,
+		Relays: relays, Rules: rules, Limits: limiter, RulesKnown: rules.known.Load, CallerHeader: settings.Gateway.CallerHeader,
 		Budget: swgateway.NewBudget(swgateway.BudgetConfig{
 			Ratio: settings.Gateway.RepeatRatio, Slack: settings.Gateway.RepeatSlack, Window: settings.Gateway.RepeatWindow,
 			VMs: fleet.Len,
@@ -227,7 +261,7 @@
 	})
 }
 
-func newGatewayServer(config Config, handler *swgateway.Gateway, routes *swroute.Book, replicas *swreplica.Registry, log zerolog.Logger) (*swgateway.Server, error) {
+func newGatewayServer(config Config, handler *swgateway.Gateway, routes *swroute.Book, rules *ruleBook, replicas *swreplica.Registry, log zerolog.Logger) (*swgateway.Server, error) {
 	settings := config.Settings.Gateway
 	return swgateway.Listen(swgateway.ServerConfig{
 		Listen: settings.Listen, Ready: settings.Ready, ReadyPath: platform.ReadyPath, Handler: handler, Routes: routes, Log: log,
@@ -235,6 +269,9 @@
 			if routes.Current() == nil {
 				return errNoConfig
 			}
+			if !rules.known.Load() {
+				return errNoRules
+			}
 			if replicas.Len() == 0 {
 				return errNoServers
 			}
@@ -262,7 +299,7 @@
 	relay := swrelay.NewServer(swrelay.ServerConfig{
 		Replicas: parts.Replicas, Codec: swgateway.Codec{Protocol: platform.Headers{}}, Leaving: parts.Server.Leaving,
 	})
-	if err := parts.Peers.open(ctx, parts.Config.Settings, parts.Store, parts.Feed, relay); err != nil {
+	if err := parts.Peers.open(ctx, parts.Config.Settings, parts.Store, parts.Feed, relay, parts.Limiter); err != nil {
 		parts.Log.Error().Err(err).Msg("no exchange with other VMs; following the platform's store")
 	}
 	if parts.Fleet.Join(ctx, parts.Store, parts.Log) != nil {
@@ -298,6 +335,7 @@
 	if recorderErr := parts.Recorder.Close(); err == nil {
 		err = recorderErr
 	}
+	parts.Limiter.Close()
 	parts.Group.Cancel()
 	if peerErr := parts.Peers.Close(); err == nil {
 		err = peerErr
--- a/internal/swapp/peers.go
+++ b/internal/swapp/peers.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/sycamorewall/sycamorewall/internal/swadmission"
 	"github.com/sycamorewall/sycamorewall/internal/swauthority"
 	"github.com/sycamorewall/sycamorewall/internal/swfeed"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
@@ -45,7 +46,7 @@
 }
 
 // open reads the authority, listens, and serves the peers that follow this VM or send attempts through it.
-func (peers *peers) open(ctx context.Context, settings swsetting.Settings, store swauthority.Store, feed *swfeed.Feed, relay *swrelay.Server) error {
+func (peers *peers) open(ctx context.Context, settings swsetting.Settings, store swauthority.Store, feed *swfeed.Feed, relay *swrelay.Server, limiter *swadmission.Limiter) error {
 	authority, err := swauthority.Shared(ctx, store)
 	if err != nil {
 		return errors.Wrap(err, "read the authority")
@@ -66,6 +67,7 @@
 	}
 	swpeer.HandleCall(node, swpeer.MethodFollow, feed.HandleFollow)
 	swpeer.HandleCall(node, swpeer.MethodRelay, relay.Handle)
+	swpeer.HandleCall(node, swpeer.MethodTokens, limiter.Serve)
 	node.Serve()
 	peers.node.Store(node)
 	return nil
--- a/internal/swapp/rulebook.go
+++ b/internal/swapp/rulebook.go
@@ -13,6 +13,9 @@
 // ruleBook holds the version of the rules in force.
 type ruleBook struct {
 	current atomic.Pointer[ruleVersion]
+	// known is set once this VM has heard which rules are in force, if any. Until then a VM that has just started could let pass
+	// what they refuse.
+	known atomic.Bool
 }
 
 type ruleVersion struct {
--- a/internal/swboard/board.go
+++ b/internal/swboard/board.go
@@ -18,9 +18,6 @@
 	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
-// Kind is the kind of the store's objects that hold records.
-const Kind = "sycamorewall-records"
-
 const (
 	// writeTries is how often a record is written before it is given up, writeFirst and writeMost bound the pauses between:
 	// about ten seconds, in which an outage of the store may pass.
@@ -65,7 +62,7 @@
 
 // objectName returns the name of a record's object, without the separators of paths.
 func objectName(topic, key string) string {
-	return strings.NewReplacer("/", ".", "~", "-").Replace(topic + "." + key)
+	return swfollow.PrefixRecord + strings.NewReplacer("/", ".", "~", "-").Replace(topic+"."+key)
 }
 
 // Put publishes a record of this VM, and reports whether it stands over what the board held.
@@ -103,7 +100,7 @@
 		board.mutex.Unlock()
 		value, err := json.Marshal(record)
 		if err == nil {
-			err = board.config.Writer.PutObject(ctx, Kind, name, value)
+			err = board.config.Writer.PutObject(ctx, swfollow.KindShared, name, value)
 		}
 		if err == nil {
 			written = record.Version
@@ -134,7 +131,7 @@
 	if !over {
 		return
 	}
-	if err := board.config.Writer.DeleteObject(ctx, Kind, name); err != nil {
+	if err := board.config.Writer.DeleteObject(ctx, swfollow.KindShared, name); err != nil {
 		board.config.Log.Warn().Err(err).Str("Record", name).Msg("a record that is over stays in the platform's store")
 	}
 }
--- a/internal/swfleet/fleet.go
+++ b/internal/swfleet/fleet.go
@@ -12,15 +12,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/sycamorewall/sycamorewall/internal/swfeed"
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 )
 
-// KindVM is the kind of the store's objects that hold VMs, each under its name.
-const KindVM = "sycamorewall-vms"
-
 // VM is one VM as it describes itself.
 type VM struct {
 	Name       string
@@ -38,12 +36,17 @@
 	return value, errors.Wrap(err, "encode VM")
 }
 
+// objectName returns the name of the VM's object, of the kind that all of this product's objects share.
+func (vm *VM) objectName() string {
+	return swfollow.PrefixVM + vm.Name
+}
+
 // Decode reads the object of a VM. ok is false for one that describes none.
 func Decode(object swplatform.Object) (vm VM, ok bool) {
 	if err := json.Unmarshal(object.Value, &vm); err != nil {
 		return VM{}, false
 	}
-	return vm, vm.Name == object.Name && vm.Peer.IsValid()
+	return vm, vm.objectName() == object.Name && vm.Peer.IsValid()
 }
 
 // Fleet holds the VMs that are registered. It is safe for concurrent use.
@@ -58,6 +61,8 @@
 	ahead []swfeed.Peer
 	// relays caches the answers of Relays by data centre.
 	relays map[string][]swrelay.Relay
+	// view caches the answer of View; nil when it is to be worked out.
+	view *swmember.View
 }
 
 // New returns a fleet of which only this VM is known.
@@ -80,7 +85,7 @@
 			delete(fleet.vms, name)
 		}
 	}
-	fleet.ahead = nil
+	fleet.ahead, fleet.view = nil, nil
 	clear(fleet.relays)
 	clear(fleet.counts)
 	for _, vm := range fleet.vms {
--- a/internal/swfleet/register.go
+++ b/internal/swfleet/register.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 )
 
@@ -41,7 +42,7 @@
 }
 
 func (fleet *Fleet) join(ctx context.Context, store Store) error {
-	objects, _, err := store.ListStale(ctx, KindVM)
+	objects, _, err := store.ListStale(ctx, swfollow.KindShared)
 	if err != nil {
 		return err
 	}
@@ -63,5 +64,5 @@
 	if err != nil {
 		return err
 	}
-	return store.PutObject(ctx, KindVM, fleet.self.Name, value)
+	return store.PutObject(ctx, swfollow.KindShared, fleet.self.objectName(), value)
 }
--- /dev/null
+++ b/internal/swfleet/view.go
@@ -0,0 +1,25 @@
+package swfleet
+
+import "github.com/sycamorewall/sycamorewall/internal/swmember"
+
+// View returns the registered VMs as members. It is kept until the register changes.
+func (fleet *Fleet) View() *swmember.View {
+	fleet.mutex.RLock()
+	view := fleet.view
+	fleet.mutex.RUnlock()
+	if view != nil {
+		return view
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	members := make([]swmember.Member, 0, len(fleet.vms))
+	for _, vm := range fleet.vms {
+		members = append(members, vm.member())
+	}
+	fleet.view = swmember.NewView(fleet.self.member(), members)
+	return fleet.view
+}
+
+func (vm *VM) member() swmember.Member {
+	return swmember.Member{Name: vm.Name, Region: vm.Region, DataCentre: vm.DataCentre, Peer: vm.Peer}
+}
--- a/internal/swgateway/gateway.go
+++ b/internal/swgateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swquarantine"
+	"github.com/sycamorewall/sycamorewall/internal/swquery"
 	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
@@ -50,10 +51,17 @@
 	Replicas *swreplica.Registry
 	Budget   *Budget
 	// Relays carry attempts for replicas of other regions; it may be nil, and every attempt then goes straight to its replica.
-	Relays     *swrelay.Client
-	Quarantine Quarantine
-	Recorder   Recorder
-	Log        zerolog.Logger
+	Relays *swrelay.Client
+	// Rules are the operator's rules, and Limits keeps to the limits of those that have any; both may be nil.
+	Rules  swquery.Rules
+	Limits Limits
+	// RulesKnown reports whether this VM has heard which rules are in force, if any; nil means that it has.
+	RulesKnown func() bool
+	// CallerHeader names the header in which clients give their name for the rules; empty when none does.
+	CallerHeader string
+	Quarantine   Quarantine
+	Recorder     Recorder
+	Log          zerolog.Logger
 }
 
 // Gateway answers clients' requests. Construct it with New.
@@ -144,6 +152,11 @@
 	for _, service := range services {
 		gateway.config.Budget.Count(now, service)
 	}
+	release, refusal := gateway.acquire(ctx, request)
+	if refusal != nil {
+		return nil, refusal
+	}
+	defer release()
 	if refusal := gateway.admit(request); refusal != nil {
 		return nil, refusal
 	}
@@ -181,8 +194,9 @@
 func (gateway *Gateway) accept(writer http.ResponseWriter, message *http.Request, arrived time.Time) (*request, *Refusal) {
 	envelope := gateway.config.Protocol.ReadEnvelope(message.Header)
 	request := &request{id: envelope.ID, method: message.Method, host: message.Host, arrived: arrived}
+	request.caller = callerOf(message, gateway.config.CallerHeader)
 	request.table = gateway.config.Routes.Current()
-	if request.table == nil {
+	if request.table == nil || gateway.config.RulesKnown != nil && !gateway.config.RulesKnown() {
 		return request, &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.NotReady, RetryAfter: startingRetryAfter}
 	}
 	request.target = originForm(message)
@@ -203,7 +217,10 @@
 	request.body = body
 	gateway.setTimes(request, envelope.Left)
 	request.fingerprint = fingerprintOf(request.method, request.host, request.target, body)
-	if gateway.config.Quarantine.Check(request.fingerprint, false) == swquarantine.Refused {
+	if refusal := gateway.matchRules(request); refusal != nil {
+		return request, refusal
+	}
+	if gateway.config.Quarantine.Check(request.fingerprint, request.decision.Release) == swquarantine.Refused {
 		return request, refuse(http.StatusServiceUnavailable, swcode.Quarantined)
 	}
 	request.head = encodeHead(gateway.config.Protocol, message, request.target, len(body))
--- a/internal/swgateway/log.go
+++ b/internal/swgateway/log.go
@@ -75,6 +75,9 @@
 	if request.route != nil {
 		line = line.Str("Route", request.route.Name).Strs("Without", request.without)
 	}
+	if request.rules > 0 {
+		line = line.Uint64("Rules", request.rules).Int("Rule", request.decision.Line).Str("Caller", request.caller)
+	}
 	line.Msg("refused")
 }
 
--- a/internal/swgateway/request.go
+++ b/internal/swgateway/request.go
@@ -15,6 +15,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
+	"github.com/sycamorewall/sycamorewall/pkg/swrule"
 )
 
 // request is one client request, read whole.
@@ -31,7 +32,12 @@
 	body []byte
 	// fingerprint identifies the request apart from its ID.
 	fingerprint uint64
-	arrived     time.Time
+	// caller names the client for the rules.
+	caller string
+	// rules is the version of the rules that decided, zero when there are none, decision what they say.
+	rules    uint64
+	decision swrule.Decision
+	arrived  time.Time
 	// deadline is when the client, or the operator for it, stops waiting.
 	deadline time.Time
 	// returned is set when the client has tried before.
--- a/internal/swroute/table.go
+++ b/internal/swroute/table.go
@@ -132,7 +132,7 @@
 	}
 	for _, route := range routes {
 		route.phase = rand.Float64()
-		host := canonicalHost(route.Host)
+		host := CanonicalHost(route.Host)
 		table.hosts[host] = append(table.hosts[host], route)
 	}
 	for _, list := range table.hosts {
@@ -143,7 +143,7 @@
 
 // Match returns the route of a request, or nil when none matches.
 func (table *Table) Match(host, path string) *Route {
-	for _, route := range table.hosts[canonicalHost(host)] {
+	for _, route := range table.hosts[CanonicalHost(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route
 		}
@@ -177,8 +177,8 @@
 	}
 }
 
-// canonicalHost drops a port and the case.
-func canonicalHost(host string) string {
+// CanonicalHost drops a port and the case.
+func CanonicalHost(host string) string {
 	if strings.IndexByte(host, ':') >= 0 {
 		if name, _, err := net.SplitHostPort(host); err == nil {
 			host = name
--- a/internal/swsetting/setting.go
+++ b/internal/swsetting/setting.go
@@ -51,6 +51,8 @@
 	ApplyWithin time.Duration `yaml:"ApplyWithin"`
 	// DrainWithin is how soon a leaving backend server gets nothing new. Watches for servers end after half of that.
 	DrainWithin time.Duration `yaml:"DrainWithin"`
+	// CallerHeader names the header of a request in which clients give their name, for the rules; empty takes the client's address.
+	CallerHeader string `yaml:"CallerHeader"`
 	// EntryGrace is how long after an outage of the platform a backend server's missing entry is kept.
 	EntryGrace time.Duration `yaml:"EntryGrace"`
 }
--- a/pkg/swrule/decision.go
+++ b/pkg/swrule/decision.go
@@ -33,6 +33,9 @@
 	Caller string
 	Kind   string
 	Index  string
+	// Host and Path are those of an HTTP request to the gateway; a search has none.
+	Host string
+	Path string
 	// Fingerprint identifies the request's canonical body, as sixteen hexadecimal digits.
 	Fingerprint string
 }
--- a/pkg/swrule/key.go
+++ b/pkg/swrule/key.go
@@ -15,6 +15,8 @@
 	keyCaller = iota
 	keyKind
 	keyIndex
+	keyHost
+	keyPath
 	keyFingerprint
 	keyPriority
 	keyRate
@@ -59,6 +61,8 @@
 	keyCaller:      {"Caller", false, func(rule *Rule, value string) *valueError { return parsePattern(&rule.Caller, value) }},
 	keyKind:        {"Kind", false, func(rule *Rule, value string) *valueError { return parsePattern(&rule.Kind, value) }},
 	keyIndex:       {"Index", false, func(rule *Rule, value string) *valueError { return parsePattern(&rule.Index, value) }},
+	keyHost:        {"Host", false, func(rule *Rule, value string) *valueError { return parsePattern(&rule.Host, value) }},
+	keyPath:        {"Path", false, func(rule *Rule, value string) *valueError { return parsePattern(&rule.Path, value) }},
 	keyFingerprint: {"Fingerprint", false, func(rule *Rule, value string) *valueError { return parseFingerprint(&rule.Fingerprint, value) }},
 	keyPriority:    {"Priority", true, func(rule *Rule, value string) *valueError { return parsePriority(&rule.Priority, value) }},
 	keyRate:        {"Rate", true, func(rule *Rule, value string) *valueError { return parseRate(&rule.RatePerSecond, value) }},
--- a/pkg/swrule/rule.go
+++ b/pkg/swrule/rule.go
@@ -10,10 +10,12 @@
 	// Line is the rule's line in the file, from 1.
 	Line   int
 	Action Action
-	// Caller, Kind, Index and Fingerprint must all match; a key that the rule does not give is Wildcard.
+	// Caller, Kind, Index, Host, Path and Fingerprint must all match; a key that the rule does not give is Wildcard.
 	Caller      Pattern
 	Kind        Pattern
 	Index       Pattern
+	Host        Pattern
+	Path        Pattern
 	Fingerprint Pattern
 	Priority    Priority
 	// RatePerSecond bounds requests started in a data centre each second; zero is unbounded.
@@ -38,7 +40,8 @@
 // newRule returns a rule that matches everything.
 func newRule(line int) Rule {
 	return Rule{
-		Line: line, Caller: Wildcard, Kind: Wildcard, Index: Wildcard, Fingerprint: Wildcard, Priority: Standard,
+		Line: line, Caller: Wildcard, Kind: Wildcard, Index: Wildcard, Host: Wildcard, Path: Wildcard, Fingerprint: Wildcard,
+		Priority: Standard,
 	}
 }
 
@@ -59,6 +62,8 @@
 	caller      matcher
 	kind        matcher
 	index       matcher
+	host        matcher
+	path        matcher
 	fingerprint matcher
 }
 
@@ -67,6 +72,8 @@
 		caller:      rule.Caller.compile(),
 		kind:        rule.Kind.compile(),
 		index:       rule.Index.compile(),
+		host:        rule.Host.compile(),
+		path:        rule.Path.compile(),
 		fingerprint: rule.Fingerprint.compile(),
 	}
 }
@@ -75,6 +82,8 @@
 	return matchers.caller.match(request.Caller) &&
 		matchers.kind.match(request.Kind) &&
 		matchers.index.match(request.Index) &&
+		matchers.host.match(request.Host) &&
+		matchers.path.match(request.Path) &&
 		matchers.fingerprint.match(request.Fingerprint)
 }
 
@@ -83,6 +92,8 @@
 	return matchers.caller.match(string(other.Caller)) &&
 		matchers.kind.match(string(other.Kind)) &&
 		matchers.index.match(string(other.Index)) &&
+		matchers.host.match(string(other.Host)) &&
+		matchers.path.match(string(other.Path)) &&
 		matchers.fingerprint.match(string(other.Fingerprint))
 }
 
