Tell clients whose header takes too long; take VMs that are gone off the register

A header that never ends was cut off without an answer: net/http reports a connection's state only once the header is whole, so the old check saw the first one alone, and could only close it. Connections now note their own bytes (waiting.go), and a slow header gets 408. A connection is taken either for its request or for its refusal, so that "not run" stays true when both come at once. TestConnectionsKeepToTheLimitsInForce read no status before, and let a slow second header wait for the idle limit.

VMs that failed for good stayed on the register. The followed VM of a data centre, which each other one asks every second, now removes those that it has not heard for ten minutes; a VM that finds itself removed registers again.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -185,7 +185,7 @@
 ) *swfeed.Feed {
 	settings := config.Settings.Gateway
 	return swfeed.New(swfeed.Config{
-		Source: store, Transport: peers, Ahead: fleet.Ahead, Log: log,
+		Source: store, Transport: peers, Ahead: fleet.Ahead, OnFollowed: fleet.Heard, Log: log,
 		Kinds: []swfeed.Kind{
 			{Name: platform.KindConfig, Current: true, WatchWait: settings.ApplyWithin / watchesWithin, Receive: func(change swfollow.Change) {
 				receiveConfig(routes, change, log)
@@ -305,6 +305,7 @@
 	if parts.Fleet.Join(ctx, parts.Store, parts.Log) != nil {
 		return
 	}
+	parts.Group.Go(func(ctx context.Context) { parts.Fleet.Keep(ctx, parts.Store, parts.Feed.Leading, parts.Log) })
 	parts.Feed.Run(ctx)
 }
 
--- a/internal/swfeed/feed.go
+++ b/internal/swfeed/feed.go
@@ -74,7 +74,9 @@
 	// Ahead returns the VMs of this data centre that should follow the store rather than this one, the first of them first.
 	Ahead     func() []Peer
 	Transport Transport
-	Log       zerolog.Logger
+	// OnFollowed is told which VM asks this one for news; it may be nil.
+	OnFollowed func(name string)
+	Log        zerolog.Logger
 }
 
 // Feed keeps this VM's copies in step. Construct it with New; Run starts it.
--- a/internal/swfeed/serve.go
+++ b/internal/swfeed/serve.go
@@ -9,10 +9,13 @@
 
 // HandleFollow answers a peer. From then on this VM follows the store itself for a while, so that VMs never follow each
 // other in a circle.
-func (feed *Feed) HandleFollow(ctx context.Context, _ string, request FollowRequest) (FollowReply, error) {
+func (feed *Feed) HandleFollow(ctx context.Context, peer string, request FollowRequest) (FollowReply, error) {
 	if !feed.demand(time.Now()) {
 		return FollowReply{}, errLeaving
 	}
+	if feed.config.OnFollowed != nil {
+		feed.config.OnFollowed(peer)
+	}
 	deadline := time.NewTimer(min(max(0, request.Wait), pollWait))
 	defer deadline.Stop()
 	for {
@@ -31,6 +34,14 @@
 	}
 }
 
+// Leading reports whether this VM follows the store and reaches it.
+func (feed *Feed) Leading() bool {
+	feed.mutex.Lock()
+	leading := feed.leader == ""
+	feed.mutex.Unlock()
+	return leading && feed.overdue(time.Now()) <= overdueMost
+}
+
 var errLeaving = errors.New("this VM is leaving")
 
 // Leave makes peers turn to other VMs.
--- a/internal/swfleet/fleet.go
+++ b/internal/swfleet/fleet.go
@@ -7,7 +7,9 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -61,17 +63,21 @@
 	ahead []swfeed.Peer
 	// relays caches the answers of Relays by data centre.
 	relays map[string][]swrelay.Relay
+	// heard is when VMs last asked this one for news.
+	heard map[string]time.Time
+	// missing is set while this VM's own object is not in the store.
+	missing bool
 	// view caches the answer of View; nil when it is to be worked out.
 	view *swmember.View
 }
 
 // New returns a fleet of which only this VM is known.
 func New(self VM) *Fleet {
-	return &Fleet{self: self, vms: map[string]VM{self.Name: self}, counts: map[string]int{self.DataCentre: 1}, relays: make(map[string][]swrelay.Relay)}
+	return &Fleet{self: self, vms: map[string]VM{self.Name: self}, counts: map[string]int{self.DataCentre: 1}, relays: make(map[string][]swrelay.Relay), heard: make(map[string]time.Time)}
 }
 
-// Apply takes the VMs that are new or changed and the names of those that are gone. This VM stays registered whatever the
-// store says.
+// Apply takes the VMs that are new or changed and the names of the objects that are gone. This VM counts whatever the store
+// says.
 func (fleet *Fleet) Apply(changed []VM, gone []string) {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
@@ -80,10 +86,14 @@
 			fleet.vms[vm.Name] = vm
 		}
 	}
-	for _, name := range gone {
-		if name != fleet.self.Name {
-			delete(fleet.vms, name)
+	for _, object := range gone {
+		name := strings.TrimPrefix(object, swfollow.PrefixVM)
+		if name == fleet.self.Name {
+			fleet.missing = true
+			continue
 		}
+		delete(fleet.vms, name)
+		delete(fleet.heard, name)
 	}
 	fleet.ahead, fleet.view = nil, nil
 	clear(fleet.relays)
--- a/internal/swfleet/register.go
+++ b/internal/swfleet/register.go
@@ -60,9 +60,5 @@
 	if registered {
 		return nil
 	}
-	value, err := fleet.self.Encode()
-	if err != nil {
-		return err
-	}
-	return store.PutObject(ctx, swfollow.KindShared, fleet.self.objectName(), value)
+	return fleet.register(ctx, store)
 }
--- a/internal/swfleet/relay_test.go
+++ b/internal/swfleet/relay_test.go
@@ -42,7 +42,7 @@
 	if len(relays) != 1 || relays[0].Name != "vm-1" {
 		t.Errorf("relays are %v, want the one VM of the region", relays)
 	}
-	fleet.Apply(nil, []string{"vm-1"})
+	fleet.Apply(nil, []string{"vm.vm-1"})
 	if relays := fleet.Relays("empty", "q"); len(relays) != 0 {
 		t.Errorf("relays are %v after the VM is gone, want none", relays)
 	}
--- a/internal/swgateway/server.go
+++ b/internal/swgateway/server.go
@@ -17,7 +17,6 @@
 	"github.com/sycamorewall/sycamorewall/internal/swbody"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
-	"github.com/sycamorewall/sycamorewall/internal/swtable"
 	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
@@ -53,10 +52,7 @@
 	front   *http.Server
 	probes  *http.Server
 	leaving atomic.Bool
-	// idle holds when each connection without a request last carried one, reading when one began to send a header that has not
-	// come whole.
-	idle    *swtable.Table[net.Conn, time.Time]
-	reading *swtable.Table[net.Conn, time.Time]
+	waits   *waitTable
 	held    atomic.Int64
 }
 
@@ -81,8 +77,7 @@
 	server := &Server{
 		config:  config,
 		handler: swbody.Drained(config.Handler),
-		idle:    swtable.New[net.Conn, time.Time](),
-		reading: swtable.New[net.Conn, time.Time](),
+		waits:   newWaitTable(),
 	}
 	discard := log.New(io.Discard, "", 0)
 	server.front = &http.Server{
@@ -120,7 +115,7 @@
 			}
 		})
 	}
-	serve(server.front, server.clients)
+	serve(server.front, &clientListener{Listener: server.clients, table: server.waits})
 	serve(server.probes, server.ready)
 	group.Go(server.keepLimits)
 }
@@ -129,8 +124,9 @@
 type connectionKey struct{}
 
 func (server *Server) serveClient(writer http.ResponseWriter, message *http.Request) {
-	if conn, ok := message.Context().Value(connectionKey{}).(net.Conn); ok {
-		server.reading.Delete(conn)
+	if conn, ok := message.Context().Value(connectionKey{}).(net.Conn); ok && !server.waits.take(conn) {
+		// The client was told that the request did not come in time, which must stay true.
+		panic(http.ErrAbortHandler)
 	}
 	server.held.Add(1)
 	defer server.held.Add(-1)
@@ -173,20 +169,16 @@
 	return errors.Wrap(err, "shut down the listeners")
 }
 
-// noteState keeps the time since which a connection is idle, or at a header.
+// noteState keeps what a connection waits for.
 func (server *Server) noteState(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		server.reading.Put(conn, time.Now())
-	case http.StateActive:
-		server.idle.Delete(conn)
-		server.reading.GetOrPut(conn, time.Now)
+		server.waits.begin(conn, waitFirst)
 	case http.StateIdle:
-		server.reading.Delete(conn)
-		server.idle.Put(conn, time.Now())
+		server.waits.begin(conn, waitNext)
 	case http.StateClosed, http.StateHijacked:
-		server.reading.Delete(conn)
-		server.idle.Delete(conn)
+		server.waits.conns.Delete(conn)
+	case http.StateActive:
 	}
 }
 
@@ -197,26 +189,6 @@
 		if table == nil {
 			continue
 		}
-		closeOver(server.idle, table.Limits.Idle)
-		closeOver(server.reading, table.Limits.HeaderTimeout)
-	}
-}
-
-// closeOver closes the connections that have stood in a table for longer than a limit; zero is none.
-func closeOver(connections *swtable.Table[net.Conn, time.Time], limit time.Duration) {
-	if limit <= 0 {
-		return
-	}
-	now := time.Now()
-	var over []net.Conn
-	connections.Range(func(conn net.Conn, since time.Time) bool {
-		if now.Sub(since) > limit {
-			over = append(over, conn)
-		}
-		return true
-	})
-	for _, conn := range over {
-		connections.Delete(conn)
-		conn.Close()
+		server.waits.enforce(table.Limits)
 	}
 }
--- a/internal/swgateway/server_test.go
+++ b/internal/swgateway/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -213,27 +214,56 @@
 		group := swgroup.New(context.Background())
 		defer group.Stop()
 		defer func() { _ = server.front.Close() }()
-		group.Go(func(context.Context) { _ = server.front.Serve(listener) })
+		group.Go(func(context.Context) {
+			_ = server.front.Serve(&clientListener{Listener: listener, table: server.waits})
+		})
 		group.Go(server.keepLimits)
 		server.config.Routes.Offer(swroute.NewTable(1, swroute.Limits{Idle: 15 * time.Second, HeaderTimeout: 3 * time.Second}, nil, nil))
-		open := func(text string) (ended <-chan time.Duration) {
+		type ending struct {
+			after time.Duration
+			// last is the last status that the client read.
+			last string
+		}
+		open := func(texts ...string) (ended <-chan ending) {
 			near, far := net.Pipe()
 			listener.conns <- far
-			began, end := time.Now(), make(chan time.Duration, 1)
+			began, end := time.Now(), make(chan ending, 1)
 			group.Go(func(context.Context) {
-				_, _ = near.Write([]byte(text))
-				_, _ = io.Copy(io.Discard, near)
-				end <- time.Since(began)
+				for _, text := range texts {
+					_, _ = near.Write([]byte(text))
+					time.Sleep(2500 * time.Millisecond)
+				}
+			})
+			group.Go(func(context.Context) {
+				read, _ := io.ReadAll(near)
+				last := ""
+				for _, status := range regexp.MustCompile(`HTTP/1.1 ([0-9]+)`).FindAllSubmatch(read, -1) {
+					last = string(status[1])
+				}
+				end <- ending{time.Since(began), last}
 			})
 			return end
 		}
 		idle, slow, silent := open(get), open("GET /x HTTP/1.1\r\nHo"), open("")
+		late := open("GET /x HTTP/1.1\r\nHo", "st: h\r\n", "\r\n")
+		second := open(get, "GET /y HTTP/1.1\r\nHo")
 		for name, test := range map[string]struct {
-			ended <-chan time.Duration
+			ended <-chan ending
 			limit time.Duration
-		}{"idle": {idle, 15 * time.Second}, "unfinished header": {slow, 3 * time.Second}, "no request": {silent, 3 * time.Second}} {
-			if took := <-test.ended; took < test.limit || took > test.limit+2*limitCheck {
-				t.Errorf("%s: closed after %s, want soon after %s", name, took, test.limit)
+			last  string
+		}{
+			"idle":                             {idle, 15 * time.Second, "200"},
+			"unfinished header":                {slow, 3 * time.Second, "408"},
+			"header that is whole too late":    {late, 3 * time.Second, "408"},
+			"second header that is unfinished": {second, 5500 * time.Millisecond, "408"},
+			"no request":                       {silent, 3 * time.Second, ""},
+		} {
+			ended := <-test.ended
+			if ended.after < test.limit || ended.after > test.limit+2*limitCheck+refusalLinger {
+				t.Errorf("%s: closed after %s, want soon after %s", name, ended.after, test.limit)
+			}
+			if diff := cmp.Diff(test.last, ended.last); diff != "" {
+				t.Errorf("%s: last status (-want +got):\n%s", name, diff)
 			}
 		}
 	})
