Forget what was learned of routes and services that are not used

Ruled out: removal at the change itself, as a request that began before would put entries back, and a service that returns within the window would find its budget unspent. A look each minute keeps the budgets of the last window.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 	"github.com/sycamorewall/sycamorewall/platform"
 )
 
@@ -52,6 +53,7 @@
 	Peers    *peers
 	Feed     *swfeed.Feed
 	Limiter  *swadmission.Limiter
+	Handler  *swgateway.Gateway
 	Server   *swgateway.Server
 	Metrics  *metricServer
 	Recorder *swmetric.Recorder
@@ -287,6 +289,7 @@
 func (parts *gatewayParts) start(context.Context) error {
 	parts.Group.Go(parts.Servers.Run)
 	parts.Group.Go(parts.join)
+	parts.Group.Go(parts.prune)
 	parts.Server.Serve(parts.Group)
 	parts.Metrics.serve(parts.Group)
 	parts.Log.Info().Stringer("Clients", parts.Server.Address()).Stringer("Ready", parts.Server.ReadyAddress()).
@@ -294,6 +297,18 @@
 	return nil
 }
 
+// pruneEvery is how often what was learned of routes and services is looked over for names that are not used any more.
+const pruneEvery = time.Minute
+
+// prune forgets what the configuration in force does not name.
+func (parts *gatewayParts) prune(ctx context.Context) {
+	for swtimer.Wait(ctx, pruneEvery) == nil {
+		if table := parts.Routes.Current(); table != nil {
+			parts.Handler.Prune(table)
+		}
+	}
+}
+
 // join makes this VM known to the others and follows the store, or one of them, from then on.
 func (parts *gatewayParts) join(ctx context.Context) {
 	relay := swrelay.NewServer(swrelay.ServerConfig{
--- a/internal/swroute/table.go
+++ b/internal/swroute/table.go
@@ -166,17 +166,24 @@
 	return total
 }
 
-// Services calls visit for the name of every service that a route sends to.
-func (table *Table) Services(visit func(name string)) {
+// Routes calls visit for every route.
+func (table *Table) Routes(visit func(route *Route)) {
 	for _, list := range table.hosts {
 		for _, route := range list {
-			for _, name := range route.services() {
-				visit(name)
-			}
+			visit(route)
 		}
 	}
 }
 
+// Services calls visit for the name of every service that a route sends to.
+func (table *Table) Services(visit func(name string)) {
+	table.Routes(func(route *Route) {
+		for _, name := range route.services() {
+			visit(name)
+		}
+	})
+}
+
 // CanonicalHost drops a port and the case.
 func CanonicalHost(host string) string {
 	if strings.IndexByte(host, ':') >= 0 {
