End a withdrawn relayed attempt at its replica within half a second

Cause: found in reading. The sender of a relayed attempt waits 300 ms for a late answer before it cancels, and the relay waited as long again: a replica that is silent worked on for 600 ms after the client had left. The relay ends its connection at the cancel now, and takes the replica for silent when it had said nothing for a quarter of a second. TestWithdrawnAttemptReachesItsReplica failed before.

--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -63,6 +63,9 @@
 		line := &story.Lines[i]
 		fmt.Fprintf(table, "%s\t%s\t%s\tstatus %d %s\tconfiguration %d\tafter %.1f ms\n",
 			line.Time.Format(time.RFC3339Nano), line.VM, line.Message, line.Status, line.Code, line.Config, line.Took)
+		if line.Rules > 0 {
+			fmt.Fprintf(table, "\t\trule at line %d of version %d, caller %s\n", line.Rule, line.Rules, line.Caller)
+		}
 		if len(line.Without) > 0 {
 			fmt.Fprintf(table, "\t\tno replica of %s\n", strings.Join(line.Without, ", "))
 		}
--- a/internal/swexplain/explain.go
+++ b/internal/swexplain/explain.go
@@ -46,10 +46,14 @@
 	Missing    []string
 	Without    []string
 	Attempts   []string
-	Replica    string
-	Peer       string
-	Kind       string
-	Gone       []string
+	// Rules is the version of the rules that decided, Rule the line of the rule.
+	Rules   uint64
+	Rule    int
+	Caller  string
+	Replica string
+	Peer    string
+	Kind    string
+	Gone    []string
 }
 
 // Story is what the logs tell of one request.
@@ -136,14 +140,20 @@
 
 // causes says what each result code of a refusal means for the one who asks why.
 var causes = map[string]string{
-	swcode.NotReady.String():         "the VM had no configuration yet",
-	swcode.NotFound.String():         "no route of the configuration that was in force on the VM matches the host and path",
-	swcode.BadRequest.String():       "the request was malformed, or it did not come whole in time",
-	swcode.BodyTooLarge.String():     "its body exceeds the configuration's limit",
-	swcode.Quarantined.String():      "requests with the same path and body took replicas down, and are held back",
-	swcode.NoReplica.String():        "too few services had a replica that could be reached; Without names those without one",
-	swcode.QueueFull.String():        "the replicas were full, and the ones ahead would have taken too long",
-	swcode.DeadlineExceeded.String(): "the deadline of the client or the route passed before enough answers came",
+	swcode.NotReady.String():          "the VM had no configuration yet",
+	swcode.NotFound.String():          "no route of the configuration that was in force on the VM matches the host and path",
+	swcode.BadRequest.String():        "the request was malformed, or it did not come whole in time",
+	swcode.BodyTooLarge.String():      "its body exceeds the configuration's limit",
+	swcode.Quarantined.String():       "requests with the same path and body took replicas down, and are held back",
+	swcode.NoReplica.String():         "too few services had a replica that could be reached; Without names those without one",
+	swcode.RefusedByRule.String():     "a refuse rule of the operator matched; Rule is its line in the version that Rules names",
+	swcode.NoRuleMatched.String():     "no rule of the version that Rules names matched, so it was refused",
+	swcode.QuarantinedByRule.String(): "a rule refuses what the request asks for by its fingerprint",
+	swcode.RuleRateExceeded.String():  "the limit of the rule whose line is Rule was used up",
+	swcode.RuleWaitExceeded.String():  "it waited for the limit of the rule whose line is Rule for as long as the rule allows",
+	swcode.ShedByPriority.String():    "shards of its route were over capacity, and whole searches were refused to leave room for the rest",
+	swcode.QueueFull.String():         "the replicas were full, and the ones ahead would have taken too long",
+	swcode.DeadlineExceeded.String():  "the deadline of the client or the route passed before enough answers came",
 }
 
 // cause says in words why a request ended as its line tells.
--- a/internal/swgateway/attempt.go
+++ b/internal/swgateway/attempt.go
@@ -30,10 +30,28 @@
 	relayed bool
 }
 
+// relay returns the VM through which an attempt goes, or none when it goes straight to its replica. Answers that are passed on as
+// they are, with all their headers, come straight.
+func (call *call) relay(replica *swreplica.Replica) swrelay.Relay {
+	if call.gateway.config.Relays == nil || !call.request.route.Gathered() {
+		return swrelay.Relay{}
+	}
+	return call.gateway.config.Relays.Find(replica)
+}
+
 // attempt sends the request to one replica.
-func (call *call) attempt(ctx context.Context, command swquery.Command, replica *swreplica.Replica) {
-	result := attemptResult{command: command, replica: replica}
-	result.answer, result.relayed = call.exchange(ctx, command.Target.Server, replica)
+func (call *call) attempt(ctx context.Context, command swquery.Command, replica *swreplica.Replica, relay swrelay.Relay) {
+	request := call.request
+	attempt := &swrelay.Attempt{
+		Replica: command.Target.Server, Method: request.method, RequestID: request.id, Head: request.head, Body: request.body,
+	}
+	result := attemptResult{command: command, replica: replica, relayed: relay.Valid()}
+	if result.relayed {
+		attempt.Left = time.Until(request.deadline)
+		result.answer = call.gateway.config.Relays.Exchange(ctx, replica, relay, attempt)
+	} else {
+		result.answer = call.exchange(ctx, replica, attempt)
+	}
 	result.at = time.Now()
 	if result.answer.Response != nil {
 		result.mark = call.gateway.config.Protocol.ReadMark(result.answer.Response.Status, result.answer.Response.Header)
@@ -41,30 +59,10 @@
 	call.results <- result
 }
 
-// exchange sends the request straight to the replica, or through a VM near it. Answers that are passed on as they are, with all
-// their headers, come straight.
-func (call *call) exchange(ctx context.Context, id string, replica *swreplica.Replica) (answer swreplica.Answer, relayed bool) {
-	request, codec := call.request, Codec{Protocol: call.gateway.config.Protocol}
-	attempt := swrelay.Attempt{Replica: id, Method: request.method, RequestID: request.id, Head: request.head, Body: request.body}
-	if relays := call.gateway.config.Relays; relays != nil && request.route.Gathered() {
-		if relay, ok := relays.Find(replica); ok {
-			attempt.Left = time.Until(request.deadline)
-			return relays.Exchange(ctx, replica, relay, &attempt), true
-		}
-	}
-	return replica.Exchange(ctx, &swreplica.Request{
-		Method: request.method,
-		Encode: func(now time.Time) ([]byte, bool) {
-			left := request.deadline.Sub(now)
-			if left < time.Millisecond || !replica.Taking() {
-				return nil, false
-			}
-			return codec.Encode(&attempt, left), true
-		},
-		Accept:   func(response *swconn.Response) bool { return codec.Answers(response, request.id) },
-		Deadline: request.deadline,
-		Linger:   swrelay.Linger,
-	}), false
+// exchange sends an attempt straight to its replica.
+func (call *call) exchange(ctx context.Context, replica *swreplica.Replica, attempt *swrelay.Attempt) swreplica.Answer {
+	deadline, codec := call.request.deadline, Codec{Protocol: call.gateway.config.Protocol}
+	return replica.Exchange(ctx, swrelay.NewRequest(attempt, replica, codec, deadline, swrelay.Linger))
 }
 
 // take judges the end of an attempt and goes on accordingly.
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -271,11 +271,12 @@
 		replica := call.shards[command.Shard].replicas[command.Target.Server]
 		ctx, cancel := context.WithCancel(call.gateway.config.Group.Context())
 		call.cancels[command.Attempt] = cancel
+		relay := call.relay(replica)
 		call.told = append(call.told, attemptStory{
-			id: command.Attempt, service: call.shards[command.Shard].service, replica: replica, begun: now, outcome: "None",
+			id: command.Attempt, service: call.shards[command.Shard].service, replica: replica, relay: relay.Name, begun: now, outcome: "None",
 		})
 		replica.Reserve()
-		call.gateway.config.Group.Go(func(context.Context) { call.attempt(ctx, command, replica) })
+		call.gateway.config.Group.Go(func(context.Context) { call.attempt(ctx, command, replica, relay) })
 	}
 }
 
--- a/internal/swgateway/log.go
+++ b/internal/swgateway/log.go
@@ -126,6 +126,8 @@
 	id      uint64
 	service string
 	replica *swreplica.Replica
+	// relay is the VM through which it went, empty when it went straight to the replica.
+	relay string
 	// begun is when the attempt was ordered, ended when its outcome came; the zero time while there is none.
 	begun   time.Time
 	ended   time.Time
@@ -144,7 +146,11 @@
 		if !attempt.ended.IsZero() {
 			took = attempt.ended.Sub(attempt.begun).Round(100 * time.Microsecond).String()
 		}
-		lines = append(lines, fmt.Sprintf("%s %s %s +%s %s %s", attempt.service, attempt.replica.ID(), attempt.replica.Distance(),
+		way := attempt.replica.Distance().String()
+		if attempt.relay != "" {
+			way += "/" + attempt.relay
+		}
+		lines = append(lines, fmt.Sprintf("%s %s %s +%s %s %s", attempt.service, attempt.replica.ID(), way,
 			attempt.begun.Sub(call.request.arrived).Round(100*time.Microsecond), took, attempt.outcome))
 	}
 	return lines
--- a/internal/swrelay/client.go
+++ b/internal/swrelay/client.go
@@ -27,6 +27,11 @@
 	Address netip.AddrPort
 }
 
+// Valid reports whether there is a relay.
+func (relay Relay) Valid() bool {
+	return relay.Address.IsValid()
+}
+
 // Transport carries calls to other VMs.
 type Transport interface {
 	// Call sends request to target and decodes the answer into reply.
@@ -59,11 +64,11 @@
 	return &Client{config: config, heard: make(map[netip.AddrPort]time.Time), suspects: make(map[netip.AddrPort]time.Time)}
 }
 
-// Find returns the relay for a replica, if one is to be used: the replica is in another region, and a VM near it is known and
-// did not fail lately.
-func (client *Client) Find(replica *swreplica.Replica) (Relay, bool) {
+// Find returns the relay for a replica, or none when attempts are to go straight: the replica is in this region, or no VM near it
+// is known that did not fail lately.
+func (client *Client) Find(replica *swreplica.Replica) Relay {
 	if replica.Distance() != swreplica.OtherRegion {
-		return Relay{}, false
+		return Relay{}
 	}
 	entry := replica.Entry()
 	relays := client.config.Relays(entry.DataCentre, entry.Region)
@@ -72,10 +77,10 @@
 	defer client.mutex.Unlock()
 	for _, relay := range relays[:min(len(relays), maxRelays)] {
 		if !now.Before(client.suspects[relay.Address]) {
-			return relay, true
+			return relay
 		}
 	}
-	return Relay{}, false
+	return Relay{}
 }
 
 // Exchange sends an attempt that was reserved at the replica through a relay, and waits for the response, the end of ctx, or
--- a/internal/swrelay/relay_test.go
+++ b/internal/swrelay/relay_test.go
@@ -147,6 +147,8 @@
 	// sender is the replica as the sender knows it.
 	sender *swreplica.Replica
 	relays []Relay
+	// near is the replica as the first relay knows it.
+	near *swreplica.Replica
 	// leaving makes the relays say that they are about to stop.
 	leaving bool
 }
@@ -161,8 +163,12 @@
 	for i := range 2 {
 		address := netip.AddrPortFrom(netip.MustParseAddr("10.2.0.1"), uint16(i+1))
 		bench.relays = append(bench.relays, Relay{Name: fmt.Sprint("relay-", i), Address: address})
+		registry := bench.registry("far")
+		if i == 0 {
+			bench.near = registry.Find("a")
+		}
 		bench.way.relays[address] = NewServer(ServerConfig{
-			Replicas: bench.registry("far"), Codec: plainCodec{}, Leaving: func() bool { return bench.leaving },
+			Replicas: registry, Codec: plainCodec{}, Leaving: func() bool { return bench.leaving },
 		})
 	}
 	bench.sender = bench.registry("here").Find("a")
@@ -187,8 +193,8 @@
 
 // send sends one attempt that is withdrawn after a while.
 func (bench *farBench) send(withdrawAfter time.Duration) (answer swreplica.Answer, took time.Duration, relayed bool) {
-	relay, ok := bench.client.Find(bench.sender)
-	if !ok {
+	relay := bench.client.Find(bench.sender)
+	if !relay.Valid() {
 		return answer, 0, false
 	}
 	ctx, cancel := context.WithTimeout(bench.t.Context(), withdrawAfter)
@@ -281,7 +287,7 @@
 			t.Error("outcome (-want +got):\n" + diff)
 		}
 		time.Sleep(time.Second)
-		if relay, _ := bench.client.Find(bench.sender); relay.Name != "relay-0" {
+		if relay := bench.client.Find(bench.sender); relay.Name != "relay-0" {
 			t.Errorf("the next attempt goes through %q, want the same relay", relay.Name)
 		}
 		prospect := bench.sender.Prospect(time.Now(), work)
@@ -296,12 +302,16 @@
 	inBubble(t, func(bench *farBench) {
 		bench.replica.answer = func(*http.Request, net.Conn) bool { return true }
 		bench.send(50 * time.Millisecond)
-		time.Sleep(2*Linger + roundTrip)
+		// A replica must not work for half a second longer than anybody waits.
+		time.Sleep(400 * time.Millisecond)
 		bench.replica.mutex.Lock()
 		defer bench.replica.mutex.Unlock()
 		if diff := cmp.Diff(1, bench.replica.ended); diff != "" {
 			t.Error("connections that ended at the replica (-want +got):\n" + diff)
 		}
+		if bench.near.Up() {
+			t.Error("the relay takes a replica that is silent for one that serves")
+		}
 	})
 }
 
--- a/internal/swrelay/server.go
+++ b/internal/swrelay/server.go
@@ -9,7 +9,8 @@
 )
 
 // Linger is how long an attempt that was withdrawn may still be answered, so that its connection is kept: a little more than
-// replicas commonly stand still.
+// replicas commonly stand still. The sender of a relayed attempt waits for it, and the relay none beside, so that a replica hears
+// within half a second that nobody waits any more.
 const Linger = 300 * time.Millisecond
 
 // leastLeft is the least time in which an attempt can still be of use.
@@ -54,18 +55,24 @@
 	}
 	deadline := time.Now().Add(attempt.Left)
 	replica.Reserve()
-	answer := replica.Exchange(ctx, &swreplica.Request{
+	answer := replica.Exchange(ctx, NewRequest(&attempt, replica, server.config.Codec, deadline, 0))
+	return newReply(&answer), nil
+}
+
+// NewRequest returns an attempt as it is sent straight to its replica, with what is left until the deadline then. Nothing is sent
+// to a replica that has begun to leave, or too late to be of use.
+func NewRequest(attempt *Attempt, replica *swreplica.Replica, codec Codec, deadline time.Time, linger time.Duration) *swreplica.Request {
+	return &swreplica.Request{
 		Method: attempt.Method,
 		Encode: func(now time.Time) ([]byte, bool) {
 			left := deadline.Sub(now)
 			if left < leastLeft || !replica.Taking() {
 				return nil, false
 			}
-			return server.config.Codec.Encode(&attempt, left), true
+			return codec.Encode(attempt, left), true
 		},
-		Accept:   func(response *swconn.Response) bool { return server.config.Codec.Answers(response, attempt.RequestID) },
+		Accept:   func(response *swconn.Response) bool { return codec.Answers(response, attempt.RequestID) },
 		Deadline: deadline,
-		Linger:   Linger,
-	})
-	return newReply(&answer), nil
+		Linger:   linger,
+	}
 }
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -93,6 +93,9 @@
 	if request.Linger <= 0 {
 		flight.End()
 		connection.Close()
+		if now := time.Now(); now.Sub(flight.sentAt) > silentLeast {
+			replica.noteSilent(now, flight.sentAt)
+		}
 		return Answer{Outcome: Withdrawn, Err: ctx.Err(), SentAt: flight.sentAt}
 	}
 	replica.pool.config.Group.Go(func(poolCtx context.Context) {
@@ -159,6 +162,9 @@
 	delete(flight.replica.inFlight, flight)
 }
 
+// silentLeast is the least age of a withdrawn request that tells of a silent replica: longer than replicas commonly stand still.
+const silentLeast = 250 * time.Millisecond
+
 // noteSilent takes a request that was never answered. A replica that has answered nothing since is left alone until a trial
 // reaches it.
 func (replica *Replica) noteSilent(now, sentAt time.Time) {
--- a/lab/internal/swlabsoak/client.go
+++ b/lab/internal/swlabsoak/client.go
@@ -26,8 +26,10 @@
 
 // attempt is one request as its client saw it.
 type attempt struct {
-	id     string
-	once   bool
+	id   string
+	once bool
+	// ruled is set when the operator's rules refuse the request.
+	ruled  bool
 	status int
 	err    error
 	at     time.Time
@@ -72,11 +74,14 @@
 
 func (client *client) run(ctx context.Context) {
 	for swtimer.Wait(ctx, time.Duration(client.random.Int64N(int64(2*clientPause)))) == nil {
-		if client.random.IntN(3) == 0 {
+		switch client.random.IntN(10) {
+		case 0, 1, 2:
 			client.post(ctx)
-			continue
+		case 3:
+			client.send(ctx, http.MethodGet, fmt.Sprintf("%s%s-%d", refusedPath, client.name, client.number), "")
+		default:
+			client.search(ctx)
 		}
-		client.search(ctx)
 	}
 	client.http.CloseIdleConnections()
 }
@@ -84,7 +89,7 @@
 // send makes one request. net/http sends nothing again by itself: the requests have bodies that cannot be read twice.
 func (client *client) send(ctx context.Context, method, path, body string) (header http.Header, read []byte, sent attempt) {
 	client.number++
-	sent = attempt{id: fmt.Sprintf("%s-%d", client.name, client.number), once: method == http.MethodPost, at: time.Now()}
+	sent = attempt{id: fmt.Sprintf("%s-%d", client.name, client.number), once: method == http.MethodPost, ruled: strings.HasPrefix(path, refusedPath), at: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, clientPatience+time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+client.target+path, io.NopCloser(strings.NewReader(body)))
--- a/lab/internal/swlabsoak/fleet.go
+++ b/lab/internal/swlabsoak/fleet.go
@@ -17,11 +17,15 @@
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
 
+	"github.com/sycamorewall/sycamorewall/internal/swedit"
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swsetting"
 	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabproxy"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabusers"
+	"github.com/sycamorewall/sycamorewall/platform"
 )
 
 const (
@@ -41,6 +45,12 @@
 // dataCentres are where VMs and replicas stand.
 var dataCentres = []string{"one", "two"}
 
+// regions maps data centres to their regions, so that attempts go through other VMs as well.
+var regions = map[string]string{"one": "here", "two": "there"}
+
+// refusedPath begins the paths that the operator's rules refuse.
+const refusedPath = "/search/refused/"
+
 // vm is one VM: its settings, its process, and the proxy on its way to the store.
 type vm struct {
 	name     string
@@ -106,6 +116,9 @@
 	if err := fleet.configure(); err != nil {
 		return fleet, err
 	}
+	if err := fleet.applyRules(); err != nil {
+		return fleet, err
+	}
 	fleet.group.Go(fleet.register)
 	for i := range config.VMs {
 		started, err := fleet.newVM(i)
@@ -120,6 +133,20 @@
 	return fleet, nil
 }
 
+// applyRules writes rules that refuse some searches, as the operator's command does.
+func (fleet *fleet) applyRules() error {
+	client, err := swplatform.New(swplatform.Config{URL: "http://" + fleet.store.Address()})
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	rules := swedit.NewCountedStore(platform.NewStore(client), swfollow.KindShared, swfollow.PrefixRules)
+	_, err = swedit.New(swedit.Config{Store: rules}).Apply(context.Background(), swedit.Request{
+		By: "soak", Text: "refuse Path=" + refusedPath + "* # the soak\npass # the soak\n",
+	})
+	return errors.Wrap(err, "apply rules")
+}
+
 // close ends what the run started, and nothing else.
 func (fleet *fleet) close() {
 	for _, vm := range fleet.vms {
@@ -250,9 +277,10 @@
 		return nil, err
 	}
 	settings := swsetting.Defaults()
-	settings.Name, settings.Region, settings.DataCentre = name, "here", dataCentres[number%len(dataCentres)]
+	settings.Name, settings.DataCentre = name, dataCentres[number%len(dataCentres)]
+	settings.Region = regions[settings.DataCentre]
 	settings.Gateway.Listen, settings.Gateway.Ready = ports[0], ports[1]
-	settings.Gateway.Regions = map[string]string{"one": "here", "two": "there"}
+	settings.Gateway.Regions = regions
 	settings.Gateway.Grace, settings.Gateway.ApplyWithin = grace, applyWithin
 	settings.Gateway.RepeatRatio, settings.Gateway.RepeatSlack = 0.3, 50
 	settings.Peer.Listen, settings.Peer.Advertise = ports[2], made.peer.Address()
--- a/lab/internal/swlabsoak/soak.go
+++ b/lab/internal/swlabsoak/soak.go
@@ -186,7 +186,7 @@
 			continue
 		}
 		all++
-		if attempt.status == http.StatusOK {
+		if attempt.status == http.StatusOK || attempt.ruled && attempt.status == http.StatusForbidden {
 			served++
 		}
 	}
@@ -207,7 +207,7 @@
 		switch attempt.status {
 		case http.StatusOK:
 			report.Served++
-		case http.StatusServiceUnavailable:
+		case http.StatusServiceUnavailable, http.StatusForbidden:
 			report.Refused++
 		default:
 			report.Failed++
@@ -218,6 +218,12 @@
 		if attempt.once && refused(attempt.status) && len(runs) > 0 {
 			record.wrong = append(record.wrong, fmt.Sprintf("REFUSED: %s was answered %d and ran: %v", attempt.id, attempt.status, runs))
 		}
+		if attempt.ruled && (len(runs) > 0 || attempt.status == http.StatusOK) {
+			record.wrong = append(record.wrong, fmt.Sprintf("RULE: %s is refused by a rule, was answered %d and ran: %v", attempt.id, attempt.status, runs))
+		}
+		if attempt.ruled && attempt.status == http.StatusForbidden {
+			continue
+		}
 		if attempt.status >= http.StatusBadRequest && attempt.status < http.StatusInternalServerError && !refused(attempt.status) {
 			record.wrong = append(record.wrong, fmt.Sprintf("DENIED: %s was answered %d", attempt.id, attempt.status))
 		}
