Tell in the log when a process stood still or the time of day jumped

A search answered after 5.6 s had all but one of its parts after 61 ms, and nothing in the log said that its VM had been frozen in between; the gap between lines did. A look at both clocks each second writes it now. The cause that explain gives counted one meaning twice ('1 attempts still without an answer, 2 attempts still without an answer').

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -290,6 +290,7 @@
 	parts.Group.Go(parts.Servers.Run)
 	parts.Group.Go(parts.join)
 	parts.Group.Go(parts.prune)
+	parts.Group.Go(func(ctx context.Context) { pulse(ctx, parts.Log) })
 	parts.Server.Serve(parts.Group)
 	parts.Metrics.serve(parts.Group)
 	parts.Log.Info().Stringer("Clients", parts.Server.Address()).Stringer("Ready", parts.Server.ReadyAddress()).
--- a/internal/swexplain/explain.go
+++ b/internal/swexplain/explain.go
@@ -183,12 +183,12 @@
 	for _, attempt := range line.Attempts {
 		words := strings.Fields(attempt)
 		if outcome := words[len(words)-1]; outcome != "Answered" {
-			counts[outcome]++
+			counts[meaning(outcome)]++
 		}
 	}
 	var parts []string
-	for _, outcome := range slices.Sorted(maps.Keys(counts)) {
-		parts = append(parts, fmt.Sprintf("%d %s", counts[outcome], meaning(outcome)))
+	for _, what := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[what], what))
 	}
 	if line.Denied > 0 {
 		parts = append(parts, fmt.Sprintf("%d repeats that the shared budget did not grant", line.Denied))
