Let requests wait for a VM that has just started

After the loss of all VMs clients were at the first that came back 0.12 to 0.2 s before it had its configuration; 101 were refused with NotReady, most of them at their last try, and 21 never served. What they asked for was not known to be unservable, only not known yet.

Ruled out: a shorter Retry-After; a client has one retry, and its connection at the lost VM had used it up.

A request waits up to 0.4 s until the VM has heard of its configuration, rules and servers. TestRequestsAtAVMThatHasJustStartedWaitForIt failed before.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -255,7 +255,7 @@
 	settings := config.Settings
 	return swgateway.New(swgateway.Config{
 		Group: group, Protocol: platform.Headers{}, Routes: routes, Replicas: replicas, Quarantine: quarantine, Recorder: recorder, Log: log,
-		Relays: relays, Rules: rules, Limits: limiter, RulesKnown: rules.known.Load, CallerHeader: settings.Gateway.CallerHeader,
+		Relays: relays, Rules: rules, Limits: limiter, Informed: func() bool { return rules.known.Load() && replicas.Len() > 0 }, CallerHeader: settings.Gateway.CallerHeader,
 		Budget: swgateway.NewBudget(swgateway.BudgetConfig{
 			Ratio: settings.Gateway.RepeatRatio, Slack: settings.Gateway.RepeatSlack, Window: settings.Gateway.RepeatWindow,
 			VMs: fleet.Len,
--- a/internal/swgateway/gateway.go
+++ b/internal/swgateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
 	"github.com/sycamorewall/sycamorewall/internal/swtable"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 	"github.com/sycamorewall/sycamorewall/pkg/swrule"
 )
@@ -55,8 +56,8 @@
 	// Rules are the operator's rules, and Limits keeps to the limits of those that have any; both may be nil.
 	Rules  swquery.Rules
 	Limits Limits
-	// RulesKnown reports whether this VM has heard which rules are in force, if any; nil means that it has.
-	RulesKnown func() bool
+	// Informed reports whether this VM has heard which rules are in force, if any, and of backend servers; nil means that it has.
+	Informed func() bool
 	// CallerHeader names the header in which clients give their name for the rules; empty when none does.
 	CallerHeader string
 	Quarantine   Quarantine
@@ -195,10 +196,10 @@
 	envelope := gateway.config.Protocol.ReadEnvelope(message.Header)
 	request := &request{id: envelope.ID, method: message.Method, host: message.Host, arrived: arrived}
 	request.caller = callerOf(message, gateway.config.CallerHeader)
-	request.table = gateway.config.Routes.Current()
-	if request.table == nil || gateway.config.RulesKnown != nil && !gateway.config.RulesKnown() {
+	if !gateway.awaitStart(message.Context()) {
 		return request, &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.NotReady, RetryAfter: startingRetryAfter}
 	}
+	request.table = gateway.config.Routes.Current()
 	request.target = originForm(message)
 	if request.target == "" || envelope.ID == "" {
 		return request, refuse(http.StatusBadRequest, swcode.BadRequest)
@@ -227,6 +228,28 @@
 	return request, nil
 }
 
+const (
+	// startWait is how long a request waits for a VM that has just started to hear of its configuration, rules and servers: a few
+	// calls to the store or to a peer while all VMs start.
+	startWait = 400 * time.Millisecond
+	// startCheck is the time between two looks.
+	startCheck = 5 * time.Millisecond
+)
+
+// awaitStart waits until this VM can serve, and reports whether it can. It answers the load after all VMs were lost: clients meet
+// the first that is back before it has heard anything, most of them with their last try.
+func (gateway *Gateway) awaitStart(ctx context.Context) bool {
+	ready := func() bool {
+		return gateway.config.Routes.Current() != nil && (gateway.config.Informed == nil || gateway.config.Informed())
+	}
+	for waited := time.Duration(0); !ready(); waited += startCheck {
+		if waited >= startWait || swtimer.Wait(ctx, startCheck) != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // setTimes derives the deadline, and the moment by which an answer is in time for the target. A client that repeats has
 // less time left than one that comes first; what is missing has passed since its first attempt.
 func (gateway *Gateway) setTimes(request *request, left time.Duration) {
--- a/internal/swgateway/rule_test.go
+++ b/internal/swgateway/rule_test.go
@@ -78,7 +78,7 @@
 		bench.route(repeatable())
 		replica := bench.add("s", "a", signed(time.Millisecond, "a", "good"))
 		known := false
-		bench.config.RulesKnown = func() bool { return known }
+		bench.config.Informed = func() bool { return known }
 		if diff := cmp.Diff("503 NotReady\n", statusAndBody(bench.ask(t.Context(), http.MethodPost, "/x", "work"))); diff != "" {
 			t.Error("answer (-want +got):\n" + diff)
 		}
--- a/internal/swgateway/single_test.go
+++ b/internal/swgateway/single_test.go
@@ -234,6 +234,41 @@
 	})
 }
 
+// TestRequestsAtAVMThatHasJustStartedWaitForIt replays the return of all VMs after a loss of power: clients are there first.
+func TestRequestsAtAVMThatHasJustStartedWaitForIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		after time.Duration
+		want  string
+		most  time.Duration
+	}{
+		"it hears soon": {150 * time.Millisecond, "200 good", 160 * time.Millisecond},
+		"it hears late": {time.Minute, "503 NotReady\n", startWait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				bench := newBench(t, 0)
+				defer bench.close()
+				bench.add("s", "a", signed(time.Millisecond, "a", "good"))
+				bench.group.Go(func(context.Context) {
+					time.Sleep(test.after)
+					bench.route(once())
+				})
+				got := bench.ask(t.Context(), http.MethodPost, "/x", "work")
+				if diff := cmp.Diff(test.want, statusAndBody(got)); diff != "" {
+					t.Error("answer (-want +got):\n" + diff)
+				}
+				if got.took > test.most {
+					t.Errorf("took %s, want at most %s", got.took, test.most)
+				}
+				if got.Code != http.StatusOK && got.Header().Get("Retry-After") == "" {
+					t.Error("a refusal names no time to come back")
+				}
+				time.Sleep(test.after)
+			})
+		})
+	}
+}
+
 func TestRequestThatCrashesReplicasIsHeldBack(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		bench := newBench(t, 1)
