--- a/internal/swquery/gather.go
+++ b/internal/swquery/gather.go
@@ -256,16 +256,6 @@
 	gather.retryOrFail(now, position)
 }
 
-// replaceHedge sends another hedge in place of one that reached no server: the budget granted it, and the shard is as late as
-// before.
-func (gather *Gather) replaceHedge(now time.Time, position int, answer swbackend.Answer) {
-	shard := &gather.shards[position]
-	if !gather.config.Idempotent || gather.closed || gather.suspect() || !costsNothing(answer.Outcome) || !gather.hasTarget(shard) {
-		return
-	}
-	gather.send(now, position)
-}
-
 func (gather *Gather) retryOrFail(now time.Time, position int) {
 	if gather.closed {
 		return
--- a/internal/swquery/gather_send.go
+++ b/internal/swquery/gather_send.go
@@ -47,6 +47,16 @@
 	gather.scheduleHedge(now, shard, shard.plan.Targets[shard.nextTarget])
 }
 
+// replaceHedge sends another hedge in place of one that reached no server: the budget granted it, and the shard is as late as
+// before.
+func (gather *Gather) replaceHedge(now time.Time, position int, answer swbackend.Answer) {
+	shard := &gather.shards[position]
+	if !gather.config.Idempotent || gather.closed || gather.suspect() || !costsNothing(answer.Outcome) || !gather.hasTarget(shard) {
+		return
+	}
+	gather.send(now, position)
+}
+
 // noteLate tells of the attempts of a shard that are late.
 func (gather *Gather) noteLate(now time.Time, shard *gatherShard) {
 	for i := range shard.attempts {
--- a/lab/command.go
+++ b/lab/command.go
@@ -15,6 +15,7 @@
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabcheck"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabfleet"
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabscenario"
+	"github.com/sycamorewall/sycamorewall/lab/internal/swlabsoak"
 )
 
 // flags are those that runs share.
@@ -92,11 +93,18 @@
 }
 
 func newDemoCommand() *cobra.Command {
-	flags := &flags{}
+	flags, gateway := &flags{}, false
 	command := &cobra.Command{
 		Use: "demo", Short: "Run a fleet under the load of a calm day and print what callers saw", Args: cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error { return flags.run(command, "calm") },
+		RunE: func(command *cobra.Command, _ []string) error {
+			if gateway {
+				soak := &soakCommand{config: swlabsoak.Config{Seed: flags.seed, Duration: flags.duration, VMs: 4, Clients: 12, Calm: true, Binary: flags.binary}, seeds: 1}
+				return soak.run(command)
+			}
+			return flags.run(command, "calm")
+		},
 	}
+	command.Flags().BoolVar(&gateway, "gateway", false, "run the gateway in front of stand-ins of the users' platform instead of the search API")
 	flags.fleetFlags(command)
 	flags.loadFlags(command, 10*time.Second)
 	return command
--- a/lab/internal/swlabsoak/soak.go
+++ b/lab/internal/swlabsoak/soak.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,10 +35,12 @@
 	Binary    string
 	Directory string
 	Seed      uint64
-	// Duration is how long faults are injected.
+	// Duration is how long faults are injected, or how long a calm run lasts.
 	Duration time.Duration
-	VMs      int
-	Clients  int
+	// Calm injects no fault.
+	Calm    bool
+	VMs     int
+	Clients int
 	// Safety checks only promises that no slow machine excuses, and waits for the others as long as it takes.
 	Safety bool
 	// Out takes a line for each fault; it may be io.Discard.
@@ -53,6 +56,9 @@
 	Failed   int
 	// Faults is the number of faults injected.
 	Faults int
+	// Median and Slow are the 50th and 99th percentile of the latency of what was served.
+	Median time.Duration
+	Slow   time.Duration
 	// Wrong lists the promises that were broken.
 	Wrong []string
 }
@@ -82,7 +88,11 @@
 		client := newClient(i, fleet.vms[i%len(fleet.vms)].settings.Gateway.Listen.String(), config.Seed, record)
 		clients.Go(client.run)
 	}
-	report.Faults = fleet.disturb(ctx, config)
+	if config.Calm {
+		_ = swtimer.Wait(ctx, config.Duration)
+	} else {
+		report.Faults = fleet.disturb(ctx, config)
+	}
 	if err := fleet.awaitReady(ctx, within); err != nil {
 		record.fault("RECOVER: %v", err)
 	}
@@ -200,6 +210,7 @@
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 	known := make(map[string]bool, len(record.attempts))
+	var latencies []time.Duration
 	for _, attempt := range record.attempts {
 		known[attempt.id] = true
 		runs := fleet.journal.Runs(attempt.id)
@@ -207,6 +218,7 @@
 		switch attempt.status {
 		case http.StatusOK:
 			report.Served++
+			latencies = append(latencies, attempt.took)
 		case http.StatusServiceUnavailable, http.StatusForbidden:
 			report.Refused++
 		default:
@@ -228,6 +240,9 @@
 			record.wrong = append(record.wrong, fmt.Sprintf("DENIED: %s was answered %d", attempt.id, attempt.status))
 		}
 	}
+	if slices.Sort(latencies); len(latencies) > 0 {
+		report.Median, report.Slow = latencies[len(latencies)/2], latencies[len(latencies)*99/100]
+	}
 	for _, id := range fleet.journal.IDs() {
 		if !known[id] {
 			record.wrong = append(record.wrong, fmt.Sprintf("UNASKED: %s ran, which no client sent", id))
--- a/lab/soak.go
+++ b/lab/soak.go
@@ -69,8 +69,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", config.Seed)
 		}
-		fmt.Fprintf(out, "seed %d: %d faults, %d requests, %d served, %d refused, %d failed, %d promises broken\n",
-			report.Seed, report.Faults, report.Requests, report.Served, report.Refused, report.Failed, len(report.Wrong))
+		fmt.Fprintf(out, "seed %d: %d faults, %d requests, %d served, %d refused, %d failed, median %s, 99th percentile %s, %d promises broken\n",
+			report.Seed, report.Faults, report.Requests, report.Served, report.Refused, report.Failed,
+			report.Median.Round(time.Millisecond), report.Slow.Round(time.Millisecond), len(report.Wrong))
 		for _, wrong := range report.Wrong {
 			fmt.Fprintln(out, "  "+wrong)
 		}
