Do not serve on a new VM with rules that it cannot read

Cause: found in reading. It stays not ready now.

Ruled out: serving without rules until they are mended; an outage of restarting VMs shows at once, what passed cannot be called back.

The constructors of the feed and of the gateway take their pieces from fx in structures, which had ten parameters.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -182,22 +182,35 @@
 // history, which a watch must not outlive.
 const slowWatch = 12 * time.Second
 
-func newFeed(config Config, store *platform.Store, peers *peers, fleet *swfleet.Fleet, routes *swroute.Book, servers *swfollow.Mirror[swreplica.Entry],
-	vms *swfollow.Mirror[swfleet.VM], board *swboard.Board, rules *ruleBook, log zerolog.Logger,
-) *swfeed.Feed {
-	settings := config.Settings.Gateway
+// feedParts are the pieces that hear of changes. fx fills them by type.
+type feedParts struct {
+	fx.In
+
+	Config  Config
+	Store   *platform.Store
+	Peers   *peers
+	Fleet   *swfleet.Fleet
+	Routes  *swroute.Book
+	Servers *swfollow.Mirror[swreplica.Entry]
+	VMs     *swfollow.Mirror[swfleet.VM]
+	Board   *swboard.Board
+	Rules   *ruleBook
+	Log     zerolog.Logger
+}
+
+func newFeed(parts feedParts) *swfeed.Feed {
+	settings := parts.Config.Settings.Gateway
 	return swfeed.New(swfeed.Config{
-		Source: store, Transport: peers, Ahead: fleet.Ahead, OnFollowed: fleet.Heard, Log: log,
+		Source: parts.Store, Transport: parts.Peers, Ahead: parts.Fleet.Ahead, OnFollowed: parts.Fleet.Heard, Log: parts.Log,
 		Kinds: []swfeed.Kind{
 			{Name: platform.KindConfig, Current: true, WatchWait: settings.ApplyWithin / watchesWithin, Receive: func(change swfollow.Change) {
-				receiveConfig(routes, change, log)
+				receiveConfig(parts.Routes, change, parts.Log)
 			}},
-			{Name: platform.KindServers, Current: true, WatchWait: settings.DrainWithin / watchesWithin, Receive: servers.Receive},
+			{Name: platform.KindServers, Current: true, WatchWait: settings.DrainWithin / watchesWithin, Receive: parts.Servers.Receive},
 			{Name: swfollow.KindShared, WatchWait: slowWatch, Receive: func(change swfollow.Change) {
-				vms.Receive(change.Named(swfollow.PrefixVM))
-				board.Receive(change.Named(swfollow.PrefixRecord))
-				receiveRules(rules, change.Named(swfollow.PrefixRules), log)
-				rules.known.Store(true)
+				parts.VMs.Receive(change.Named(swfollow.PrefixVM))
+				parts.Board.Receive(change.Named(swfollow.PrefixRecord))
+				receiveRules(parts.Rules, change.Named(swfollow.PrefixRules), parts.Log)
 			}},
 		},
 	})
@@ -220,8 +233,8 @@
 	}
 }
 
-// receiveRules puts the newest rules of a change in force. Rules that were deleted stay in force: nothing that they refuse may pass
-// because of a mistake at the store.
+// receiveRules puts the newest rules of a change in force. Rules that were deleted, or cannot be read, leave the last ones in force: a
+// mistake at the store must not let pass what they refuse. A VM that knows none yet does not serve with rules that it cannot read.
 func receiveRules(rules *ruleBook, change swfollow.Change, log zerolog.Logger) {
 	for _, object := range change.Objects {
 		if object.Name != swfollow.PrefixRules+swedit.NameMain {
@@ -237,10 +250,11 @@
 		}
 		if err != nil {
 			log.Error().Err(err).Uint64("Revision", object.Revision).Msg("invalid rules, the last good ones stay in force")
-			continue
+			return
 		}
 		log.Info().Uint64("Rules", counted.Version).Uint64("Revision", object.Revision).Msg("rules in force")
 	}
+	rules.known.Store(true)
 }
 
 func newGatewayLimiter(fleet *swfleet.Fleet, peers *peers) *swadmission.Limiter {
@@ -251,14 +265,32 @@
 	return swrelay.NewClient(swrelay.ClientConfig{Group: group, Transport: peers, Relays: fleet.Relays, Log: log})
 }
 
-func newGatewayHandler(config Config, fleet *swfleet.Fleet, relays *swrelay.Client, rules *ruleBook, limiter *swadmission.Limiter, recorder *swmetric.Recorder, group *swgroup.Group, routes *swroute.Book, replicas *swreplica.Registry, quarantine *swquarantine.Register, log zerolog.Logger) *swgateway.Gateway {
-	settings := config.Settings
+// handlerParts are the pieces that decide about requests. fx fills them by type.
+type handlerParts struct {
+	fx.In
+
+	Config     Config
+	Group      *swgroup.Group
+	Fleet      *swfleet.Fleet
+	Routes     *swroute.Book
+	Replicas   *swreplica.Registry
+	Relays     *swrelay.Client
+	Rules      *ruleBook
+	Limiter    *swadmission.Limiter
+	Quarantine *swquarantine.Register
+	Recorder   *swmetric.Recorder
+	Log        zerolog.Logger
+}
+
+func newGatewayHandler(parts handlerParts) *swgateway.Gateway {
+	settings := parts.Config.Settings.Gateway
 	return swgateway.New(swgateway.Config{
-		Group: group, Protocol: platform.Headers{}, Routes: routes, Replicas: replicas, Quarantine: quarantine, Recorder: recorder, Log: log,
-		Relays: relays, Rules: rules, Limits: limiter, Informed: func() bool { return rules.known.Load() && replicas.Len() > 0 }, CallerHeader: settings.Gateway.CallerHeader,
+		Group: parts.Group, Protocol: platform.Headers{}, Routes: parts.Routes, Replicas: parts.Replicas, Relays: parts.Relays,
+		Rules: parts.Rules, Limits: parts.Limiter, CallerHeader: settings.CallerHeader,
+		Informed:   func() bool { return parts.Rules.known.Load() && parts.Replicas.Len() > 0 },
+		Quarantine: parts.Quarantine, Recorder: parts.Recorder, Log: parts.Log,
 		Budget: swgateway.NewBudget(swgateway.BudgetConfig{
-			Ratio: settings.Gateway.RepeatRatio, Slack: settings.Gateway.RepeatSlack, Window: settings.Gateway.RepeatWindow,
-			VMs: fleet.Len,
+			Ratio: settings.RepeatRatio, Slack: settings.RepeatSlack, Window: settings.RepeatWindow, VMs: parts.Fleet.Len,
 		}),
 	})
 }
