Take no connection after a test of relays has ended

The relay takes the silent replica for down, which the test asserts, and goes on trying it; a trial between the end of the test's connections and that of its group opened one that nobody ended.

Ruled out: the relay, whose trial is what it should do; the goroutine left over is the stand-in's. The test asserts what it did.

--- a/internal/swrelay/relay_test.go
+++ b/internal/swrelay/relay_test.go
@@ -43,22 +43,28 @@
 	lefts []string
 	ended int
 	conns []net.Conn
+	// stopped replicas take no connection.
+	stopped bool
 }
 
-// stop ends all connections.
+// stop ends all connections, and takes no more: trials go on to open them.
 func (replica *farReplica) stop() {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
+	replica.stopped = true
 	for _, conn := range replica.conns {
 		conn.Close()
 	}
 }
 
 func (replica *farReplica) dial(context.Context, netip.AddrPort) (net.Conn, error) {
-	client, server := net.Pipe()
 	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	if replica.stopped {
+		return nil, net.ErrClosed
+	}
+	client, server := net.Pipe()
 	replica.conns = append(replica.conns, server)
-	replica.mutex.Unlock()
 	replica.group.Go(func(context.Context) {
 		reader := bufio.NewReader(server)
 		for {
