Do work for rules, hedges and relays once and where it is needed

Cause: found in reading the whole change again. The caller's name was worked out for every request, also where there are no rules; it is taken when rules match now. A hedge's delay built the whole description of a replica, with a walk over its requests in flight, for one field; the registry gives that field alone. The fleet named three relays of which the client tried two, under two constants of one name; the client's bound holds for both.

No behaviour changes, no assertion either; the relays' test refers to the one constant that is left.

--- a/internal/swedit/counted.go
+++ b/internal/swedit/counted.go
@@ -38,6 +38,12 @@
 	Value   json.RawMessage
 }
 
+// encodeCounted returns the value of an object at a version.
+func encodeCounted(version uint64, value []byte) ([]byte, error) {
+	encoded, err := json.Marshal(Counted{Version: version, Value: value})
+	return encoded, errors.Wrap(err, "encode a counted object")
+}
+
 // DecodeCounted reads an object that holds its version.
 func DecodeCounted(value []byte) (Counted, error) {
 	var counted Counted
@@ -70,9 +76,9 @@
 
 // Create makes an object at version 1; swplatform.ErrConflict tells that it exists.
 func (store *CountedStore) Create(ctx context.Context, kind, name string, value []byte) (swplatform.Object, error) {
-	encoded, err := json.Marshal(Counted{Version: 1, Value: value})
+	encoded, err := encodeCounted(1, value)
 	if err != nil {
-		return swplatform.Object{}, errors.Wrap(err, "encode a counted object")
+		return swplatform.Object{}, err
 	}
 	if err := store.store.CreateObject(ctx, store.kind, store.prefix+name, encoded); err != nil {
 		return swplatform.Object{}, err
@@ -89,9 +95,9 @@
 	if present.Version != version {
 		return swplatform.Object{}, swplatform.ErrConflict
 	}
-	encoded, err := json.Marshal(Counted{Version: version + 1, Value: value})
+	encoded, err := encodeCounted(version+1, value)
 	if err != nil {
-		return swplatform.Object{}, errors.Wrap(err, "encode a counted object")
+		return swplatform.Object{}, err
 	}
 	if err := store.store.ReplaceObject(ctx, store.kind, store.prefix+name, present.Revision, encoded); err != nil {
 		return swplatform.Object{}, err
--- a/internal/swfleet/relay.go
+++ b/internal/swfleet/relay.go
@@ -10,9 +10,6 @@
 	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 )
 
-// maxRelays is the number of VMs that Relays names for a data centre: some to choose among when the first fails.
-const maxRelays = 3
-
 // Relays returns the VMs through which this VM reaches the servers of a data centre, the preferred one first: VMs of that data
 // centre, or of its region when it has none. Each VM prefers others, in proportion to their capacity.
 func (fleet *Fleet) Relays(dataCentre, region string) []swrelay.Relay {
@@ -51,7 +48,7 @@
 		})
 	}
 	slices.SortFunc(places, func(a, b place) int { return cmp.Compare(a.score, b.score) })
-	relays := make([]swrelay.Relay, min(len(places), maxRelays))
+	relays := make([]swrelay.Relay, min(len(places), swrelay.MaxRelays))
 	for i := range relays {
 		relays[i] = places[i].relay
 	}
--- a/internal/swfleet/relay_test.go
+++ b/internal/swfleet/relay_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 )
 
 // TestRelaysAreSharedByCapacity counts how many VMs of one data centre prefer each VM of another as their relay.
@@ -22,7 +24,7 @@
 		fleet := New(newVM(100+i, "here", small))
 		fleet.Apply(vms, nil)
 		relays := fleet.Relays("far", "r")
-		if diff := cmp.Diff(maxRelays, len(relays)); diff != "" {
+		if diff := cmp.Diff(swrelay.MaxRelays, len(relays)); diff != "" {
 			t.Fatal("relays (-want +got):\n" + diff)
 		}
 		chosen[relays[0].Name]++
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -196,8 +196,7 @@
 	known := &call.shards[shard]
 	expected := time.Duration(0)
 	if replica, ok := known.replicas[target.Server]; ok {
-		prospect := replica.Prospect(time.Now(), call.gateway.pace.typical(known.service))
-		expected = prospect.Typical
+		expected = replica.Expected(time.Now(), call.gateway.pace.typical(known.service))
 	}
 	return call.gateway.pace.hedgeAfter(call.request.route, expected)
 }
--- a/internal/swgateway/gateway.go
+++ b/internal/swgateway/gateway.go
@@ -195,7 +195,6 @@
 func (gateway *Gateway) accept(writer http.ResponseWriter, message *http.Request, arrived time.Time) (*request, *Refusal) {
 	envelope := gateway.config.Protocol.ReadEnvelope(message.Header)
 	request := &request{id: envelope.ID, method: message.Method, host: message.Host, arrived: arrived}
-	request.caller = callerOf(message, gateway.config.CallerHeader)
 	if !gateway.awaitStart(message.Context()) {
 		return request, &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.NotReady, RetryAfter: startingRetryAfter}
 	}
@@ -218,7 +217,7 @@
 	request.body = body
 	gateway.setTimes(request, envelope.Left)
 	request.fingerprint = fingerprintOf(request.method, request.host, request.target, body)
-	if refusal := gateway.matchRules(request); refusal != nil {
+	if refusal := gateway.matchRules(request, message); refusal != nil {
 		return request, refusal
 	}
 	if gateway.config.Quarantine.Check(request.fingerprint, request.decision.Release) == swquarantine.Refused {
--- a/internal/swgateway/request.go
+++ b/internal/swgateway/request.go
@@ -32,7 +32,7 @@
 	body []byte
 	// fingerprint identifies the request apart from its ID.
 	fingerprint uint64
-	// caller names the client for the rules.
+	// caller names the client for the rules; empty when there are none.
 	caller string
 	// rules is the version of the rules that decided, zero when there are none, decision what they say.
 	rules    uint64
--- a/internal/swgateway/rule.go
+++ b/internal/swgateway/rule.go
@@ -20,7 +20,7 @@
 }
 
 // matchRules finds the rule that decides a request, under the version of the rules in force. Without rules everything passes.
-func (gateway *Gateway) matchRules(request *request) *Refusal {
+func (gateway *Gateway) matchRules(request *request, message *http.Request) *Refusal {
 	if gateway.config.Rules == nil {
 		return nil
 	}
@@ -29,6 +29,7 @@
 		return nil
 	}
 	request.rules = version
+	request.caller = callerOf(message, gateway.config.CallerHeader)
 	request.decision = ruleSet.Match(swrule.Request{
 		Caller:      request.caller,
 		Kind:        request.route.Name,
@@ -40,18 +41,11 @@
 		return refuse(swcode.Describe(code).Status, code)
 	}
 	if limit := request.decision.Deadline; limit > 0 {
-		request.deadline = earlier(request.deadline, request.arrived.Add(limit))
+		request.deadline = request.arrived.Add(min(limit, request.deadline.Sub(request.arrived)))
 	}
 	return nil
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // acquire waits for the limits of the request's rule, no longer than the request may.
 func (gateway *Gateway) acquire(ctx context.Context, request *request) (release func(), refusal *Refusal) {
 	if gateway.config.Limits == nil || request.decision.Line == 0 {
--- a/internal/swrelay/client.go
+++ b/internal/swrelay/client.go
@@ -17,8 +17,8 @@
 const (
 	// suspectFor is how long a VM that failed as a relay is passed over: a VM that restarts is back by then.
 	suspectFor = 3 * time.Second
-	// maxRelays is the number of VMs that are tried before an attempt goes straight to the replica.
-	maxRelays = 2
+	// MaxRelays is the number of VMs that are tried before an attempt goes straight to the replica.
+	MaxRelays = 2
 )
 
 // Relay is a VM that may pass attempts on.
@@ -44,7 +44,7 @@
 type ClientConfig struct {
 	Group     *swgroup.Group
 	Transport Transport
-	// Relays returns the VMs near the replicas of a data centre, the preferred one first.
+	// Relays returns at most MaxRelays VMs near the replicas of a data centre, the preferred one first.
 	Relays func(dataCentre, region string) []Relay
 	Log    zerolog.Logger
 }
@@ -75,7 +75,7 @@
 	now := time.Now()
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
-	for _, relay := range relays[:min(len(relays), maxRelays)] {
+	for _, relay := range relays {
 		if !now.Before(client.suspects[relay.Address]) {
 			return relay
 		}
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -131,6 +131,13 @@
 	return typical + time.Duration(float64(replica.average-typical)/(1+age*age))
 }
 
+// Expected returns how long an answer of the replica takes, as a Prospect has it. typical is the usual latency of its service.
+func (replica *Replica) Expected(now time.Time, typical time.Duration) time.Duration {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return replica.expected(now, typical)
+}
+
 // Crowded reports whether the replica's answers wait in a queue, as its latency shows.
 func (replica *Replica) Crowded() bool {
 	replica.mutex.Lock()
