Remove a replica whose entry changed and was removed in one response

Cause: Mirror.Receive split one response of a watch into changed and removed names. An entry that changed and was removed within one response was in both, and the registry applies removals first: the replica came back, and as the mirror no longer knew its name, no later listing removed it. Responses hold what happened within the batch delay of 375 ms, so a heartbeat just before the removal is enough. With the order of the fleet's registry, an entry that was removed and came back was dropped. Class: a sequence of events turned into two sets loses its order. Now the last event of an object decides. Looked for elsewhere: receiveConfig, receiveRules and swfeed's cache apply events in order. TestLastEventOfAnObjectDecides fails in all four cases on the former code.

--- a/internal/swfollow/mirror.go
+++ b/internal/swfollow/mirror.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,28 +48,37 @@
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	now := time.Now()
-	var changed []Item
-	seen := make(map[string]bool, len(change.Objects))
-	var removed []string
+	// An object may change and be deleted within one change of the store. Its last event decides.
+	items := make(map[string]Item, len(change.Objects))
+	absent := make(map[string]bool)
 	for _, object := range change.Objects {
 		item, ok := mirror.config.Decode(object)
-		if object.Deleted || !ok {
-			removed = append(removed, object.Name)
-			continue
+		absent[object.Name] = object.Deleted || !ok
+		if !absent[object.Name] {
+			items[object.Name] = item
+			mirror.names[object.Name] = struct{}{}
 		}
-		seen[object.Name] = true
-		mirror.names[object.Name] = struct{}{}
-		delete(mirror.pendingRemovals, object.Name)
-		changed = append(changed, item)
 	}
 	if change.Full {
 		for name := range mirror.names {
-			if !seen[name] {
-				removed = append(removed, name)
+			if _, listed := absent[name]; !listed {
+				absent[name] = true
 			}
 		}
 	}
-	mirror.config.Apply(changed, mirror.removeOrDefer(removed, change.RecoveredAt, now))
+	var missing []string
+	for name, isAbsent := range absent {
+		if isAbsent {
+			missing = append(missing, name)
+		} else {
+			delete(mirror.pendingRemovals, name)
+		}
+	}
+	removed := mirror.removeOrDefer(missing, change.RecoveredAt, now)
+	for _, name := range removed {
+		delete(items, name)
+	}
+	mirror.config.Apply(slices.Collect(maps.Values(items)), removed)
 }
 
 // removeOrDefer removes names, or defers that within RemovalGrace after a recovery of the store. It returns the removed ones.
--- a/internal/swfollow/mirror_test.go
+++ b/internal/swfollow/mirror_test.go
@@ -18,6 +18,8 @@
 type collector struct {
 	*Mirror[string]
 	names map[string]bool
+	// removeFirst is set if the collector applies removals before changes.
+	removeFirst bool
 }
 
 func newCollector(grace time.Duration) *collector {
@@ -25,11 +27,19 @@
 	collector.Mirror = NewMirror(MirrorConfig[string]{
 		Decode: func(object swplatform.Object) (string, bool) { return object.Name, len(object.Value) > 0 },
 		Apply: func(changed, removed []string) {
+			remove := func() {
+				for _, name := range removed {
+					delete(collector.names, name)
+				}
+			}
+			if collector.removeFirst {
+				remove()
+			}
 			for _, name := range changed {
 				collector.names[name] = true
 			}
-			for _, name := range removed {
-				delete(collector.names, name)
+			if !collector.removeFirst {
+				remove()
 			}
 		},
 		RemovalGrace: grace,
@@ -72,6 +82,32 @@
 	checkNames(t, collector, "c")
 }
 
+// TestLastEventOfAnObjectDecides guards against a replica that stays in use although the store has removed its entry, because the
+// entry changed and was removed within one response of a watch.
+func TestLastEventOfAnObjectDecides(t *testing.T) {
+	put, deleted := objects("b")[0], swplatform.Object{Name: "b", Deleted: true}
+	for name, test := range map[string]struct {
+		events []swplatform.Object
+		want   []string
+	}{
+		"changed, then removed":       {[]swplatform.Object{put, deleted}, []string{"a"}},
+		"removed, then back":          {[]swplatform.Object{deleted, put}, []string{"a", "b"}},
+		"back and removed once more":  {[]swplatform.Object{deleted, put, deleted}, []string{"a"}},
+		"changed, then not decodable": {[]swplatform.Object{put, {Name: "b"}}, []string{"a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// Subscribers differ in whether they apply removals or changes first.
+			for _, removeFirst := range []bool{false, true} {
+				collector := newCollector(2 * time.Second)
+				collector.removeFirst = removeFirst
+				collector.Receive(Change{Full: true, Objects: objects("a", "b")})
+				collector.Receive(Change{Objects: test.events})
+				checkNames(t, collector, test.want...)
+			}
+		})
+	}
+}
+
 func TestUndecodableObjectsAreAbsent(t *testing.T) {
 	collector := newCollector(2 * time.Second)
 	collector.Receive(Change{Full: true, Objects: append(objects("a"), swplatform.Object{Name: "b"})})
@@ -100,6 +136,15 @@
 	})
 }
 
+// TestChangeBeforeADeferredRemovalApplies checks that a replica whose removal is deferred has its latest entry, such as one that says
+// that it is leaving.
+func TestChangeBeforeADeferredRemovalApplies(t *testing.T) {
+	collector := newCollector(2 * time.Second)
+	recoveredAt := time.Now()
+	collector.Receive(Change{Objects: []swplatform.Object{objects("b")[0], {Name: "b", Deleted: true}}, RecoveredAt: recoveredAt})
+	checkNames(t, collector, "b")
+}
+
 // scriptedStore fails the first watches with the given errors, and then returns changes.
 type scriptedStore struct {
 	lists   int
