Tell followers at once that their leader lost the store, and let a probe list every kind that has a bound

Cause: the leader's state was looked at when a poll began and when it ended, so up to a second was lost; and a follower whose upstreams had both failed listed the configuration alone until a second probe, 300 ms later, let it follow the store. With two upstreams in trouble this passes 3 s. Now a poll ends when the leader's response becomes overdue, and a successful probe lists all kinds with a bound. Why tests missed it: TestVMsFallBackFromUnreachableOrStaleUpstreams waits 2.5 s between the fault and the change.

--- a/internal/swfeed/fallback.go
+++ b/internal/swfeed/fallback.go
@@ -42,9 +42,10 @@
 	return true
 }
 
-// probeStore lists the first kind from the store, unless the next probe is not due yet. Probes with backoff limit the load
-// when the store is down for all VMs: each VM then probes it seldom, and polls its upstreams again once they reach it. When
-// the store refuses only the upstreams, two consecutive successful probes make this VM follow the store.
+// probeStore lists the first kind from the store, unless the next probe is not due yet, and then the other kinds that track
+// reachability. Probes with backoff limit the load when the store is down for all VMs: each VM then probes it seldom, and polls its
+// upstreams again once they reach it. When the store refuses only the upstreams, two consecutive successful probes make this VM
+// follow the store.
 func (feed *Feed) probeStore(ctx context.Context) {
 	feed.mutex.Lock()
 	wait := time.Until(feed.nextProbe)
@@ -54,11 +55,7 @@
 		feed.retryUpstreams()
 		return
 	}
-	kind := feed.config.Kinds[0].Name
-	objects, revision, err := feed.config.Source.ListObjects(ctx, kind)
-	if err == nil {
-		feed.receive(0, swfollow.Change{Full: true, Objects: objects, Revision: revision})
-	}
+	err := feed.listTrackedKinds(ctx)
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	now := time.Now()
@@ -77,6 +74,21 @@
 	}
 }
 
+// listTrackedKinds lists the kinds that track reachability from the store, until a call fails.
+func (feed *Feed) listTrackedKinds(ctx context.Context) error {
+	for i := range feed.config.Kinds {
+		if !feed.config.Kinds[i].TracksReachability {
+			continue
+		}
+		objects, revision, err := feed.config.Source.ListObjects(ctx, feed.config.Kinds[i].Name)
+		if err != nil {
+			return err
+		}
+		feed.receive(i, swfollow.Change{Full: true, Objects: objects, Revision: revision})
+	}
+	return nil
+}
+
 // retryUpstreams lets this VM poll its stale upstreams again. The next failed poll leads back to probing the store.
 func (feed *Feed) retryUpstreams() {
 	feed.mutex.Lock()
--- a/internal/swfeed/feed_test.go
+++ b/internal/swfeed/feed_test.go
@@ -17,6 +17,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
 // testStore is a store of one kind with one object, whose value is its revision.
@@ -25,13 +26,14 @@
 	revision uint64
 	changed  chan struct{}
 	down     bool
-	// refused holds the VMs whose calls the store refuses.
+	// refused holds the VMs whose calls the store refuses, and silent those whose calls it does not answer.
 	refused map[int]bool
+	silent  map[int]bool
 	calls   int
 }
 
 func newTestStore() *testStore {
-	return &testStore{revision: 1, changed: make(chan struct{}), refused: make(map[int]bool)}
+	return &testStore{revision: 1, changed: make(chan struct{}), refused: make(map[int]bool), silent: make(map[int]bool)}
 }
 
 func (store *testStore) change() {
@@ -73,7 +75,28 @@
 	return []swplatform.Object{object}, store.revision, store.changed, nil
 }
 
-func (vmSource vmSource) ListObjects(context.Context, string) ([]swplatform.Object, uint64, error) {
+// callTimeout is how long after the end of its wait a call of a silent store fails.
+const callTimeout = 2 * time.Second
+
+// isSilent reports whether the store does not answer the VM.
+func (vmSource vmSource) isSilent() bool {
+	vmSource.store.mutex.Lock()
+	defer vmSource.store.mutex.Unlock()
+	return vmSource.store.silent[vmSource.vm]
+}
+
+// timeOut waits until a call that is not answered fails.
+func (vmSource vmSource) timeOut(ctx context.Context, timeout time.Duration) error {
+	if err := swtimer.Wait(ctx, timeout); err != nil {
+		return err
+	}
+	return &swplatform.Error{Reason: swplatform.ErrUnavailable}
+}
+
+func (vmSource vmSource) ListObjects(ctx context.Context, _ string) ([]swplatform.Object, uint64, error) {
+	if vmSource.isSilent() {
+		return nil, 0, vmSource.timeOut(ctx, callTimeout)
+	}
 	time.Sleep(4 * time.Millisecond)
 	objects, revision, _, err := vmSource.read()
 	return objects, revision, err
@@ -83,6 +106,9 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
+		if vmSource.isSilent() {
+			return nil, 0, vmSource.timeOut(ctx, wait+callTimeout)
+		}
 		objects, revision, changed, err := vmSource.read()
 		if err != nil || revision > after {
 			return objects, revision, err
@@ -90,6 +116,9 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+			if vmSource.isSilent() {
+				return nil, 0, vmSource.timeOut(ctx, callTimeout)
+			}
 			return nil, revision, nil
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
@@ -106,26 +135,32 @@
 	mutex sync.Mutex
 	// partitioned holds the VMs that are partitioned from all others.
 	partitioned map[int]bool
-	// revisions holds the revision that each VM has received.
-	revisions []uint64
+	// revisions holds the revision of the first kind that each VM has received. receivedAt is when it last received a newer
+	// revision, by VM and kind.
+	revisions  []uint64
+	receivedAt [][]time.Time
 }
 
+// newTestFleet returns a fleet that follows one kind of objects.
 func newTestFleet(t *testing.T, vms int) *testFleet {
+	t.Helper()
+	return newTestFleetOfKinds(t, vms, 1)
+}
+
+func newTestFleetOfKinds(t *testing.T, vms, kinds int) *testFleet {
 	t.Helper()
 	fleet := &testFleet{
-		t: t, store: newTestStore(), group: swgroup.New(context.Background()), partitioned: make(map[int]bool), revisions: make([]uint64, vms),
+		t: t, store: newTestStore(), group: swgroup.New(context.Background()), partitioned: make(map[int]bool),
+		revisions: make([]uint64, vms), receivedAt: make([][]time.Time, vms),
 	}
 	for vm := range vms {
+		fleet.receivedAt[vm] = make([]time.Time, kinds)
 		fleet.feeds = append(fleet.feeds, New(Config{
 			Source:    vmSource{fleet.store, vm},
 			Transport: testTransport{fleet, vm},
 			Upstreams: func() []Peer { return peersBefore(vm) },
-			Kinds: []Kind{{Name: "k", TracksReachability: true, WatchWait: 1500 * time.Millisecond, Receive: func(change swfollow.Change) {
-				fleet.mutex.Lock()
-				defer fleet.mutex.Unlock()
-				fleet.revisions[vm] = max(fleet.revisions[vm], change.Revision)
-			}}},
-			Log: zerolog.Nop(),
+			Kinds:     fleet.kinds(vm, kinds),
+			Log:       zerolog.Nop(),
 		}))
 	}
 	for _, feed := range fleet.feeds {
@@ -134,6 +169,23 @@
 	return fleet
 }
 
+// kinds returns a number of kinds that all hold the store's object.
+func (fleet *testFleet) kinds(vm, count int) []Kind {
+	kinds := make([]Kind, count)
+	received := make([]uint64, count)
+	for i := range kinds {
+		kinds[i] = Kind{Name: fmt.Sprint("k", i), TracksReachability: true, WatchWait: applyWithin / 2, Receive: func(change swfollow.Change) {
+			fleet.mutex.Lock()
+			defer fleet.mutex.Unlock()
+			if change.Revision > received[i] {
+				received[i], fleet.receivedAt[vm][i] = change.Revision, time.Now()
+			}
+			fleet.revisions[vm] = received[0]
+		}}
+	}
+	return kinds
+}
+
 func address(vm int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(vm))
 }
@@ -222,6 +274,64 @@
 	}
 }
 
+// applyWithin is the shortest time within which the users' sites ask for a change to be in force. The kind's WatchWait is half of it.
+const applyWithin = 3 * time.Second
+
+// TestChangeRightAfterAnUpstreamLostTheStoreArrivesInTime guards against changes that come into force late on VMs that reach the
+// store, because the VM that they poll lost it just before the change.
+func TestChangeRightAfterAnUpstreamLostTheStoreArrivesInTime(t *testing.T) {
+	const vms, phaseStep = 4, 100 * time.Millisecond
+	for name, test := range map[string]struct {
+		fault func(fleet *testFleet)
+		// inTouch is the first VM that can reach the store and its peers.
+		inTouch int
+	}{
+		"first cut from the store":     {func(fleet *testFleet) { fleet.store.silent[0] = true }, 1},
+		"first two cut from the store": {func(fleet *testFleet) { fleet.store.silent[0], fleet.store.silent[1] = true, true }, 2},
+		"first cut off": {func(fleet *testFleet) {
+			fleet.store.silent[0], fleet.partitioned[0] = true, true
+		}, 1},
+		"first two cut off": {func(fleet *testFleet) {
+			fleet.store.silent = map[int]bool{0: true, 1: true}
+			fleet.partitioned[0], fleet.partitioned[1] = true, true
+		}, 2},
+		"first cut from the store, second cut off": {func(fleet *testFleet) {
+			fleet.store.silent = map[int]bool{0: true, 1: true}
+			fleet.partitioned[1] = true
+		}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			worst := time.Duration(0)
+			for phase := time.Duration(0); phase < 1500*time.Millisecond; phase += phaseStep {
+				for _, sinceFault := range []time.Duration{0, 50 * time.Millisecond, 200 * time.Millisecond, time.Second} {
+					synctest.Test(t, func(t *testing.T) {
+						fleet := newTestFleetOfKinds(t, vms, 2)
+						defer fleet.group.Stop()
+						time.Sleep(5*time.Second + phase)
+						fleet.mutex.Lock()
+						fleet.store.set(func() { test.fault(fleet) })
+						fleet.mutex.Unlock()
+						time.Sleep(sinceFault)
+						changedAt := time.Now()
+						fleet.store.change()
+						time.Sleep(10 * time.Second)
+						fleet.mutex.Lock()
+						defer fleet.mutex.Unlock()
+						for vm := test.inTouch; vm < vms; vm++ {
+							for _, receivedAt := range fleet.receivedAt[vm] {
+								worst = max(worst, receivedAt.Sub(changedAt))
+							}
+						}
+					})
+				}
+			}
+			if worst > applyWithin {
+				t.Errorf("a change took %s to arrive at a VM that reaches the store, want at most %s", worst, applyWithin)
+			}
+		})
+	}
+}
+
 func TestPartitionedVMFollowsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newTestFleet(t, 8)
--- a/internal/swfeed/follow.go
+++ b/internal/swfeed/follow.go
@@ -126,11 +126,12 @@
 // neverResponded is the overdue time reported while the store has not responded since this VM began to follow it.
 const neverResponded = time.Hour
 
-// overdue returns how late the store's next response is: the longest time since a response, less the wait of the kind's watch.
+// overdue returns how late the store's next response is: the longest time since a response, less the wait of the kind's watch. It
+// is negative while no response is late.
 func (feed *Feed) overdue(now time.Time) time.Duration {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
-	overdue := time.Duration(0)
+	overdue := -neverResponded
 	for i, lastResponse := range feed.lastResponses {
 		kind := &feed.config.Kinds[i]
 		if !kind.TracksReachability {
--- a/internal/swfeed/serve.go
+++ b/internal/swfeed/serve.go
@@ -18,13 +18,20 @@
 	}
 	deadline := time.NewTimer(min(max(0, request.Wait), pollWait))
 	defer deadline.Stop()
+	stale := time.NewTimer(neverResponded)
+	defer stale.Stop()
 	for {
 		reply, changed := feed.changesFor(request)
 		if reply.Overdue < neverResponded && (reply.Overdue > maxOverdue || reply.hasChanges()) {
 			return reply, nil
 		}
+		// The peer must not wait for the end of its poll to learn that this VM does not reach the store.
+		if reply.Overdue < neverResponded {
+			stale.Reset(maxOverdue - reply.Overdue + time.Millisecond)
+		}
 		select {
 		case <-changed:
+		case <-stale.C:
 		case <-deadline.C:
 			reply, _ := feed.changesFor(request)
 			return reply, nil
