Give nothing more to a replica that says in a response that it leaves

The header of every response on a replica's connections is read now, also of rejections, late and broken answers and of answers to no request, and of relayed ones on both VMs. The word holds for the incarnation; a 421 is another replica's and says nothing. TestReplicaThatSaysItLeavesGetsNoMoreRequests, its waiting variant and the relay's fail in all cases without it. VMs don't tell each other: each replica says it on each response, so one response a VM is what it costs not to.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -136,6 +136,8 @@
 		Group:           group,
 		Limits:          swconn.Limits{Memory: bodyMemory},
 		OnLimitExceeded: func() { recorder.CountEvent("responses_too_large", 1) },
+		ReadReport:      platform.Headers{}.ReadReport,
+		CountEvent:      recorder.CountEvent,
 		MaxConnections: func(name string) int {
 			table := routes.Current()
 			if table == nil {
@@ -282,7 +284,9 @@
 }
 
 func newRelayClient(group *swgroup.Group, peers *peers, fleet *swfleet.Fleet, log zerolog.Logger) *swrelay.Client {
-	return swrelay.NewClient(swrelay.ClientConfig{Group: group, Transport: peers, Relays: fleet.Relays, Log: log})
+	return swrelay.NewClient(swrelay.ClientConfig{
+		Group: group, Transport: peers, ReadReport: platform.Headers{}.ReadReport, Relays: fleet.Relays, Log: log,
+	})
 }
 
 // handlerDependencies are the components that the request handler uses. fx sets the fields by their types.
--- a/internal/swconn/connection.go
+++ b/internal/swconn/connection.go
@@ -49,6 +49,8 @@
 type Hooks struct {
 	// OnClose is called once, when ReadLoop returns. err is ErrAnnouncedClose if the server announced the close.
 	OnClose func(connection *Connection, err error)
+	// OnHeader is called with the status and the header of each response, before its body is read. It may be nil.
+	OnHeader func(connection *Connection, status int, header http.Header)
 	// OnMismatch is called for each response that does not answer the outstanding request. It may be nil.
 	OnMismatch func(connection *Connection)
 }
@@ -79,13 +81,17 @@
 
 // New returns a Connection over an open network connection. The owner must run ReadLoop in a separate goroutine.
 func New(conn net.Conn, limits Limits, hooks Hooks) *Connection {
-	return &Connection{
+	connection := &Connection{
 		conn:      conn,
 		reader:    NewReader(conn, limits),
 		hooks:     hooks,
 		results:   make(chan Result, 1),
 		IdleSince: time.Now(),
 	}
+	if hooks.OnHeader != nil {
+		connection.reader.onHeader = func(status int, header http.Header) { hooks.OnHeader(connection, status, header) }
+	}
+	return connection
 }
 
 // HasResponded reports whether the server has responded on the connection. Before that, the server may not have accepted it: the
--- a/internal/swconn/reader.go
+++ b/internal/swconn/reader.go
@@ -104,6 +104,8 @@
 	limits Limits
 	source *allowanceReader
 	buffer *bufio.Reader
+	// onHeader is called with the header of each response, before its body is read. It may be nil.
+	onHeader func(status int, header http.Header)
 }
 
 // NewReader returns a reader of the responses on a connection.
@@ -142,6 +144,9 @@
 		if isInterim(message.StatusCode) {
 			continue
 		}
+		if reader.onHeader != nil {
+			reader.onHeader(message.StatusCode, message.Header)
+		}
 		body, err := reader.readBody(message)
 		if err != nil {
 			return nil, err
--- a/internal/swgateway/harness_test.go
+++ b/internal/swgateway/harness_test.go
@@ -176,7 +176,7 @@
 	t.Helper()
 	testHandler := &testHandler{t: t, group: swgroup.New(context.Background()), routes: &swroute.ActiveTable{}, replicas: make(map[netip.AddrPort]*testReplica), vms: 1}
 	pool := swreplica.NewPool(swreplica.PoolConfig{
-		Group: testHandler.group, Dial: testHandler.dial, Log: zerolog.Nop(),
+		Group: testHandler.group, Dial: testHandler.dial, Log: zerolog.Nop(), ReadReport: testProtocol{}.ReadReport,
 		MaxConnections: func(string) int { return testHandler.maxConnections },
 		VMCounts: func(string) swreplica.VMCounts {
 			return swreplica.VMCounts{SameDataCentre: testHandler.vms, Total: testHandler.vms}
--- /dev/null
+++ b/internal/swgateway/report_test.go
@@ -0,0 +1,97 @@
+package swgateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamorewall/sycamorewall/internal/swreplica"
+)
+
+// ReadReport reads the headers that the scripted replicas set.
+func (testProtocol) ReadReport(status int, header http.Header) (swreplica.Report, bool) {
+	if status == http.StatusMisdirectedRequest {
+		return swreplica.Report{}, false
+	}
+	return swreplica.Report{RequestID: header.Get("Id"), Leaving: header.Get("Leaving") != ""}, true
+}
+
+// TestReplicaThatSaysItLeavesGetsNoMoreRequests guards against requests to a replica that said in a response that it leaves, while
+// the platform's list still shows it as ready.
+func TestReplicaThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	const word = "Leaving: 1\r\nSignature: a\r\n"
+	for name, script := range map[string]func(*receivedRequest){
+		"answer":    respondWith(time.Millisecond, http.StatusOK, word, "a"),
+		"rejection": respondWith(time.Millisecond, http.StatusServiceUnavailable, "Leaving: 1\r\nNot-Run: 1\r\n", ""),
+		"failure":   respondWith(time.Millisecond, http.StatusInternalServerError, word, ""),
+		"answer after the client's deadline": func(received *receivedRequest) {
+			respondWith(1100*time.Millisecond, http.StatusOK, word, "a")(received)
+		},
+		"body that breaks off": func(received *receivedRequest) {
+			fmt.Fprintf(received.conn, "HTTP/1.1 200 X\r\nId: %s\r\n%sContent-Length: 9\r\n\r\na", received.Header.Get("Id"), word)
+			received.conn.Close()
+		},
+		"answer to another request": func(received *receivedRequest) {
+			fmt.Fprintf(received.conn, "HTTP/1.1 200 X\r\nId: other\r\n%sContent-Length: 1\r\n\r\na", word)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				testHandler := newTestHandler(t, 1)
+				defer testHandler.close()
+				testHandler.setRoute(idempotentRoute())
+				leaving := testHandler.addReplica("s", "a", script)
+				testHandler.sendWithTimeout(t.Context(), http.MethodGet, "/", "", time.Second)
+				time.Sleep(time.Second)
+				before := leaving.count()
+				if got := testHandler.send(t.Context(), http.MethodGet, "/", ""); got.Code != http.StatusServiceUnavailable || got.took > 0 {
+					t.Errorf("status %d after %s while no other replica is there, want 503 at once", got.Code, got.took)
+				}
+				testHandler.addReplica("s", "b", respondSigned(time.Millisecond, "b", "b"))
+				for range 50 {
+					if got := testHandler.send(t.Context(), http.MethodGet, "/", ""); got.Code != http.StatusOK {
+						t.Fatalf("status %d from the other replica", got.Code)
+					}
+				}
+				if diff := cmp.Diff(before, leaving.count()); diff != "" {
+					t.Error("requests at the leaving replica (-want +got):\n" + diff)
+				}
+			})
+		})
+	}
+}
+
+// TestRequestsWaitingForALeavingReplicaGoElsewhere has 50 requests wait for the only connection to a replica when it says that it
+// leaves.
+func TestRequestsWaitingForALeavingReplicaGoElsewhere(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		testHandler := newTestHandler(t, 1)
+		defer testHandler.close()
+		testHandler.maxConnections = 1
+		testHandler.setRoute(idempotentRoute())
+		leaving := testHandler.addReplica("s", "a", respondWith(50*time.Millisecond, http.StatusOK, "Leaving: 1\r\nSignature: a\r\n", "a"))
+		statuses := make(chan string, 50)
+		for range 50 {
+			testHandler.group.Go(func(context.Context) {
+				statuses <- statusAndBody(testHandler.send(t.Context(), http.MethodGet, "/", ""))
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		open := leaving.count()
+		testHandler.addReplica("s", "b", respondSigned(time.Millisecond, "b", "b"))
+		counts := make(map[string]int)
+		for range 50 {
+			counts[<-statuses]++
+		}
+		if diff := cmp.Diff(open, leaving.count()); diff != "" {
+			t.Error("requests at the leaving replica (-want +got):\n" + diff)
+		}
+		if counts["200 a"]+counts["200 b"]+counts["503 QueueFull\n"]+counts["503 NoReplica\n"] != 50 {
+			t.Errorf("answers %v, want only answers and refusals that nothing has run", counts)
+		}
+	})
+}
--- a/internal/swrelay/client.go
+++ b/internal/swrelay/client.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/sycamorewall/sycamorewall/internal/swconn"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
@@ -44,6 +45,8 @@
 type ClientConfig struct {
 	Group     *swgroup.Group
 	Transport Transport
+	// ReadReport reads what a replica says about itself in a relayed response. It may be nil.
+	ReadReport swreplica.ReadReport
 	// Relays returns at most MaxRelays VMs near the replicas of a data centre, in order of preference.
 	Relays func(dataCentre, region string) []Relay
 	Log    zerolog.Logger
@@ -96,6 +99,7 @@
 		defer cancel()
 		result := client.call(callCtx, relay, attempt, sentAt)
 		inFlightRequest.End()
+		client.observeReport(replica, result.Response)
 		if ctx.Err() != nil && result.Response != nil {
 			now := time.Now()
 			replica.ObserveLateResponse(now, result.Response.Status, now.Sub(sentAt))
@@ -146,6 +150,16 @@
 	return result
 }
 
+// observeReport applies what a replica says about itself in a relayed response.
+func (client *Client) observeReport(replica *swreplica.Replica, response *swconn.Response) {
+	if response == nil || client.config.ReadReport == nil {
+		return
+	}
+	if report, ok := client.config.ReadReport(response.Status, response.Header); ok {
+		replica.ObserveReport(time.Now(), report)
+	}
+}
+
 func (client *Client) recordReply(relay Relay) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
--- a/internal/swrelay/relay_test.go
+++ b/internal/swrelay/relay_test.go
@@ -180,19 +180,26 @@
 	relayHarness.sender = relayHarness.registry("here").Find("a")
 	relayHarness.client = NewClient(ClientConfig{
 		Group: group, Transport: relayHarness.network, Log: zerolog.Nop(),
-		Relays: func(string, string) []Relay { return relayHarness.relays },
+		Relays:     func(string, string) []Relay { return relayHarness.relays },
+		ReadReport: readReport,
 	})
 	return relayHarness
 }
 
 // registry returns the registry of a VM in a region.
 func (relayHarness *relayHarness) registry(region string) *swreplica.Registry {
-	pool := swreplica.NewPool(swreplica.PoolConfig{Group: relayHarness.group, Dial: relayHarness.replica.dial, Log: zerolog.Nop()})
+	pool := swreplica.NewPool(swreplica.PoolConfig{
+		Group: relayHarness.group, Dial: relayHarness.replica.dial, ReadReport: readReport, Log: zerolog.Nop(),
+	})
 	registry := swreplica.NewRegistry(swreplica.RegistryConfig{Pool: pool, DataCentre: region, Region: region})
 	registry.Update([]swreplica.Entry{{ID: "a", Service: "s", DataCentre: "far", Region: "far", Slots: 4}}, nil)
 	return registry
 }
 
+func readReport(_ int, header http.Header) (swreplica.Report, bool) {
+	return swreplica.Report{Leaving: header.Get("Leaving") != ""}, true
+}
+
 func (relayHarness *relayHarness) attempt() *Attempt {
 	return &Attempt{Replica: "a", Method: http.MethodGet, RequestID: "7", Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\n"), Left: time.Second}
 }
@@ -285,6 +292,20 @@
 	})
 }
 
+// TestReportInRelayedAnswerCountsOnBothVMs checks that the sender and the relay both stop using a replica that says that it leaves.
+func TestReportInRelayedAnswerCountsOnBothVMs(t *testing.T) {
+	withRelayHarness(t, func(relayHarness *relayHarness) {
+		relayHarness.replica.answer = func(request *http.Request, conn net.Conn) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+			return true
+		}
+		relayHarness.send(time.Second)
+		if relayHarness.sender.Available() || relayHarness.near.Available() {
+			t.Errorf("available at the sender %t, at the relay %t; want neither", relayHarness.sender.Available(), relayHarness.near.Available())
+		}
+	})
+}
+
 // TestStalledReplicaDoesNotMakeRelaySuspect cancels an attempt that the replica answers late. The relay must stay in use, the
 // late answer must count for the replica, and nothing may stay in flight.
 func TestStalledReplicaDoesNotMakeRelaySuspect(t *testing.T) {
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -48,6 +48,10 @@
 	VMCounts func(dataCentre string) VMCounts
 	// Limits bounds the responses of each replica.
 	Limits swconn.Limits
+	// ReadReport reads what a replica says about itself in a response. It may be nil.
+	ReadReport ReadReport
+	// CountEvent adds to the counter of an event. It may be nil.
+	CountEvent func(name string, count int64)
 	// OnLimitExceeded is called for each response that exceeds Limits. It may be nil.
 	OnLimitExceeded func()
 	Log             zerolog.Logger
@@ -70,6 +74,9 @@
 	if config.VMCounts == nil {
 		config.VMCounts = func(string) VMCounts { return VMCounts{SameDataCentre: 1, Total: 1} }
 	}
+	if config.CountEvent == nil {
+		config.CountEvent = func(string, int64) {}
+	}
 	return &Pool{config: config}
 }
 
@@ -189,7 +196,7 @@
 		replica.mutex.Unlock()
 		return nil, errors.Wrap(err, "dial")
 	}
-	connection := swconn.New(conn, replica.pool.config.Limits, swconn.Hooks{OnClose: replica.connectionEnded})
+	connection := swconn.New(conn, replica.pool.config.Limits, swconn.Hooks{OnClose: replica.connectionEnded, OnHeader: replica.readReport})
 	replica.mutex.Lock()
 	replica.dialing--
 	retired := replica.retired
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -55,6 +55,8 @@
 	pool     *Pool
 	distance Distance
 	entry    atomic.Pointer[Entry]
+	// saidLeaving is set once the replica has said in a response that it leaves.
+	saidLeaving atomic.Bool
 	// warmUpEnd is when the replica finishes warming up.
 	warmUpEnd time.Time
 
@@ -270,9 +272,9 @@
 	return replica.answeredAt.After(since)
 }
 
-// AcceptsWork reports whether the replica is listed and not leaving.
+// AcceptsWork reports whether the replica is listed and not leaving, by its entry or by its own word.
 func (replica *Replica) AcceptsWork() bool {
-	if replica.entry.Load().Leaving {
+	if replica.entry.Load().Leaving || replica.saidLeaving.Load() {
 		return false
 	}
 	replica.mutex.Lock()
