Apply removals at once after an outage too short for entries to lapse

Cause: any failed call counted as an outage of the store in which live replicas' entries may have lapsed. An entry lapses after three heartbeats without renewal, so an outage of less than two can't be the reason that one is missing. Gateway.Heartbeat comes from the platform's template; without it the grace applies after every outage, as before. TestRemovalRightAfterAShortOutageApplies fails for the short outage on the former code. What remains: with a bound of 5 s, watches end after 2.5 s, so a leader that is back 2.3 to 3.2 s after its last response still defers, and a removal in the first 0.4 s of that time may apply up to 0.4 s late.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -199,6 +199,10 @@
 // for which the store keeps its history: a watch must not outlive the revision that it started from.
 const sharedWatchWait = 12 * time.Second
 
+// lapseHeartbeats is the number of heartbeat intervals that an outage must last for the entry of a live backend server to lapse. Entries
+// lapse after three, of which one may have passed before the outage; the intervals vary a little.
+const lapseHeartbeats = 1.85
+
 // feedDependencies are the components that the feed uses or delivers changes to. fx sets the fields by their types.
 type feedDependencies struct {
 	fx.In
@@ -218,11 +222,12 @@
 func newFeed(dependencies feedDependencies) *swfeed.Feed {
 	settings := dependencies.Config.Settings.Gateway
 	return swfeed.New(swfeed.Config{
-		Source:    dependencies.Store,
-		Transport: dependencies.Peers,
-		Upstreams: dependencies.Fleet.Upstreams,
-		OnPoll:    dependencies.Fleet.RecordPoll,
-		Log:       dependencies.Log,
+		Source:     dependencies.Store,
+		Transport:  dependencies.Peers,
+		Upstreams:  dependencies.Fleet.Upstreams,
+		OnPoll:     dependencies.Fleet.RecordPoll,
+		LapseAfter: time.Duration(lapseHeartbeats * float64(settings.Heartbeat)),
+		Log:        dependencies.Log,
 		Kinds: []swfeed.Kind{
 			{Name: platform.KindConfig, TracksReachability: true, WatchWait: settings.ApplyWithin / watchesPerDeadline, Receive: func(change swfollow.Change) {
 				receiveConfig(dependencies.Routes, change, dependencies.Log)
--- a/internal/swfeed/feed.go
+++ b/internal/swfeed/feed.go
@@ -78,6 +78,8 @@
 	// answers, rather than the store.
 	Upstreams func() []Peer
 	Transport Transport
+	// LapseAfter is how long the store must have been away for objects to lapse that their writers could not renew.
+	LapseAfter time.Duration
 	// OnPoll is called with the name of each VM that polls this one; it may be nil.
 	OnPoll func(name string)
 	Log    zerolog.Logger
--- a/internal/swfeed/follow.go
+++ b/internal/swfeed/follow.go
@@ -23,7 +23,8 @@
 	for i := range feed.config.Kinds {
 		kind := &feed.config.Kinds[i]
 		follower := swfollow.NewFollower(swfollow.FollowerConfig{
-			Source: feed.config.Source, Kind: kind.Name, WatchWait: kind.WatchWait, Log: feed.config.Log,
+			Source: feed.config.Source, Kind: kind.Name, WatchWait: kind.WatchWait, LapseAfter: feed.config.LapseAfter,
+			Log:     feed.config.Log,
 			Receive: func(change swfollow.Change) { feed.receive(i, change) },
 			OnResponse: func(now time.Time) {
 				feed.recordResponse(i, now)
--- a/internal/swfollow/follower.go
+++ b/internal/swfollow/follower.go
@@ -42,7 +42,8 @@
 	Objects []swplatform.Object
 	// Revision is the store's revision that the change brings the copy to.
 	Revision uint64
-	// RecoveredAt is when the store last responded again after failed calls; it is the zero time when no call has failed.
+	// RecoveredAt is when the store last responded again after failed calls of FollowerConfig.LapseAfter at least; it is the zero time
+	// when there was no such outage.
 	RecoveredAt time.Time
 }
 
@@ -54,6 +55,9 @@
 	WatchWait time.Duration
 	// Receive is called with each change, in order.
 	Receive func(change Change)
+	// LapseAfter is how long the store must have been away for objects to lapse that their writers could not renew. A shorter
+	// outage sets no Change.RecoveredAt.
+	LapseAfter time.Duration
 	// OnResponse is called after each successful call to the store; it may be nil.
 	OnResponse func(now time.Time)
 	Log        zerolog.Logger
@@ -67,6 +71,8 @@
 	// failingSince is when calls began to fail; it is the zero time while they succeed.
 	failingSince time.Time
 	recoveredAt  time.Time
+	// respondedAt is when the store last responded; it is the zero time before the first response.
+	respondedAt time.Time
 }
 
 // NewFollower returns a follower; Run starts it.
@@ -133,14 +139,19 @@
 }
 
 func (follower *Follower) recordResponse() {
+	now := time.Now()
+	lastResponse := follower.respondedAt
+	follower.respondedAt = now
 	follower.backoff.Reset()
 	if follower.config.OnResponse != nil {
-		follower.config.OnResponse(time.Now())
+		follower.config.OnResponse(now)
 	}
 	if follower.failingSince.IsZero() {
 		return
 	}
-	follower.recoveredAt = time.Now()
+	if lastResponse.IsZero() || now.Sub(lastResponse) >= follower.config.LapseAfter {
+		follower.recoveredAt = now
+	}
 	follower.config.Log.Info().Str("Kind", follower.config.Kind).Dur("Outage", time.Since(follower.failingSince)).Msg("the platform's store answers again")
 	follower.failingSince = time.Time{}
 }
--- a/internal/swfollow/mirror_test.go
+++ b/internal/swfollow/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
 // collector collects the names that a Mirror under test applies.
@@ -145,6 +147,73 @@
 	checkNames(t, collector, "b")
 }
 
+// TestRemovalRightAfterAShortOutageApplies guards against requests to a replica that has left: its entry was removed while one VM had
+// lost the store, for too short a time for the entries of live replicas to lapse. The VMs that poll this one reach the store.
+func TestRemovalRightAfterAShortOutageApplies(t *testing.T) {
+	for name, test := range map[string]struct {
+		outage time.Duration
+		want   []string
+	}{
+		"short outage": {time.Second, []string{"a"}},
+		"long outage":  {3 * time.Second, []string{"a", "b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				group := swgroup.New(context.Background())
+				defer group.Stop()
+				collector := newCollector(2 * time.Second)
+				store := &outageStore{}
+				follower := NewFollower(FollowerConfig{Source: store, Kind: "k", LapseAfter: 2200 * time.Millisecond, Receive: collector.Receive, Log: zerolog.Nop()})
+				group.Go(follower.Run)
+				time.Sleep(time.Second)
+				store.setDown(true)
+				time.Sleep(test.outage)
+				store.setDown(false)
+				time.Sleep(1500 * time.Millisecond)
+				checkNames(t, collector, test.want...)
+			})
+		})
+	}
+}
+
+// outageStore lists the objects a and b, and a alone once it has been down. Its watches last 100 ms.
+type outageStore struct {
+	mutex         sync.Mutex
+	down, wasDown bool
+	revision      uint64
+}
+
+func (store *outageStore) setDown(down bool) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.down, store.wasDown = down, true
+}
+
+func (store *outageStore) ListObjects(context.Context, string) ([]swplatform.Object, uint64, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.revision++
+	switch {
+	case store.down:
+		return nil, 0, &swplatform.Error{Reason: swplatform.ErrUnavailable}
+	case store.wasDown:
+		return objects("a"), store.revision, nil
+	}
+	return objects("a", "b"), store.revision, nil
+}
+
+func (store *outageStore) WatchObjects(ctx context.Context, _ string, after uint64, _ time.Duration) ([]swplatform.Object, uint64, error) {
+	if err := swtimer.Wait(ctx, 100*time.Millisecond); err != nil {
+		return nil, 0, err
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.down {
+		return nil, 0, &swplatform.Error{Reason: swplatform.ErrUnavailable}
+	}
+	return nil, after, nil
+}
+
 // scriptedStore fails the first watches with the given errors, and then returns changes.
 type scriptedStore struct {
 	lists   int
--- a/internal/swsetting/setting.go
+++ b/internal/swsetting/setting.go
@@ -60,6 +60,9 @@
 	CallerHeader string `yaml:"CallerHeader"`
 	// EntryGrace is how long after an outage of the platform a backend server is kept although its entry is missing.
 	EntryGrace time.Duration `yaml:"EntryGrace"`
+	// Heartbeat is how often a backend server renews its entry at the platform. EntryGrace does not apply after an outage in which
+	// no entry can have expired. With 0, it applies after every outage.
+	Heartbeat time.Duration `yaml:"Heartbeat"`
 }
 
 // Enabled reports whether the VM runs the gateway.
