Keep this VM's share of the rate that a replica says it takes

Cause: the header Server-Limit was not read. A replica's limit is shared by the registered VMs: four fifths by those of its data centre, which also send for the others, the rest by the other VMs. Each VM keeps its share with a token bucket, also as a relay. A request without a token goes to another replica, waits where the service has a queue, or is refused at once with the time of the next token; a relay tells the sender how long. TestReplicaGetsNoMoreThanItsRateLimit: 240 requests in 4 s on the former code, allowed 29.

--- a/internal/swgateway/attempt.go
+++ b/internal/swgateway/attempt.go
@@ -90,7 +90,7 @@
 	replica := result.replica
 	switch result.replicaResult.Outcome {
 	case swreplica.NotSent:
-		if result.relayed {
+		if result.relayed && result.replicaResult.RetryAfter == 0 {
 			replica.ObserveFailure(result.endedAt)
 		}
 		return swbackend.Answer{Outcome: swbackend.Unreachable, Ran: swcode.RanNo, Code: swcode.NoReplica}
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -46,6 +47,9 @@
 	answeredShards int
 	// rejected is set when a replica rejected the request because it was full.
 	rejected bool
+	// rateLimited is set when an attempt was not sent because its replica's rate is used up, and sent when an attempt was sent.
+	rateLimited bool
+	sent        bool
 	// deniedRepeats counts the repeats that the budget did not grant.
 	deniedRepeats int
 	// attempts records all attempts in the order in which they were started.
@@ -100,8 +104,9 @@
 	shard.replicas = make(map[string]*swreplica.Replica, len(replicas))
 	// Each shard counts as one document, so that the coverage is the fraction of shards.
 	plan := swquery.ShardPlan{Number: index, Documents: 1}
+	now := time.Now()
 	for _, replica := range replicas {
-		if !replica.Available() {
+		if !call.mayAsk(now, replica) {
 			continue
 		}
 		id := replica.ID()
@@ -111,6 +116,34 @@
 	return plan
 }
 
+// mayAsk reports whether a replica may get the request now. The rate of a replica that is asked through a relay is the relay's matter.
+func (call *call) mayAsk(now time.Time, replica *swreplica.Replica) bool {
+	return replica.Available() && (replica.ReadyIn(now) == 0 || call.relayFor(replica).Valid())
+}
+
+// retryAfter returns when a request that lacks services may be served: as soon as one replica of each may get it, if that is known.
+func (call *call) retryAfter(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for i := range call.shards {
+		if len(call.shards[i].replicas) > 0 {
+			continue
+		}
+		soonest := time.Duration(math.MaxInt64)
+		for _, replica := range call.handler.config.Replicas.ServiceReplicas(call.shards[i].service) {
+			if wait := replica.ReadyIn(now); wait > 0 && replica.InUse() {
+				soonest = min(soonest, wait)
+			}
+		}
+		if soonest < math.MaxInt64 {
+			longest = max(longest, soonest)
+		}
+	}
+	if longest == 0 {
+		return notReadyRetryAfter
+	}
+	return spreadRetryAfter(longest)
+}
+
 // unreachableServices returns the services without an available replica.
 func (call *call) unreachableServices() []string {
 	var names []string
@@ -191,7 +224,7 @@
 func (call *call) hasReplicaWithoutQueue(shard int) bool {
 	for _, replica := range call.shards[shard].replicas {
 		asked := slices.ContainsFunc(call.attempts, func(attempt attemptRecord) bool { return attempt.replica == replica })
-		if !asked && replica.Available() && !replica.HasQueue() {
+		if !asked && call.mayAsk(time.Now(), replica) && !replica.HasQueue() {
 			return true
 		}
 	}
@@ -307,6 +340,12 @@
 		call.attempts = append(call.attempts, attemptRecord{
 			id: command.Attempt, service: call.shards[command.Shard].service, replica: replica, relay: relay.Name, startedAt: now, outcome: "None",
 		})
+		if !relay.Valid() && !replica.Admit(now) {
+			call.rateLimited = true
+			call.results <- attemptResult{command: command, replica: replica, replicaResult: swreplica.Result{Outcome: swreplica.NotSent}, endedAt: now}
+			continue
+		}
+		call.sent = true
 		replica.Reserve()
 		call.handler.config.Group.Go(func(context.Context) { call.sendAttempt(ctx, command, replica, relay) })
 	}
--- a/internal/swgateway/handler.go
+++ b/internal/swgateway/handler.go
@@ -186,12 +186,12 @@
 		if !call.servable() {
 			releaseTurn()
 			request.unreachableServices = call.unreachableServices()
-			return last, &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.NoReplica, RetryAfter: notReadyRetryAfter}
+			return last, &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.NoReplica, RetryAfter: call.retryAfter(time.Now())}
 		}
 		call.run(ctx, releaseTurn)
 		call.reportCrashes()
 		call.recordOverload(time.Now())
-		if !call.canRequeue() || !handler.config.Budget.Take(time.Now(), services[0], 1) {
+		if !call.canRequeue() || call.sent && !handler.config.Budget.Take(time.Now(), services[0], 1) {
 			return call, nil
 		}
 		last = call
@@ -200,7 +200,7 @@
 
 // canRequeue reports whether a request to a single service, which its replicas rejected, may be sent again once they have capacity.
 func (call *call) canRequeue() bool {
-	return !call.request.route.Gathered() && !call.clientGone && !call.timedOut && call.answeredShards == 0 && call.rejected && call.gather.Ran() == swcode.RanNo
+	return !call.request.route.Gathered() && !call.clientGone && !call.timedOut && call.answeredShards == 0 && (call.rejected || call.rateLimited) && call.gather.Ran() == swcode.RanNo
 }
 
 // readRequest reads the whole request and checks whether it may be sent to replicas.
--- a/internal/swgateway/queue.go
+++ b/internal/swgateway/queue.go
@@ -141,9 +141,11 @@
 // refuseQueueFull refuses a request for lack of capacity. Its Retry-After is randomised, so that clients that were refused
 // together do not retry together.
 func refuseQueueFull(wait time.Duration) *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Code: swcode.QueueFull, RetryAfter: spreadRetryAfter(wait)}
+}
+
+// spreadRetryAfter adds up to half to a wait, at random.
+func spreadRetryAfter(wait time.Duration) time.Duration {
 	wait = max(wait, minQueueFullRetryAfter)
-	return &Refusal{
-		Status: http.StatusServiceUnavailable, Code: swcode.QueueFull,
-		RetryAfter: wait + time.Duration(rand.Float64()*float64(wait)/2),
-	}
+	return wait + time.Duration(rand.Float64()*float64(wait)/2)
 }
--- a/internal/swgateway/report_test.go
+++ b/internal/swgateway/report_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
+	"github.com/sycamorewall/sycamorewall/internal/swroute"
 )
 
 // ReadReport reads the headers that the scripted replicas set.
@@ -17,7 +19,10 @@
 	if status == http.StatusMisdirectedRequest {
 		return swreplica.Report{}, false
 	}
-	return swreplica.Report{RequestID: header.Get("Id"), Leaving: header.Get("Leaving") != ""}, true
+	limit, _ := strconv.ParseFloat(header.Get("Limit"), 64)
+	return swreplica.Report{
+		RequestID: header.Get("Id"), Succeeded: status == http.StatusOK, Leaving: header.Get("Leaving") != "", RateLimit: limit,
+	}, true
 }
 
 // TestReplicaThatSaysItLeavesGetsNoMoreRequests guards against requests to a replica that said in a response that it leaves, while
@@ -95,3 +100,68 @@
 		}
 	})
 }
+
+// TestReplicaGetsNoMoreThanItsRateLimit guards against a replica that gets far more requests than the limit that it named. The other
+// replica of the service takes the rest, so that no client notices.
+func TestReplicaGetsNoMoreThanItsRateLimit(t *testing.T) {
+	for name, route := range map[string]*swroute.Route{"single service": idempotentRoute(), "gathered": gatheredRoute(1, 1)} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				testHandler := newTestHandler(t, 1)
+				defer testHandler.close()
+				// The VM's share of the limit is 4 requests per second.
+				testHandler.vms = 9
+				testHandler.setRoute(route)
+				service := "s"
+				if route.Gathered() {
+					service = "s0"
+				}
+				limited := testHandler.addReplica(service, "a", respondWith(time.Millisecond, http.StatusOK, "Limit: 36\r\nSignature: a\r\n", "a"))
+				testHandler.addReplicaIn("other", service, "b", respondSigned(5*time.Millisecond, "b", "b"))
+				testHandler.send(t.Context(), http.MethodGet, "/", "")
+				time.Sleep(500 * time.Millisecond)
+				before := limited.count()
+				const load, lasts = 60, 4 * time.Second
+				for range int(lasts.Seconds() * load) {
+					testHandler.group.Go(func(context.Context) {
+						if got := testHandler.send(t.Context(), http.MethodGet, "/", ""); got.Code != http.StatusOK {
+							t.Errorf("status %d, want an answer of the other replica", got.Code)
+						}
+					})
+					time.Sleep(time.Second / load)
+				}
+				if got, allowed := limited.count()-before, 4*4*3/2+5; got > allowed || got == 0 {
+					t.Errorf("the limited replica got %d requests in 4s, want at most %d and some", got, allowed)
+				}
+			})
+		})
+	}
+}
+
+// TestRequestsBeyondTheRateOfAllReplicas sends requests to a service whose only replica takes one request in two seconds from this VM.
+func TestRequestsBeyondTheRateOfAllReplicas(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		testHandler := newTestHandler(t, 1)
+		defer testHandler.close()
+		testHandler.setRoute(gatheredRoute(1, 1))
+		limited := testHandler.addReplica("s0", "a", respondWith(time.Millisecond, http.StatusOK, "Limit: 0.5\r\nSignature: a\r\n", "a"))
+		testHandler.send(t.Context(), http.MethodGet, "/", "")
+		refusals := 0
+		for range 20 {
+			got := testHandler.send(t.Context(), http.MethodGet, "/", "")
+			time.Sleep(100 * time.Millisecond)
+			if got.Code == http.StatusOK {
+				continue
+			}
+			refusals++
+			after, err := strconv.ParseFloat(got.Header().Get("Retry-After"), 64)
+			if got.Code != http.StatusServiceUnavailable || got.took > 0 || err != nil || after < 0.1 || after > 3 {
+				t.Errorf("status %d after %s, Retry-After %q; want 503 at once, to be retried within the time that the limit leaves",
+					got.Code, got.took, got.Header().Get("Retry-After"))
+			}
+		}
+		if refusals < 18 || limited.count() > 3 {
+			t.Errorf("%d of 20 refused, %d requests at the replica", refusals, limited.count())
+		}
+	})
+}
--- a/internal/swrelay/client.go
+++ b/internal/swrelay/client.go
@@ -100,6 +100,9 @@
 		result := client.call(callCtx, relay, attempt, sentAt)
 		inFlightRequest.End()
 		client.observeReport(replica, result.Response)
+		if result.RetryAfter > 0 {
+			replica.HoldOff(time.Now(), result.RetryAfter)
+		}
 		if ctx.Err() != nil && result.Response != nil {
 			now := time.Now()
 			replica.ObserveLateResponse(now, result.Response.Status, now.Sub(sentAt))
@@ -147,6 +150,7 @@
 		return result
 	}
 	result.Err = errors.New(reply.Reason)
+	result.RetryAfter = reply.RetryAfter
 	return result
 }
 
--- a/internal/swrelay/message.go
+++ b/internal/swrelay/message.go
@@ -41,6 +41,8 @@
 	Reason string `cbor:"5,keyasint,omitempty"`
 	// Leaving is set when the relay is about to stop.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// RetryAfter is when the replica may get another request from the relay, if its rate limit prevented this one.
+	RetryAfter time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // droppedHeaders are response headers that the sender does not need.
--- a/internal/swrelay/relay_test.go
+++ b/internal/swrelay/relay_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -197,7 +198,8 @@
 }
 
 func readReport(_ int, header http.Header) (swreplica.Report, bool) {
-	return swreplica.Report{Leaving: header.Get("Leaving") != ""}, true
+	limit, _ := strconv.ParseFloat(header.Get("Limit"), 64)
+	return swreplica.Report{Leaving: header.Get("Leaving") != "", RateLimit: limit}, true
 }
 
 func (relayHarness *relayHarness) attempt() *Attempt {
@@ -306,6 +308,28 @@
 	})
 }
 
+// TestRateLimitHoldsForRelayedAttempts checks that a relay sends no more than its share, and that the sender learns for how long.
+func TestRateLimitHoldsForRelayedAttempts(t *testing.T) {
+	withRelayHarness(t, func(relayHarness *relayHarness) {
+		relayHarness.replica.answer = func(request *http.Request, conn net.Conn) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nLimit: 0.5\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+			return true
+		}
+		relayHarness.send(time.Second)
+		result, _, _ := relayHarness.send(time.Second)
+		if result.Outcome != swreplica.NotSent || result.RetryAfter <= 0 || result.RetryAfter > 2*time.Second {
+			t.Errorf("outcome %d, to be sent after %s; want not sent, for at most 2s", result.Outcome, result.RetryAfter)
+		}
+		if relayHarness.sender.AcceptsWork() {
+			t.Error("the sender tries a replica whose rate is used up at the relay")
+		}
+		time.Sleep(result.RetryAfter)
+		if result, _, _ := relayHarness.send(time.Second); result.Outcome != swreplica.Answered || !relayHarness.sender.AcceptsWork() {
+			t.Errorf("outcome %d after that time, want Answered", result.Outcome)
+		}
+	})
+}
+
 // TestStalledReplicaDoesNotMakeRelaySuspect cancels an attempt that the replica answers late. The relay must stay in use, the
 // late answer must count for the replica, and nothing may stay in flight.
 func TestStalledReplicaDoesNotMakeRelaySuspect(t *testing.T) {
--- a/internal/swrelay/server.go
+++ b/internal/swrelay/server.go
@@ -45,20 +45,31 @@
 // Handle runs one attempt; it is the handler of swpeer.MethodRelay. The sender cancels an attempt through the context.
 func (server *Server) Handle(ctx context.Context, _ string, attempt Attempt) (Reply, error) {
 	replica := server.config.Replicas.Find(attempt.Replica)
+	now := time.Now()
 	switch {
 	case server.config.Leaving():
 		return Reply{Outcome: swreplica.NotSent, Reason: "this VM is leaving", Leaving: true}, nil
+	case replica != nil && replica.InUse() && replica.ReadyIn(now) > 0:
+		return heldReply(replica, now), nil
 	case replica == nil || !replica.Available():
 		return Reply{Outcome: swreplica.NotSent, Reason: "the replica is unknown, leaving or unreachable at this VM"}, nil
 	case replica.Distance() == swreplica.OtherRegion:
 		return Reply{Outcome: swreplica.NotSent, Reason: "the replica is not near this VM"}, nil
 	}
-	deadline := time.Now().Add(attempt.Left)
+	if !replica.Admit(now) {
+		return heldReply(replica, now), nil
+	}
+	deadline := now.Add(attempt.Left)
 	replica.Reserve()
 	result := replica.Exchange(ctx, NewRequest(&attempt, replica, server.config.Codec, deadline, 0))
 	return newReply(&result), nil
 }
 
+// heldReply is the reply to an attempt at a replica that wants no request from this VM now.
+func heldReply(replica *swreplica.Replica, now time.Time) Reply {
+	return Reply{Outcome: swreplica.NotSent, Reason: "the replica takes no more from this VM now", RetryAfter: max(1, replica.ReadyIn(now))}
+}
+
 // NewRequest returns a request that sends the attempt directly to its replica, with the time that is left until the deadline when
 // it is sent. Nothing is sent if the replica is leaving or too little time is left.
 func NewRequest(attempt *Attempt, replica *swreplica.Replica, codec Codec, deadline time.Time, cancelGrace time.Duration) *swreplica.Request {
--- a/internal/swreplica/candidate.go
+++ b/internal/swreplica/candidate.go
@@ -57,6 +57,8 @@
 	FailureRate float64
 	// AtLimit is set when the replica has as many of this VM's requests in flight as it recently accepted at once.
 	AtLimit bool
+	// RateLimited is set while this VM's share of the rate that the replica takes is used up.
+	RateLimited bool
 	// WarmingUp is set for some time after the replica has started.
 	WarmingUp bool
 	Distance  Distance
@@ -92,9 +94,9 @@
 }
 
 // LikelyRejects reports whether a request sent now would probably be rejected: the replica has as many of this VM's requests as
-// it accepts, or it has just rejected one while it had none from this VM, so that others keep it full.
+// it accepts, its rate is used up, or it has just rejected one while it had none from this VM, so that others keep it full.
 func (candidate *Candidate) LikelyRejects() bool {
-	return candidate.AtLimit || candidate.RecentlyRejected && candidate.InFlight == 0
+	return candidate.AtLimit || candidate.RateLimited || candidate.RecentlyRejected && candidate.InFlight == 0
 }
 
 // unexplainedFraction returns the fraction of the replica's rejections that its load does not explain. A replica with a full
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -50,6 +50,8 @@
 	Err      error
 	// SentAt is when the request was sent; the zero time if it was not.
 	SentAt time.Time
+	// RetryAfter is when an attempt that was not sent may be, for one that the replica's rate limit prevented; else zero.
+	RetryAfter time.Duration
 }
 
 // readMargin is how long after the end of an attempt its response is no longer read. Attempts are cancelled before that; it bounds
--- a/internal/swreplica/report.go
+++ b/internal/swreplica/report.go
@@ -1,6 +1,7 @@
 package swreplica
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -11,10 +12,17 @@
 type Report struct {
 	// RequestID is the ID of the request to which the response belongs; empty if it does not state it.
 	RequestID string
+	// Succeeded is set for a response with a 2xx status.
+	Succeeded bool
 	// Leaving is set if the replica is about to stop and wants no further requests.
 	Leaving bool
+	// RateLimit is the number of requests per second that the replica takes from all VMs together; zero if it names none.
+	RateLimit float64
 }
 
+// rateLimitTolerance is the fraction by which a replica's rate limit may change without a log line.
+const rateLimitTolerance = 0.2
+
 // ReadReport reads the report in a response's header. ok is false for the response of another replica, such as one at an address
 // that is used again.
 type ReadReport func(status int, header http.Header) (report Report, ok bool)
@@ -31,10 +39,48 @@
 }
 
 // ObserveReport applies what the replica said about itself in a response.
-func (replica *Replica) ObserveReport(_ time.Time, report Report) {
+func (replica *Replica) ObserveReport(now time.Time, report Report) {
 	if report.Leaving {
 		replica.observeLeaving(report)
 	}
+	// A rejection or a failure without a limit doesn't lift it: these may come from another part of the server.
+	if report.RateLimit > 0 || report.Succeeded {
+		replica.observeRateLimit(now, report)
+	}
+}
+
+// observeRateLimit applies the rate limit of a response, or lifts the limit if the response names none.
+func (replica *Replica) observeRateLimit(now time.Time, report Report) {
+	share := rateShare(report.RateLimit, replica.distance, replica.pool.config.VMCounts(replica.entry.Load().DataCentre))
+	former := replica.rateLimiter.set(now, report.RateLimit, share)
+	if math.Abs(report.RateLimit-former) <= rateLimitTolerance*former {
+		return
+	}
+	replica.pool.config.CountEvent("replica_rate_limits_changed", 1)
+	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Request", report.RequestID).Float64("Former", former).
+		Float64("Limit", report.RateLimit).Float64("Share", share).Msg("a replica changed the rate that it takes from all VMs")
+}
+
+// Admit takes one request from this VM's share of the rate that the replica takes. It returns false if the share is used up.
+func (replica *Replica) Admit(now time.Time) bool {
+	return replica.rateLimiter.take(now)
+}
+
+// ReadyIn returns how long it takes until the replica may get another request; zero if it may get one now.
+func (replica *Replica) ReadyIn(now time.Time) time.Duration {
+	replica.mutex.Lock()
+	held := replica.heldUntil.Sub(now)
+	replica.mutex.Unlock()
+	return max(0, held, replica.rateLimiter.wait(now))
+}
+
+// HoldOff sends the replica nothing for a time.
+func (replica *Replica) HoldOff(now time.Time, wait time.Duration) {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	if until := now.Add(wait); until.After(replica.heldUntil) {
+		replica.heldUntil = until
+	}
 }
 
 // observeLeaving takes a replica out of use that said that it leaves, whatever the platform's list says: a VM may be cut off from
