Send a replica nothing until the Retry-After of its 503 has passed

The header was not read; a replica that rejected got attempts again after 0.1 to 1.6 s. The time is that of the longest valid value, in seconds, at most two minutes, counted from when the header was read; it holds for requests that wait for a connection and for relayed attempts, whose senders learn how long. VMs return to the replica spread over a fifth of the time. If no replica of a service may be asked, the request is refused at once, to be retried when the first may be. Zero, negative numbers, words and dates count as no Retry-After; a date would depend on the replica's clock. TestReplicaGetsNothingUntilItsRetryAfter fails in all four cases on the former code.

--- a/internal/swgateway/report_test.go
+++ b/internal/swgateway/report_test.go
@@ -20,8 +20,10 @@
 		return swreplica.Report{}, false
 	}
 	limit, _ := strconv.ParseFloat(header.Get("Limit"), 64)
+	retryAfter, _ := time.ParseDuration(header.Get("Retry-In"))
 	return swreplica.Report{
 		RequestID: header.Get("Id"), Succeeded: status == http.StatusOK, Leaving: header.Get("Leaving") != "", RateLimit: limit,
+		RetryAfter: retryAfter,
 	}, true
 }
 
@@ -165,3 +167,74 @@
 		}
 	})
 }
+
+// TestReplicaGetsNothingUntilItsRetryAfter guards against requests to a replica that rejected one and said for how long it wants no
+// more from this VM. Up to 50 requests wait for its connections at that time.
+func TestReplicaGetsNothingUntilItsRetryAfter(t *testing.T) {
+	for name, route := range map[string]*swroute.Route{"single service": idempotentRoute(), "gathered": gatheredRoute(1, 1)} {
+		for _, waiting := range []int{1, 50} {
+			t.Run(fmt.Sprintf("%s, %d at once", name, waiting), func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T) {
+					testHandler := newTestHandler(t, 1)
+					defer testHandler.close()
+					testHandler.maxConnections = 1
+					testHandler.setRoute(route)
+					service := "s"
+					if route.Gathered() {
+						service = "s0"
+					}
+					held := testHandler.addReplica(service, "a", respondWith(10*time.Millisecond, http.StatusServiceUnavailable, "Not-Run: 1\r\nRetry-In: 3s\r\n", ""))
+					for range waiting {
+						testHandler.group.Go(func(context.Context) { testHandler.send(t.Context(), http.MethodGet, "/", "") })
+					}
+					time.Sleep(500 * time.Millisecond)
+					before := held.count()
+					for range 24 {
+						got := testHandler.send(t.Context(), http.MethodGet, "/", "")
+						after, err := strconv.ParseFloat(got.Header().Get("Retry-After"), 64)
+						if got.Code != http.StatusServiceUnavailable || got.took > 0 || err != nil || after <= 0 || after > 1.5*1.2*3 {
+							t.Fatalf("status %d after %s, Retry-After %q; want 503 at once and the time that the replica named",
+								got.Code, got.took, got.Header().Get("Retry-After"))
+						}
+						time.Sleep(100 * time.Millisecond)
+					}
+					if diff := cmp.Diff(before, held.count()); diff != "" {
+						t.Error("requests within the time that the replica named (-want +got):\n" + diff)
+					}
+					time.Sleep(2 * time.Second)
+					testHandler.send(t.Context(), http.MethodGet, "/", "")
+					if held.count() == before {
+						t.Error("the replica got nothing after the time that it named")
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestRestartedReplicaStartsClean restarts a replica that had said that it leaves, and one that wanted nothing for a minute.
+func TestRestartedReplicaStartsClean(t *testing.T) {
+	for name, script := range map[string]func(*receivedRequest){
+		"leaving":     respondWith(time.Millisecond, http.StatusOK, "Leaving: 1\r\nSignature: a\r\n", "a"),
+		"retry after": respondWith(time.Millisecond, http.StatusServiceUnavailable, "Not-Run: 1\r\nRetry-In: 1m\r\n", ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				testHandler := newTestHandler(t, 1)
+				defer testHandler.close()
+				testHandler.setRoute(idempotentRoute())
+				replica := testHandler.addReplica("s", "a", script)
+				testHandler.send(t.Context(), http.MethodGet, "/", "")
+				entry := testHandler.registry.Find("a").Entry()
+				entry.StartedAt = time.Now()
+				testHandler.registry.Update([]swreplica.Entry{entry}, nil)
+				replica.mutex.Lock()
+				replica.script = respondSigned(time.Millisecond, "a", "new")
+				replica.mutex.Unlock()
+				if got := testHandler.send(t.Context(), http.MethodGet, "/", ""); statusAndBody(got) != "200 new" {
+					t.Errorf("answer %q of the restarted replica", statusAndBody(got))
+				}
+			})
+		})
+	}
+}
--- a/internal/swreplica/report.go
+++ b/internal/swreplica/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -18,11 +19,20 @@
 	Leaving bool
 	// RateLimit is the number of requests per second that the replica takes from all VMs together; zero if it names none.
 	RateLimit float64
+	// RetryAfter is how long the replica wants no requests from this VM, counted from the response that rejected one; else zero.
+	RetryAfter time.Duration
 }
 
 // rateLimitTolerance is the fraction by which a replica's rate limit may change without a log line.
 const rateLimitTolerance = 0.2
 
+const (
+	// maxHoldOff bounds the time for which a replica gets nothing by its own word.
+	maxHoldOff = 2 * time.Minute
+	// returnSpread is the fraction of that time over which the VMs that it rejected return to it.
+	returnSpread = 0.2
+)
+
 // ReadReport reads the report in a response's header. ok is false for the response of another replica, such as one at an address
 // that is used again.
 type ReadReport func(status int, header http.Header) (report Report, ok bool)
@@ -43,12 +53,29 @@
 	if report.Leaving {
 		replica.observeLeaving(report)
 	}
+	if report.RetryAfter > 0 {
+		replica.observeRetryAfter(now, report)
+	}
 	// A rejection or a failure without a limit doesn't lift it: these may come from another part of the server.
 	if report.RateLimit > 0 || report.Succeeded {
 		replica.observeRateLimit(now, report)
 	}
 }
 
+// observeRetryAfter sends the replica nothing until the time that it named has passed. It is for a replica that is short of capacity for
+// seconds and rejects what it gets: more attempts would cost it work and take the retry budget from the other replicas.
+func (replica *Replica) observeRetryAfter(now time.Time, report Report) {
+	alreadyHeld := !replica.AcceptsWork()
+	wait := min(maxHoldOff, report.RetryAfter)
+	replica.HoldOff(now, wait+time.Duration(returnSpread*rand.Float64()*float64(wait)))
+	if alreadyHeld {
+		return
+	}
+	replica.pool.config.CountEvent("replicas_held_off", 1)
+	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Request", report.RequestID).Dur("RetryAfter", report.RetryAfter).
+		Msg("a replica wants no requests for a while")
+}
+
 // observeRateLimit applies the rate limit of a response, or lifts the limit if the response names none.
 func (replica *Replica) observeRateLimit(now time.Time, report Report) {
 	share := rateShare(report.RateLimit, replica.distance, replica.pool.config.VMCounts(replica.entry.Load().DataCentre))
