Guard the return of entries that lapsed in an outage

On the code before an entry that lapsed and came back within one change, in the 2.2 s after an outage, was removed once that time had passed, although it was there: the replica was lost to the VM until its entry changed again. A VM that polls another gets such changes when it catches up. TestEntryThatLapsedAndCameBackStays fails on that code and passes since.

--- a/internal/swfollow/mirror_test.go
+++ b/internal/swfollow/mirror_test.go
@@ -138,6 +138,21 @@
 	})
 }
 
+// TestEntryThatLapsedAndCameBackStays guards against services without replicas after an outage of the store: the entries lapsed and came
+// back within one change, as a VM receives it that polls another one.
+func TestEntryThatLapsedAndCameBackStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := swgroup.New(context.Background())
+		defer group.Stop()
+		collector := newCollector(2 * time.Second)
+		group.Go(collector.Run)
+		collector.Receive(Change{Full: true, Objects: objects("a", "b")})
+		collector.Receive(Change{Objects: append([]swplatform.Object{{Name: "b", Deleted: true}}, objects("b")...), RecoveredAt: time.Now()})
+		time.Sleep(3 * time.Second)
+		checkNames(t, collector, "a", "b")
+	})
+}
+
 // TestChangeBeforeADeferredRemovalApplies checks that a replica whose removal is deferred has its latest entry, such as one that says
 // that it is leaving.
 func TestChangeBeforeADeferredRemovalApplies(t *testing.T) {
