Have the lab's replicas say that they leave, limit their rate and ask for a pause

The soak draws these faults beside the others, in series and overlapping with stops and restarts of VMs, and checks from the replica's side, by connection: nothing on a connection on which it has said that it leaves; at most two requests between half a second after a 503 with Retry-After and the end of its time; no more than one and a half times a limit and five in 4 s, of callers that know it. A VM has several connections, and only those that were told count, so this is less than what the users count.

--- a/lab/internal/swlabsoak/fault.go
+++ b/lab/internal/swlabsoak/fault.go
@@ -55,6 +55,8 @@
 		{"replicas lose responses", replicaFault(swlabusers.ReplicaFault{LoseAnswers: true})},
 		{"replicas respond twice", replicaFault(swlabusers.ReplicaFault{DuplicateAnswers: true})},
 		{"replicas respond without end", (*injector).sendEndlessResponses},
+		{"replicas want nothing for a while", replicaFault(swlabusers.ReplicaFault{RetryAfter: 1500 * time.Millisecond})},
+		{"replicas limit their rate", (*injector).limitReplicas},
 		{"replicas are slow", replicaFault(swlabusers.ReplicaFault{ExtraServiceTime: 100 * time.Millisecond})},
 		{"the configuration changes", (*injector).changeConfiguration},
 	}
@@ -227,6 +229,7 @@
 	injector.startReplacement(proxiedReplica)
 	injector.fleet.mutex.Lock()
 	proxiedReplica.leaving = true
+	proxiedReplica.replica.Leave()
 	injector.fleet.mutex.Unlock()
 	_ = swtimer.Wait(ctx, applyTimeout)
 	proxiedReplica.replica.Close()
@@ -243,6 +246,20 @@
 	replicaFault(swlabusers.ReplicaFault{Endless: endless})(injector, ctx)
 }
 
+// limitReplicas has replicas name a rate limit for longer than the checks of the limit take to begin, if the run lasts as long.
+func (injector *injector) limitReplicas(ctx context.Context) {
+	proxiedReplica := injector.randomReplica()
+	if proxiedReplica == nil {
+		return
+	}
+	proxiedReplica.replica.SetFault(swlabusers.ReplicaFault{RateLimit: float64(2 + injector.random.IntN(10))})
+	_ = swtimer.Wait(ctx, limitDuration)
+	proxiedReplica.replica.SetFault(swlabusers.ReplicaFault{})
+}
+
+// limitDuration is how long a replica names a rate limit.
+const limitDuration = 12 * time.Second
+
 func replicaFault(fault swlabusers.ReplicaFault) func(*injector, context.Context) {
 	return func(injector *injector, ctx context.Context) {
 		var faulty []*proxiedReplica
--- a/lab/internal/swlabsoak/soak.go
+++ b/lab/internal/swlabsoak/soak.go
@@ -214,6 +214,7 @@
 func (fleet *fleet) checkRequests(results *results, report *Report) {
 	results.mutex.Lock()
 	defer results.mutex.Unlock()
+	results.violations = append(results.violations, fleet.journal.Violations()...)
 	sentIDs := make(map[string]bool, len(results.requests))
 	var latencies []time.Duration
 	for _, request := range results.requests {
--- a/lab/internal/swlabusers/replica.go
+++ b/lab/internal/swlabusers/replica.go
@@ -37,10 +37,11 @@
 	At        time.Time
 }
 
-// Journal records the runs of all replicas.
+// Journal records the runs of all replicas, and the requests that reached a replica against its word.
 type Journal struct {
-	mutex sync.Mutex
-	runs  map[string][]Run
+	mutex      sync.Mutex
+	runs       map[string][]Run
+	violations []string
 }
 
 // NewJournal returns an empty journal.
@@ -54,6 +55,19 @@
 	journal.runs[run.RequestID] = append(journal.runs[run.RequestID], run)
 }
 
+func (journal *Journal) addViolation(violation string) {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	journal.violations = append(journal.violations, violation)
+}
+
+// Violations returns the requests that reached a replica against its word.
+func (journal *Journal) Violations() []string {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	return journal.violations
+}
+
 // Runs returns the runs of a request.
 func (journal *Journal) Runs(requestID string) []Run {
 	journal.mutex.Lock()
@@ -79,6 +93,10 @@
 	ExtraServiceTime time.Duration
 	// Shed rejects every second request.
 	Shed bool
+	// RetryAfter rejects every second request, and asks its sender to send nothing for that time.
+	RetryAfter time.Duration
+	// RateLimit, if not zero, is the number of requests per second that the replica says that it takes from all VMs.
+	RateLimit float64
 	// LoseAnswers runs every third request, but closes its connection without a response.
 	LoseAnswers bool
 	// DuplicateAnswers sends the response to every third request twice.
@@ -107,11 +125,15 @@
 	slots     chan struct{}
 	queued    atomic.Int64
 	received  atomic.Int64
+	leaving   atomic.Bool
 
 	mutex   sync.Mutex
 	fault   ReplicaFault
 	conns   map[net.Conn]struct{}
 	stopped bool
+	// limitedSince is when the fault with the current rate limit began, and limitedArrivals the latest requests of callers that know it.
+	limitedSince    time.Time
+	limitedArrivals []time.Time
 }
 
 // StartReplica starts a replica on a free loopback port, which serves until Close.
@@ -151,6 +173,7 @@
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	replica.fault = fault
+	replica.limitedSince, replica.limitedArrivals = time.Now(), nil
 }
 
 // Close stops the replica at once and closes its connections, as a crash does.
@@ -199,32 +222,36 @@
 // serve handles the requests of one connection one after another.
 func (replica *Replica) serve(conn net.Conn) {
 	reader := bufio.NewReader(conn)
+	caller := &caller{}
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		body, err := io.ReadAll(request.Body)
-		if err != nil || !replica.handle(conn, request, body) {
+		if err != nil || !replica.handle(conn, caller, request, body) {
 			return
 		}
 	}
 }
 
 // handle responds to one request and reports whether the connection stays open.
-func (replica *Replica) handle(conn net.Conn, request *http.Request, body []byte) bool {
+func (replica *Replica) handle(conn net.Conn, caller *caller, request *http.Request, body []byte) bool {
 	replica.mutex.Lock()
 	fault := replica.fault
 	replica.mutex.Unlock()
 	requestNumber := replica.received.Add(1)
 	id := request.Header.Get("X-Request-Id")
+	replica.checkArrival(caller, &fault, id)
 	switch {
 	case id == "":
 		return writeResponse(conn, http.StatusBadRequest, "X-Not-Executed: 1\r\n", nil)
 	case request.Header.Get("X-Target-Instance") != replica.config.ID:
 		return writeResponse(conn, http.StatusMisdirectedRequest, "X-Instance-Id: "+replica.config.ID+"\r\n", nil)
+	case fault.RetryAfter > 0 && requestNumber%2 == 0:
+		return writeResponse(conn, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\n"+replica.header(caller, &fault, true), nil)
 	case fault.Shed && requestNumber%2 == 0 || replica.queued.Load() >= maxQueued:
-		return writeResponse(conn, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\n", nil)
+		return writeResponse(conn, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\n"+replica.header(caller, &fault, false), nil)
 	}
 	replica.queued.Add(1)
 	replica.slots <- struct{}{}
@@ -240,6 +267,7 @@
 		return false
 	}
 	header := fmt.Sprintf("X-Request-Id: %s\r\nX-Server-Stamp: %s\r\nKeep-Alive: timeout=10\r\n", id, Stamp(replica.config.Service, id))
+	header += replica.header(caller, &fault, false)
 	answer := PartRecords(replica.config.Service, request.RequestURI)
 	if request.Method != http.MethodGet {
 		answer = EchoDigest(replica.config.Service, request.Method, request.RequestURI, body)
