--- a/internal/swexplain/explain.go
+++ b/internal/swexplain/explain.go
@@ -51,6 +51,7 @@
 	Rule    int
 	Caller  string
 	Replica string
+	Service string
 	Peer    string
 	Kind    string
 	Gone    []string
@@ -121,7 +122,7 @@
 }
 
 // isRelated reports whether a VM that received the request logged the line at about the same time. A line about a replica is
-// related only if the request had an attempt at that replica.
+// related only if the request had an attempt at that replica, or was refused for lack of its service.
 func (explanation *Explanation) isRelated(candidate *Line) bool {
 	for i := range explanation.RequestLines {
 		line := &explanation.RequestLines[i]
@@ -129,7 +130,7 @@
 		if candidate.VM != line.VM || since < -relatedBefore || since > relatedAfter {
 			continue
 		}
-		if candidate.Replica == "" || line.hasAttemptAt(candidate.Replica) {
+		if candidate.Replica == "" || line.hasAttemptAt(candidate.Replica) || slices.Contains(line.Without, candidate.Service) {
 			return true
 		}
 	}
--- a/internal/swexplain/explain_test.go
+++ b/internal/swexplain/explain_test.go
@@ -72,3 +72,24 @@
 		t.Error("cause (-want +got):\n" + diff)
 	}
 }
+
+// TestRefusalShowsWhatTheServicesReplicasSaid explains a request that was refused because the only replica of a service wanted nothing.
+func TestRefusalShowsWhatTheServicesReplicasSaid(t *testing.T) {
+	log := `{"Time":"2026-01-01T00:00:01Z","VM":"b","Replica":"i-1","Service":"s","InResponseTo":"r","Message":"a replica wants no requests for a while"}
+{"Time":"2026-01-01T00:00:01Z","VM":"b","Replica":"i-2","Service":"other","Message":"a replica says that it leaves"}
+{"Time":"2026-01-01T00:00:02Z","VM":"b","Request":"r","Message":"refused","Code":"NoReplica","Without":["s"]}`
+	explanation, err := Explain("r", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var related []string
+	for _, line := range explanation.RelatedLines {
+		related = append(related, line.Replica)
+	}
+	if diff := cmp.Diff([]string{"i-1"}, related); diff != "" {
+		t.Error("replicas in related lines (-want +got):\n" + diff)
+	}
+	if diff := cmp.Diff(1, len(explanation.RequestLines)); diff != "" {
+		t.Error("lines of the request (-want +got):\n" + diff)
+	}
+}
--- a/internal/swreplica/report.go
+++ b/internal/swreplica/report.go
@@ -72,7 +72,7 @@
 		return
 	}
 	replica.pool.config.CountEvent("replicas_held_off", 1)
-	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Request", report.RequestID).Dur("RetryAfter", report.RetryAfter).
+	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Service", replica.entry.Load().Service).Str("InResponseTo", report.RequestID).Dur("RetryAfter", report.RetryAfter).
 		Msg("a replica wants no requests for a while")
 }
 
@@ -84,7 +84,7 @@
 		return
 	}
 	replica.pool.config.CountEvent("replica_rate_limits_changed", 1)
-	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Request", report.RequestID).Float64("Former", former).
+	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Service", replica.entry.Load().Service).Str("InResponseTo", report.RequestID).Float64("Former", former).
 		Float64("Limit", report.RateLimit).Float64("Share", share).Msg("a replica changed the rate that it takes from all VMs")
 }
 
@@ -117,6 +117,6 @@
 		return
 	}
 	replica.pool.config.CountEvent("replicas_said_leaving", 1)
-	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Request", report.RequestID).Bool("Listed", !replica.entry.Load().Leaving).
+	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Service", replica.entry.Load().Service).Str("InResponseTo", report.RequestID).Bool("Listed", !replica.entry.Load().Leaving).
 		Msg("a replica says that it leaves")
 }
