--- a/internal/swrelay/client.go
+++ b/internal/swrelay/client.go
@@ -18,6 +18,9 @@
 const (
 	// suspectTimeout is how long a VM that failed as a relay is not used. A VM that restarts is back by then.
 	suspectTimeout = 3 * time.Second
+	// maxRelayHoldOff bounds how long the sender does not try a replica whose rate is used up at the relay. The replica may lift its
+	// limit meanwhile, which the relay learns first.
+	maxRelayHoldOff = time.Second
 	// MaxRelays is the number of VMs that are considered before an attempt goes directly to the replica.
 	MaxRelays = 2
 )
@@ -101,7 +104,7 @@
 		inFlightRequest.End()
 		client.observeReport(replica, result.Response)
 		if result.RetryAfter > 0 {
-			replica.HoldOff(time.Now(), result.RetryAfter)
+			replica.HoldOff(time.Now(), min(maxRelayHoldOff, result.RetryAfter))
 		}
 		if ctx.Err() != nil && result.Response != nil {
 			now := time.Now()
--- a/internal/swreplica/ratelimit_test.go
+++ b/internal/swreplica/ratelimit_test.go
@@ -91,7 +91,7 @@
 	}
 }
 
-func TestRateLimitFollowsTheReplicasWord(t *testing.T) {
+func TestRateLimitIsSetAndLifted(t *testing.T) {
 	now := time.Now()
 	var limiter rateLimiter
 	if !limiter.take(now) || limiter.wait(now) != 0 {
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -277,7 +277,7 @@
 	return replica.answeredAt.After(since)
 }
 
-// InUse reports whether the replica is listed and not leaving, by its entry or by its own word.
+// InUse reports whether the replica is listed and not leaving, by its entry or by what it said.
 func (replica *Replica) InUse() bool {
 	if replica.entry.Load().Leaving || replica.saidLeaving.Load() {
 		return false
--- a/internal/swreplica/report.go
+++ b/internal/swreplica/report.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/sycamorewall/sycamorewall/internal/swconn"
 )
 
@@ -27,7 +29,7 @@
 const rateLimitTolerance = 0.2
 
 const (
-	// maxHoldOff bounds the time for which a replica gets nothing by its own word.
+	// maxHoldOff bounds the time for which a replica gets nothing because it asked for that.
 	maxHoldOff = 2 * time.Minute
 	// returnSpread is the fraction of that time over which the VMs that it rejected return to it.
 	returnSpread = 0.2
@@ -72,20 +74,22 @@
 		return
 	}
 	replica.pool.config.CountEvent("replicas_held_off", 1)
-	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Service", replica.entry.Load().Service).Str("InResponseTo", report.RequestID).Dur("RetryAfter", report.RetryAfter).
-		Msg("a replica wants no requests for a while")
+	replica.reportLine(report).Dur("RetryAfter", report.RetryAfter).Msg("a replica wants no requests for a while")
 }
 
 // observeRateLimit applies the rate limit of a response, or lifts the limit if the response names none.
 func (replica *Replica) observeRateLimit(now time.Time, report Report) {
-	share := rateShare(report.RateLimit, replica.distance, replica.pool.config.VMCounts(replica.entry.Load().DataCentre))
+	share := 0.0
+	if report.RateLimit > 0 {
+		share = rateShare(report.RateLimit, replica.distance, replica.pool.config.VMCounts(replica.entry.Load().DataCentre))
+	}
 	former := replica.rateLimiter.set(now, report.RateLimit, share)
 	if math.Abs(report.RateLimit-former) <= rateLimitTolerance*former {
 		return
 	}
 	replica.pool.config.CountEvent("replica_rate_limits_changed", 1)
-	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Service", replica.entry.Load().Service).Str("InResponseTo", report.RequestID).Float64("Former", former).
-		Float64("Limit", report.RateLimit).Float64("Share", share).Msg("a replica changed the rate that it takes from all VMs")
+	replica.reportLine(report).Float64("Former", former).Float64("Limit", report.RateLimit).Float64("Share", share).
+		Msg("a replica changed the rate that it takes from all VMs")
 }
 
 // Admit takes one request from this VM's share of the rate that the replica takes. It returns false if the share is used up.
@@ -111,12 +115,17 @@
 }
 
 // observeLeaving takes a replica out of use that said that it leaves, whatever the platform's list says: a VM may be cut off from
-// the platform while it reaches the replica. A replica never takes the word back; its next incarnation is another Replica.
+// the platform while it reaches the replica. This can't be withdrawn; the next incarnation of the replica is another Replica.
 func (replica *Replica) observeLeaving(report Report) {
 	if !replica.saidLeaving.CompareAndSwap(false, true) {
 		return
 	}
 	replica.pool.config.CountEvent("replicas_said_leaving", 1)
-	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Service", replica.entry.Load().Service).Str("InResponseTo", report.RequestID).Bool("Listed", !replica.entry.Load().Leaving).
-		Msg("a replica says that it leaves")
+	replica.reportLine(report).Bool("Listed", !replica.entry.Load().Leaving).Msg("a replica says that it leaves")
+}
+
+// reportLine begins a log line about what the replica said. It has no key Request, which would make it a line about the request.
+func (replica *Replica) reportLine(report Report) *zerolog.Event {
+	return replica.pool.config.Log.Info().Str("Replica", replica.ID()).Str("Service", replica.entry.Load().Service).
+		Str("InResponseTo", report.RequestID)
 }
--- a/lab/internal/swlabusers/replica.go
+++ b/lab/internal/swlabusers/replica.go
@@ -37,7 +37,7 @@
 	At        time.Time
 }
 
-// Journal records the runs of all replicas, and the requests that reached a replica against its word.
+// Journal records the runs of all replicas, and the requests that reached a replica although it had told their sender not to send any.
 type Journal struct {
 	mutex      sync.Mutex
 	runs       map[string][]Run
@@ -61,7 +61,7 @@
 	journal.violations = append(journal.violations, violation)
 }
 
-// Violations returns the requests that reached a replica against its word.
+// Violations describes the requests that reached a replica although it had told their sender not to send any.
 func (journal *Journal) Violations() []string {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
--- a/lab/internal/swlabusers/word.go
+++ b/lab/internal/swlabusers/report.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// hearingTime is how long a VM may take to act on what a replica says about itself in a response.
-	hearingTime = 500 * time.Millisecond
+	// reactionTime is how long a VM may take to act on what a replica says about itself in a response.
+	reactionTime = 500 * time.Millisecond
 	// limitWindow is the period over which requests are counted, once a limit has been named for limitNotice. In each period, a replica
 	// may get limitFactor times what its limit allows, and limitExtra requests.
 	limitWindow = 4 * time.Second
@@ -47,7 +47,7 @@
 	}
 	if retryAfter {
 		lines += fmt.Sprintf("Retry-After: %g\r\n", fault.RetryAfter.Seconds())
-		caller.heldFrom, caller.heldUntil = now.Add(hearingTime), now.Add(fault.RetryAfter)
+		caller.heldFrom, caller.heldUntil = now.Add(reactionTime), now.Add(fault.RetryAfter)
 		caller.sentWhileHeld = 0
 	}
 	return lines
@@ -64,7 +64,7 @@
 			replica.violation("BUDGET: %s got %s although it had said that it wants nothing yet", id)
 		}
 	}
-	if fault.RateLimit > 0 && !caller.limitedSince.IsZero() && now.Sub(caller.limitedSince) > hearingTime {
+	if fault.RateLimit > 0 && !caller.limitedSince.IsZero() && now.Sub(caller.limitedSince) > reactionTime {
 		replica.countLimited(now, fault.RateLimit, id)
 	}
 }
