Keep lapsed entries through a VM's own listing after an outage

Read in the diff: since a probe lists the servers as well, and its listing named no outage, so entries that had lapsed were removed at once, although their replicas renew them within two seconds. The listing of the follower that starts after two probes did the same on the former code. Now a listing after a failed probe names the recovery, and a recovery that one source of changes has seen counts for the next ones too. A first probe that succeeds names none: then only the upstreams have lost the store, and what it lacks is gone.

--- a/internal/swfeed/cache.go
+++ b/internal/swfeed/cache.go
@@ -45,12 +45,13 @@
 	return &cache{objects: make(map[string]swplatform.Object), compressed: make(map[string]compressedValue)}
 }
 
-// apply applies a change. It returns false for one older than the cache, and for an incremental one before the first listing.
-func (cache *cache) apply(change swfollow.Change) bool {
+// apply applies a change, and returns when the store last recovered from an outage. ok is false for a change that is older than the
+// cache, and for an incremental one before the first listing.
+func (cache *cache) apply(change swfollow.Change) (recoveredAt time.Time, ok bool) {
 	cache.mutex.Lock()
 	defer cache.mutex.Unlock()
 	if cache.synced && change.Revision < cache.revision || !cache.synced && !change.Full {
-		return false
+		return cache.recoveredAt, false
 	}
 	if change.RecoveredAt.After(cache.recoveredAt) {
 		cache.recoveredAt = change.RecoveredAt
@@ -64,7 +65,7 @@
 	}
 	cache.revision = change.Revision
 	cache.synced = true
-	return true
+	return cache.recoveredAt, true
 }
 
 // applyFull replaces all objects and logs the difference. The caller holds the mutex.
--- a/internal/swfeed/fallback.go
+++ b/internal/swfeed/fallback.go
@@ -49,13 +49,15 @@
 func (feed *Feed) probeStore(ctx context.Context) {
 	feed.mutex.Lock()
 	wait := time.Until(feed.nextProbe)
+	// Without a failed probe, only the upstreams have lost the store, and objects that it lacks are gone.
+	afterOutage := feed.probeBackoff > 0
 	feed.mutex.Unlock()
 	if wait > 0 {
 		_ = swtimer.Wait(ctx, min(wait, probeConfirmDelay))
 		feed.retryUpstreams()
 		return
 	}
-	err := feed.listTrackedKinds(ctx)
+	err := feed.listTrackedKinds(ctx, afterOutage)
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	now := time.Now()
@@ -74,8 +76,9 @@
 	}
 }
 
-// listTrackedKinds lists the kinds that track reachability from the store, until a call fails.
-func (feed *Feed) listTrackedKinds(ctx context.Context) error {
+// listTrackedKinds lists the kinds that track reachability from the store, until a call fails. afterOutage is set if the store may just
+// have recovered.
+func (feed *Feed) listTrackedKinds(ctx context.Context, afterOutage bool) error {
 	for i := range feed.config.Kinds {
 		if !feed.config.Kinds[i].TracksReachability {
 			continue
@@ -84,7 +87,11 @@
 		if err != nil {
 			return err
 		}
-		feed.receive(i, swfollow.Change{Full: true, Objects: objects, Revision: revision})
+		change := swfollow.Change{Full: true, Objects: objects, Revision: revision}
+		if afterOutage {
+			change.RecoveredAt = time.Now()
+		}
+		feed.receive(i, change)
 	}
 	return nil
 }
--- a/internal/swfeed/feed_test.go
+++ b/internal/swfeed/feed_test.go
@@ -139,6 +139,8 @@
 	// revision, by VM and kind.
 	revisions  []uint64
 	receivedAt [][]time.Time
+	// recoveredAt holds the time of the store's recovery in the last change of the first kind that each VM has received.
+	recoveredAt []time.Time
 }
 
 // newTestFleet returns a fleet that follows one kind of objects.
@@ -152,6 +154,7 @@
 	fleet := &testFleet{
 		t: t, store: newTestStore(), group: swgroup.New(context.Background()), partitioned: make(map[int]bool),
 		revisions: make([]uint64, vms), receivedAt: make([][]time.Time, vms),
+		recoveredAt: make([]time.Time, vms),
 	}
 	for vm := range vms {
 		fleet.receivedAt[vm] = make([]time.Time, kinds)
@@ -181,6 +184,9 @@
 				received[i], fleet.receivedAt[vm][i] = change.Revision, time.Now()
 			}
 			fleet.revisions[vm] = received[0]
+			if i == 0 {
+				fleet.recoveredAt[vm] = change.RecoveredAt
+			}
 		}}
 	}
 	return kinds
@@ -332,6 +338,39 @@
 	}
 }
 
+// TestListingsAfterAnOutageNameTheRecovery guards against the removal of live replicas whose entries lapsed in an outage: a VM whose
+// upstream does not reach the store lists it by itself once it is back, first in a probe and then as a follower.
+func TestListingsAfterAnOutageNameTheRecovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleetOfKinds(t, 2, 2)
+		defer fleet.group.Stop()
+		time.Sleep(5 * time.Second)
+		fleet.store.set(func() { fleet.store.down, fleet.store.refused[0] = true, true })
+		fleet.store.change()
+		time.Sleep(8 * time.Second)
+		fleet.store.set(func() { fleet.store.down = false })
+		upAt := time.Now()
+		received, unnamed := 0, 0
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			fleet.mutex.Lock()
+			if fleet.receivedAt[1][0].After(upAt) {
+				received++
+				if fleet.recoveredAt[1].Before(upAt) {
+					unnamed++
+				}
+			}
+			fleet.mutex.Unlock()
+		}
+		if unnamed > 0 {
+			t.Errorf("after the outage, the last change did not name it for %d of %d looks", unnamed, received)
+		}
+		if received == 0 {
+			t.Error("the VM received nothing after the outage")
+		}
+	})
+}
+
 func TestPartitionedVMFollowsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newTestFleet(t, 8)
@@ -386,7 +425,7 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error("changes (-want +got):\n" + diff)
 	}
-	if cache.apply(swfollow.Change{Full: true, Revision: 5}) {
+	if _, ok := cache.apply(swfollow.Change{Full: true, Revision: 5}); ok {
 		t.Error("a listing that is older than the cache was applied")
 	}
 }
--- a/internal/swfeed/follow.go
+++ b/internal/swfeed/follow.go
@@ -99,11 +99,14 @@
 	return pollWait, pollSlack
 }
 
-// receive applies a change from the store or a peer and wakes the polls that wait for one.
+// receive applies a change from the store or a peer and wakes the polls that wait for one. A recovery of the store that one source
+// has seen counts for the changes of the others too.
 func (feed *Feed) receive(kindIndex int, change swfollow.Change) {
-	if !feed.caches[kindIndex].apply(change) {
+	recoveredAt, ok := feed.caches[kindIndex].apply(change)
+	if !ok {
 		return
 	}
+	change.RecoveredAt = recoveredAt
 	feed.config.Kinds[kindIndex].Receive(change)
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
