List the store once no polled VM has confirmed a VM's copies in time

Cause: each failure was noticed in time, up to 2.2 s for a store that is silent to the leader and 1.5 s for a poll that hangs, but the times added up; a follower did not know for how long its copies had not been confirmed. Evidence: TestChangeRightAfterAnUpstreamLostTheStoreArrivesInTime with both faults in series: 3.424 s before, within 3 s now. Why it works: a reply to a poll says when the store's next response is due; 1.2 s after that the VM lists the store itself, whatever it polls at that time. A poll of an upstream that reaches the store confirms the copies sooner, so healthy fleets make no more calls (TestChangesReachAllVMsThroughTheLeader and TestStoreOutageCausesFewCallsAndChangesArriveSoonAfterIt hold their bounds).

--- a/internal/swfeed/fallback.go
+++ b/internal/swfeed/fallback.go
@@ -27,14 +27,20 @@
 	feed.config.Log.Warn().Str("Peer", peer.Name).Dur("Overdue", overdue).Msg("the polled VM does not reach the store")
 }
 
-// shouldProbeStore reports whether this VM should probe the store because its upstreams do not answer or do not reach it. A VM
-// that has no configuration yet follows the store immediately instead.
+// shouldProbeStore reports whether this VM should probe the store because its upstreams do not answer or do not reach it, or because
+// its copies have not been confirmed for too long: upstreams that fail one after the other each take time to be noticed. A VM that has
+// no configuration yet follows the store immediately instead.
 func (feed *Feed) shouldProbeStore(now time.Time) bool {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
-	if feed.failedPolls < maxFailedPolls || now.Before(feed.directUntil) {
+	overdue := now.Sub(feed.expectedAt)
+	unconfirmed := !feed.expectedAt.IsZero() && overdue >= maxUnconfirmed && !now.Before(feed.nextProbe)
+	if feed.failedPolls < maxFailedPolls && !unconfirmed || now.Before(feed.directUntil) {
 		return false
 	}
+	if feed.failedPolls < maxFailedPolls {
+		feed.config.Log.Warn().Dur("Overdue", overdue).Msg("no polled VM has confirmed the copies in time; listing the store")
+	}
 	if feed.caches[0].currentRevision() == 0 {
 		feed.directUntil, feed.failedPolls = now.Add(reviewInterval/2), 0
 		return false
@@ -69,6 +75,7 @@
 	}
 	feed.probeSuccesses++
 	feed.nextProbe = now.Add(probeConfirmDelay)
+	feed.expectedAt = feed.nextResponse(now)
 	if feed.probeSuccesses > 1 {
 		feed.probeSuccesses, feed.failedPolls = 0, 0
 		feed.directUntil = now.Add(directDuration)
@@ -76,6 +83,25 @@
 	}
 }
 
+// nextResponse returns when the store responds next if it has just responded for all kinds that track reachability.
+func (feed *Feed) nextResponse(now time.Time) time.Time {
+	soonest := now.Add(neverResponded)
+	for i := range feed.config.Kinds {
+		kind := &feed.config.Kinds[i]
+		if next := now.Add(kind.WatchWait); kind.TracksReachability && next.Before(soonest) {
+			soonest = next
+		}
+	}
+	return soonest
+}
+
+// recordConfirmation records how overdue the store's next response is, at this VM or its upstream. The caller holds the mutex.
+func (feed *Feed) recordConfirmation(now time.Time, overdue time.Duration) {
+	if expectedAt := now.Add(-overdue); overdue < neverResponded && expectedAt.After(feed.expectedAt) {
+		feed.expectedAt = expectedAt
+	}
+}
+
 // listTrackedKinds lists the kinds that track reachability from the store, until a call fails. afterOutage is set if the store may just
 // have recovered.
 func (feed *Feed) listTrackedKinds(ctx context.Context, afterOutage bool) error {
@@ -120,9 +146,10 @@
 	feed.config.Log.Warn().Err(err).Str("Peer", peer.Name).Dur("PassedOver", known.backoff).Msg("the polled VM does not answer")
 }
 
-func (feed *Feed) recordPollSuccess(peer Peer) {
+func (feed *Feed) recordPollSuccess(peer Peer, overdue time.Duration) {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
+	feed.recordConfirmation(time.Now(), overdue)
 	delete(feed.suspects, peer.Name)
 	feed.failedPolls, feed.probeSuccesses, feed.probeBackoff = 0, 0, 0
 }
--- /dev/null
+++ b/internal/swfeed/faults_test.go
@@ -0,0 +1,126 @@
+package swfeed
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	// stableWindow is how long a VM must have been without a fault for the users' bound on changes to hold for it.
+	stableWindow = 4 * time.Second
+	// maxStep is the longest time between two events of a random timeline.
+	maxStep = 500 * time.Millisecond
+	// minFault and maxFault bound how long a fault lasts.
+	minFault = 200 * time.Millisecond
+	maxFault = 5 * time.Second
+)
+
+// vmFaults are the faults of a single VM. A fault without an effect on the store or the links is a restart.
+var vmFaults = map[string]struct{ refused, silent, partitioned bool }{
+	"refused by the store":   {refused: true},
+	"no answer of the store": {silent: true},
+	"cut from other VMs":     {partitioned: true},
+	"cut from all":           {silent: true, partitioned: true},
+	"restart":                {},
+}
+
+// timeline is a random series of faults and changes.
+type timeline struct {
+	random *rand.Rand
+	fleet  *testFleet
+	kinds  int
+	// faultEnds is when the latest fault of each VM ends.
+	faultEnds []time.Time
+	// due is when the VMs without a fault must hold a revision, by revision.
+	due map[uint64]time.Time
+	log string
+}
+
+// step lets some time pass, ends faults, and may begin a fault and change the store.
+func (timeline *timeline) step() {
+	time.Sleep(time.Duration(timeline.random.Int64N(int64(maxStep))))
+	now := time.Now()
+	for vm, end := range timeline.faultEnds {
+		if !now.Before(end) {
+			timeline.setFault(vm, "restart")
+		}
+	}
+	vm := timeline.random.IntN(len(timeline.faultEnds))
+	if !now.Before(timeline.faultEnds[vm]) {
+		fault := slices.Sorted(maps.Keys(vmFaults))[timeline.random.IntN(len(vmFaults))]
+		lasts := minFault + time.Duration(timeline.random.Int64N(int64(maxFault-minFault)))
+		if fault == "restart" {
+			lasts = 0
+			timeline.fleet.start(vm, timeline.kinds)
+		}
+		timeline.setFault(vm, fault)
+		timeline.faultEnds[vm] = now.Add(lasts)
+		timeline.log += fmt.Sprintf("%s VM %d: %s for %s\n", now.Format("05.000"), vm, fault, lasts)
+	}
+	if timeline.random.IntN(4) == 0 {
+		timeline.fleet.store.change()
+		timeline.due[timeline.fleet.store.revision] = now.Add(applyWithin)
+		timeline.log += fmt.Sprintf("%s revision %d\n", now.Format("05.000"), timeline.fleet.store.revision)
+	}
+}
+
+func (timeline *timeline) setFault(vm int, name string) {
+	fleet, fault := timeline.fleet, vmFaults[name]
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.partitioned[vm] = fault.partitioned
+	fleet.store.set(func() { fleet.store.refused[vm], fleet.store.silent[vm] = fault.refused, fault.silent })
+}
+
+// check checks that the VMs without a fault hold all revisions that are due.
+func (timeline *timeline) check(t *testing.T) {
+	t.Helper()
+	synctest.Wait()
+	now := time.Now()
+	for revision, due := range timeline.due {
+		if now.Before(due) {
+			continue
+		}
+		delete(timeline.due, revision)
+		timeline.fleet.mutex.Lock()
+		for vm, held := range timeline.fleet.revisions {
+			if now.Sub(timeline.faultEnds[vm]) > stableWindow && held < revision {
+				t.Errorf("%s: VM %d holds revision %d, want %d\n%s", now.Format("05.000"), vm, held, revision, timeline.log)
+			}
+		}
+		timeline.fleet.mutex.Unlock()
+	}
+}
+
+// TestChangesReachVMsWithoutFaultWhileOthersFail guards against changes that are in force late at a VM without a fault because its
+// upstreams fail one after the other: each failure is noticed in time, but the times add up.
+func TestChangesReachVMsWithoutFaultWhileOthersFail(t *testing.T) {
+	const vms, kinds, steps = 6, 2, 60
+	// The first three failed before VMs noticed that their copies were not confirmed.
+	seeds := []uint64{1324, 2408, 2769}
+	for seed := range uint64(100) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newTestFleetOfKinds(t, vms, kinds)
+				defer fleet.group.Stop()
+				time.Sleep(5 * time.Second)
+				timeline := timeline{
+					random: rand.New(rand.NewPCG(seed, 0)), fleet: fleet, kinds: kinds,
+					faultEnds: make([]time.Time, vms), due: make(map[uint64]time.Time),
+				}
+				for range steps {
+					timeline.step()
+					timeline.check(t)
+				}
+			})
+		})
+	}
+}
--- a/internal/swfeed/feed.go
+++ b/internal/swfeed/feed.go
@@ -37,6 +37,9 @@
 	pollerTimeout = 5 * time.Second
 	// maxOverdue is how long after the end of a watch's wait the store may respond before it counts as unreachable from a VM.
 	maxOverdue = 700 * time.Millisecond
+	// maxUnconfirmed is how long after the store's next response was expected this VM lists the store itself, whichever upstreams it
+	// has polled meanwhile. Upstreams that reach the store confirm the copies within one poll.
+	maxUnconfirmed = pollWait + 200*time.Millisecond
 	// minSuspectBackoff and maxSuspectBackoff bound how long a VM that did not answer is skipped.
 	minSuspectBackoff = time.Second
 	maxSuspectBackoff = 30 * time.Second
@@ -110,6 +113,9 @@
 	probeBackoff   time.Duration
 	probeSuccesses int
 	directUntil    time.Time
+	// expectedAt is when this VM's copies were to be confirmed by the store's next response to this VM or its upstream; it is the zero
+	// time before the first confirmation.
+	expectedAt time.Time
 	// upstream is the VM that this one polls, for the log; it is empty for the store, and "?" before the first choice.
 	upstream string
 }
--- a/internal/swfeed/feed_test.go
+++ b/internal/swfeed/feed_test.go
@@ -131,8 +131,10 @@
 	t     *testing.T
 	store *testStore
 	group *swgroup.Group
-	feeds []*Feed
 	mutex sync.Mutex
+	// feeds holds the feed of each VM, and stops what stops it.
+	feeds []*Feed
+	stops []context.CancelFunc
 	// partitioned holds the VMs that are partitioned from all others.
 	partitioned map[int]bool
 	// revisions holds the revision of the first kind that each VM has received. receivedAt is when it last received a newer
@@ -153,25 +155,36 @@
 	t.Helper()
 	fleet := &testFleet{
 		t: t, store: newTestStore(), group: swgroup.New(context.Background()), partitioned: make(map[int]bool),
+		feeds: make([]*Feed, vms), stops: make([]context.CancelFunc, vms),
 		revisions: make([]uint64, vms), receivedAt: make([][]time.Time, vms),
 		recoveredAt: make([]time.Time, vms),
 	}
 	for vm := range vms {
-		fleet.receivedAt[vm] = make([]time.Time, kinds)
-		fleet.feeds = append(fleet.feeds, New(Config{
-			Source:    vmSource{fleet.store, vm},
-			Transport: testTransport{fleet, vm},
-			Upstreams: func() []Peer { return peersBefore(vm) },
-			Kinds:     fleet.kinds(vm, kinds),
-			Log:       zerolog.Nop(),
-		}))
-	}
-	for _, feed := range fleet.feeds {
-		fleet.group.Go(feed.Run)
+		fleet.start(vm, kinds)
 	}
 	return fleet
 }
 
+// start starts a VM, or starts it again, so that it knows nothing.
+func (fleet *testFleet) start(vm, kinds int) {
+	feed := New(Config{
+		Source:    vmSource{fleet.store, vm},
+		Transport: testTransport{fleet, vm},
+		Upstreams: func() []Peer { return peersBefore(vm) },
+		Kinds:     fleet.kinds(vm, kinds),
+		Log:       zerolog.Nop(),
+	})
+	ctx, stop := context.WithCancel(fleet.group.Context())
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if fleet.stops[vm] != nil {
+		fleet.stops[vm]()
+	}
+	fleet.feeds[vm], fleet.stops[vm], fleet.revisions[vm] = feed, stop, 0
+	fleet.receivedAt[vm] = make([]time.Time, kinds)
+	fleet.group.Go(func(context.Context) { feed.Run(ctx) })
+}
+
 // kinds returns a number of kinds that all hold the store's object.
 func (fleet *testFleet) kinds(vm, count int) []Kind {
 	kinds := make([]Kind, count)
@@ -212,15 +225,20 @@
 
 func (testTransport testTransport) Call(ctx context.Context, target netip.AddrPort, _ swpeer.Method, request, reply any) error {
 	fleet := testTransport.fleet
+	if testTransport.isCut(target) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
 	fleet.mutex.Lock()
-	cut := fleet.partitioned[testTransport.vm] || fleet.partitioned[int(target.Port())]
+	feed := fleet.feeds[target.Port()]
 	fleet.mutex.Unlock()
-	if cut {
+	answer, err := feed.HandleFollow(ctx, "", *request.(*FollowRequest))
+	if testTransport.isCut(target) {
+		// The reply is lost.
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	time.Sleep(time.Millisecond)
-	answer, err := fleet.feeds[target.Port()].HandleFollow(ctx, "", *request.(*FollowRequest))
 	if err != nil {
 		return err
 	}
@@ -228,6 +246,14 @@
 	return nil
 }
 
+// isCut reports whether no packets pass between the VM and target.
+func (testTransport testTransport) isCut(target netip.AddrPort) bool {
+	fleet := testTransport.fleet
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.partitioned[testTransport.vm] || fleet.partitioned[int(target.Port())]
+}
+
 // expectChange changes the store and checks that the VMs receive the change within a time.
 func (fleet *testFleet) expectChange(within time.Duration, vms ...int) {
 	fleet.t.Helper()
@@ -286,25 +312,30 @@
 // TestChangeRightAfterAnUpstreamLostTheStoreArrivesInTime guards against changes that come into force late on VMs that reach the
 // store, because the VM that they poll lost it just before the change.
 func TestChangeRightAfterAnUpstreamLostTheStoreArrivesInTime(t *testing.T) {
-	const vms, phaseStep = 4, 100 * time.Millisecond
+	const vms, phaseStep, faultInterval = 4, 100 * time.Millisecond, 2 * time.Second
 	for name, test := range map[string]struct {
 		fault func(fleet *testFleet)
 		// inTouch is the first VM that can reach the store and its peers.
 		inTouch int
+		// later is a second fault, faultInterval after the first; it may be nil.
+		later func(fleet *testFleet)
 	}{
-		"first cut from the store":     {func(fleet *testFleet) { fleet.store.silent[0] = true }, 1},
-		"first two cut from the store": {func(fleet *testFleet) { fleet.store.silent[0], fleet.store.silent[1] = true, true }, 2},
+		"first cut from the store":     {func(fleet *testFleet) { fleet.store.silent[0] = true }, 1, nil},
+		"first two cut from the store": {func(fleet *testFleet) { fleet.store.silent[0], fleet.store.silent[1] = true, true }, 2, nil},
 		"first cut off": {func(fleet *testFleet) {
 			fleet.store.silent[0], fleet.partitioned[0] = true, true
-		}, 1},
+		}, 1, nil},
 		"first two cut off": {func(fleet *testFleet) {
 			fleet.store.silent = map[int]bool{0: true, 1: true}
 			fleet.partitioned[0], fleet.partitioned[1] = true, true
-		}, 2},
+		}, 2, nil},
 		"first cut from the store, second cut off": {func(fleet *testFleet) {
 			fleet.store.silent = map[int]bool{0: true, 1: true}
 			fleet.partitioned[1] = true
-		}, 2},
+		}, 2, nil},
+		"first cut from the store, then cut off": {func(fleet *testFleet) { fleet.store.silent[0] = true }, 1, func(fleet *testFleet) {
+			fleet.partitioned[0] = true
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			worst := time.Duration(0)
@@ -320,6 +351,12 @@
 						time.Sleep(sinceFault)
 						changedAt := time.Now()
 						fleet.store.change()
+						time.Sleep(faultInterval - sinceFault)
+						fleet.mutex.Lock()
+						if test.later != nil {
+							test.later(fleet)
+						}
+						fleet.mutex.Unlock()
 						time.Sleep(10 * time.Second)
 						fleet.mutex.Lock()
 						defer fleet.mutex.Unlock()
--- a/internal/swfeed/follow.go
+++ b/internal/swfeed/follow.go
@@ -51,12 +51,12 @@
 
 // poll polls a VM once for changes.
 func (feed *Feed) poll(ctx context.Context, peer Peer) {
-	wait, slack := feed.pollTimeouts()
+	wait, timeout := feed.pollTimeouts(time.Now())
 	request := FollowRequest{Wait: wait, Revisions: make([]uint64, len(feed.caches))}
 	for i, cache := range feed.caches {
 		request.Revisions[i] = cache.currentRevision()
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+slack)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	feed.mutex.Lock()
 	feed.cancelPoll = cancel
@@ -86,17 +86,22 @@
 		feed.skipStaleUpstream(peer, reply.Overdue)
 		return
 	}
-	feed.recordPollSuccess(peer)
+	feed.recordPollSuccess(peer, reply.Overdue)
 }
 
-// pollTimeouts returns how long the next poll waits for changes, and how much longer the call may take.
-func (feed *Feed) pollTimeouts() (wait, slack time.Duration) {
+// pollTimeouts returns how long the next poll waits for changes, and how long the call may take. A call ends when this VM would list the
+// store itself.
+func (feed *Feed) pollTimeouts(now time.Time) (wait, timeout time.Duration) {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	if feed.failedPolls > 0 || feed.caches[0].currentRevision() == 0 {
-		return retryPollWait, retryPollSlack
+		return retryPollWait, retryPollWait + retryPollSlack
 	}
-	return pollWait, pollSlack
+	timeout = pollWait + pollSlack
+	if untilProbe := feed.expectedAt.Add(maxUnconfirmed).Sub(now); !feed.expectedAt.IsZero() && untilProbe < timeout {
+		timeout = max(retryPollWait+retryPollSlack, untilProbe)
+	}
+	return min(pollWait, timeout-retryPollSlack), timeout
 }
 
 // receive applies a change from the store or a peer and wakes the polls that wait for one. A recovery of the store that one source
@@ -122,8 +127,11 @@
 
 // clearResponses records that this VM no longer follows the store.
 func (feed *Feed) clearResponses() {
+	now := time.Now()
+	overdue := feed.overdue(now)
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
+	feed.recordConfirmation(now, overdue)
 	clear(feed.lastResponses)
 }
 
