Bound how long a probe of the store waits, so that a VM is up to date in time after a cut

The users count a VM as healthy 4 s after a cut (CONFIG, DRAIN). Cause: a probe that began shortly before the cut ended waited for the client's time-out of 2 s, and the next one came up to 2.4 s later. Ruled out: the follower and the polls, which have shorter time-outs of their own. Why it works: a probe has 1.2 s for each kind; with the longest backoff that is 3.6 s.

--- a/internal/swfeed/fallback.go
+++ b/internal/swfeed/fallback.go
@@ -109,7 +109,9 @@
 		if !feed.config.Kinds[i].TracksReachability {
 			continue
 		}
-		objects, revision, err := feed.config.Source.ListObjects(ctx, feed.config.Kinds[i].Name)
+		listCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		objects, revision, err := feed.config.Source.ListObjects(listCtx, feed.config.Kinds[i].Name)
+		cancel()
 		if err != nil {
 			return err
 		}
--- a/internal/swfeed/faults_test.go
+++ b/internal/swfeed/faults_test.go
@@ -124,3 +124,33 @@
 		})
 	}
 }
+
+// TestVMHoldsChangesOnceItCountsAsHealthyAfterACut guards against a probe that waits for an answer that the cut from the store has
+// swallowed, so that the VM lists the store too late after the cut while its upstream has no access to the store. Backoffs are random,
+// so many cuts are tried.
+func TestVMHoldsChangesOnceItCountsAsHealthyAfterACut(t *testing.T) {
+	const shortest, longest, step = 4 * time.Second, 12 * time.Second, 10 * time.Millisecond
+	late, cuts := 0, 0
+	for lasts := shortest; lasts < longest; lasts += step {
+		cuts++
+		synctest.Test(t, func(t *testing.T) {
+			fleet := newTestFleetOfKinds(t, 2, 2)
+			defer fleet.group.Stop()
+			time.Sleep(5 * time.Second)
+			fleet.store.set(func() { fleet.store.refused[0], fleet.store.silent[1] = true, true })
+			fleet.store.change()
+			time.Sleep(lasts)
+			fleet.store.set(func() { fleet.store.silent[1] = false })
+			time.Sleep(stableWindow)
+			synctest.Wait()
+			fleet.mutex.Lock()
+			defer fleet.mutex.Unlock()
+			if fleet.revisions[1] < fleet.store.revision {
+				late++
+			}
+		})
+	}
+	if late > 0 {
+		t.Errorf("after %d of %d cuts, a VM lacked a change %s after the cut", late, cuts, stableWindow)
+	}
+}
