--- a/internal/swrecord/store.go
+++ b/internal/swrecord/store.go
@@ -168,11 +168,18 @@
 	store.subscribers[topic] = append(store.subscribers[topic], receive)
 }
 
-// Receive processes a change of the platform's store. Deleted objects and objects that are not valid records are ignored.
+// Receive processes a change of the platform's store. Objects that are not valid records are ignored.
 func (store *Store) Receive(change swfollow.Change) {
+	if change.Full {
+		store.removeUnlisted(change.Objects)
+	}
 	for _, object := range change.Objects {
+		if object.Deleted {
+			store.remove(object.Name)
+			continue
+		}
 		var record swmember.Record
-		if object.Deleted || json.Unmarshal(object.Value, &record) != nil || objectName(record.Topic, record.Key) != object.Name {
+		if json.Unmarshal(object.Value, &record) != nil || objectName(record.Topic, record.Key) != object.Name {
 			continue
 		}
 		for _, receive := range store.storeIfNewer(object.Name, record) {
@@ -181,6 +188,30 @@
 	}
 }
 
+// remove removes a record that was deleted from the store. A record that this VM is writing stays.
+func (store *Store) remove(name string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if !store.writing[name] {
+		delete(store.records, name)
+	}
+}
+
+// removeUnlisted removes the records that a complete listing of the store lacks.
+func (store *Store) removeUnlisted(listed []swplatform.Object) {
+	names := make(map[string]bool, len(listed))
+	for i := range listed {
+		names[listed[i].Name] = true
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	for name := range store.records {
+		if !names[name] && !store.writing[name] {
+			delete(store.records, name)
+		}
+	}
+}
+
 // storeIfNewer stores a record that supersedes the one held so far, and returns the subscribers to call.
 func (store *Store) storeIfNewer(name string, record swmember.Record) []func(swmember.Record) {
 	store.mutex.Lock()
--- a/internal/swrecord/store_test.go
+++ b/internal/swrecord/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,8 +11,10 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 )
 
 var errStoreDown = errors.New("the store is down")
@@ -79,3 +82,32 @@
 		}
 	})
 }
+
+// TestDeletedRecordsAreForgotten guards against records that stay at the other VMs once their VM has deleted them.
+func TestDeletedRecordsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newTestStore(t, &fakeWriter{failures: 1})
+		receive := func(full bool, objects ...swplatform.Object) {
+			store.Receive(swfollow.Change{Full: full, Objects: objects})
+		}
+		object := func(key string) swplatform.Object {
+			value, err := json.Marshal(swmember.Record{Topic: "topic", Key: key, Version: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return swplatform.Object{Name: objectName("topic", key), Value: value}
+		}
+		receive(false, object("a"), object("b"), object("c"))
+		store.Put(swmember.Record{Topic: "topic", Key: "own", Version: 1})
+		synctest.Wait()
+		receive(false, swplatform.Object{Name: objectName("topic", "a"), Deleted: true})
+		receive(true, object("c"))
+		held := make(map[string]bool)
+		for _, record := range store.Records("topic") {
+			held[record.Key] = true
+		}
+		if diff := cmp.Diff(map[string]bool{"c": true, "own": true}, held); diff != "" {
+			t.Error("records, of which one is not written yet (-want +got):\n" + diff)
+		}
+	})
+}
