--- a/internal/swkey/failure_test.go
+++ b/internal/swkey/failure_test.go
@@ -178,7 +178,15 @@
 			network.send(a, key, "match", testTimeout)
 		}
 		before := network.backend.count("match")
-		check(t, "parts", true, len(a.service.ownTable.exportEntries()) > 1)
+		parts := a.service.ownTable.exportEntries()
+		check(t, "parts", true, len(parts) > 1)
+		for _, part := range parts {
+			size := int64(0)
+			for i := range part {
+				size += outcomeSize(part[i].Outcome)
+			}
+			check(t, "part within its limit", true, size > 0 && size <= maxPartSize)
+		}
 		check(t, "handover", nil, a.service.Handover(t.Context()))
 		check(t, "memory", a.service.Bytes(), b.service.Bytes())
 		for _, key := range keys {
--- a/internal/swkey/handover.go
+++ b/internal/swkey/handover.go
@@ -219,12 +219,12 @@
 		if run.finished() {
 			exported.Outcome = run.outcome
 		}
-		size += int64(len(exported.Outcome.Reply)) + entryOverhead
-		if size > maxPartSize {
-			parts = append(parts, nil)
-			size = 0
-		}
 		last := len(parts) - 1
+		entrySize := outcomeSize(exported.Outcome)
+		if size += entrySize; size > maxPartSize && len(parts[last]) > 0 {
+			parts, size = append(parts, nil), entrySize
+			last++
+		}
 		parts[last] = append(parts[last], exported)
 		return true
 	})
--- a/internal/swkey/keytable.go
+++ b/internal/swkey/keytable.go
@@ -232,7 +232,7 @@
 
 // outcomeSize returns the memory that an entry with this outcome takes, in bytes.
 func outcomeSize(outcome Outcome) int64 {
-	return int64(len(outcome.Reply)+len(outcome.Message)+len(outcome.Fix)) + entryOverhead
+	return int64(len(outcome.Reply)+len(outcome.Field)+len(outcome.Message)+len(outcome.Fix)) + entryOverhead
 }
 
 // scheduleRemoval schedules the removal of a key's entry at the given time.
