--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -256,7 +256,11 @@
 	}
 	replica.mutex.Lock()
 	replica.down = false
+	retired := replica.retired
 	replica.mutex.Unlock()
+	if retired {
+		return
+	}
 	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Dur("Down", time.Since(startedAt)).Msg("a replica can be reached again")
 }
 
--- a/internal/swreplica/replica_test.go
+++ b/internal/swreplica/replica_test.go
@@ -1,6 +1,7 @@
 package swreplica
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -122,6 +123,26 @@
 	})
 }
 
+// TestRetiredReplicaIsNotReportedAsBack removes a replica while it is probed.
+func TestRetiredReplicaIsNotReportedAsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := swgroup.New(context.Background())
+		defer group.Stop()
+		var log bytes.Buffer
+		registry := NewRegistry(RegistryConfig{
+			DataCentre: "dc", Pool: NewPool(PoolConfig{Group: group, Dial: (&fakeDialer{down: true}).dial, Log: zerolog.New(&log)}),
+		})
+		registry.Update([]Entry{{ID: "a", Service: "s", DataCentre: "dc", Slots: 2}}, nil)
+		registry.Find("a").markDown()
+		registry.Update(nil, []string{"a"})
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if diff := cmp.Diff("", log.String()); diff != "" {
+			t.Error("log (-want +got):\n" + diff)
+		}
+	})
+}
+
 func TestRegistryReplacesRestartedReplica(t *testing.T) {
 	group := swgroup.New(context.Background())
 	defer group.Stop()
