--- a/internal/swfeed/feed_test.go
+++ b/internal/swfeed/feed_test.go
@@ -1,10 +1,12 @@
 package swfeed
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -474,3 +476,19 @@
 		t.Errorf("error %v, want %v", err, errLeaving)
 	}
 }
+
+// kindlessTransport replies to every call without any kind of objects.
+type kindlessTransport struct{}
+
+func (kindlessTransport) Call(context.Context, netip.AddrPort, swpeer.Method, any, any) error {
+	return nil
+}
+
+func TestReplyWithoutAllKindsIsReported(t *testing.T) {
+	var log bytes.Buffer
+	feed := New(Config{Kinds: []Kind{{Name: "k", TracksReachability: true}}, Transport: kindlessTransport{}, Log: zerolog.New(&log)})
+	feed.poll(t.Context(), Peer{Name: "a"})
+	if !strings.Contains(log.String(), "reply with 0 kinds of objects, want 1") {
+		t.Errorf("log %q, want the reason", log.String())
+	}
+}
--- a/internal/swfeed/follow.go
+++ b/internal/swfeed/follow.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
@@ -66,7 +67,10 @@
 	if errors.Is(callCtx.Err(), context.Canceled) {
 		return
 	}
-	if err != nil || len(reply.Changes) != len(feed.caches) {
+	if err == nil && len(reply.Changes) != len(feed.caches) {
+		err = errors.Errorf("reply with %d kinds of objects, want %d", len(reply.Changes), len(feed.caches))
+	}
+	if err != nil {
 		feed.recordPollFailure(peer, err)
 		return
 	}
