Leave the budget of repeats to retries while replicas reject

Cause: a hedge that was denied is wanted again at once, and searches that need every remaining shard may use the whole budget, so hedges got each repeat that became free before the next retry asked. Now hedges leave what retries want by a forecast from the last two seconds, and get none for two seconds after a retry was denied.

--- a/internal/swgateway/budget.go
+++ b/internal/swgateway/budget.go
@@ -25,11 +25,28 @@
 	budgetMargin = 0.1
 	// defaultVMCount is the number of VMs that are assumed to share the slack while the number is unknown.
 	defaultVMCount = 64
+	// demandBuckets is the number of latest buckets from which the retries of a whole window are forecast. Hedges are denied for as long
+	// after a denied retry.
+	demandBuckets = 4
+)
+
+// Purpose is what a repeat is for.
+type Purpose int
+
+const (
+	// Retry replaces an attempt that failed: without it, the request lacks this service's answer.
+	Retry Purpose = iota
+	// Hedge is sent beside an attempt that is late and may still be answered.
+	Hedge
 )
 
 // Budget limits repeats, which are hedges and retries. Each VM uses its own share: repeats in proportion to the requests that it
 // received, and an even part of the slack. So all VMs together stay within the limit without coordination, however unevenly
 // clients are distributed over them.
+//
+// Hedges leave the budget to retries. While replicas reject much of what they get, most parts of a search need a retry, and attempts at
+// the others are late as well. Hedges are wanted again and again until one is granted, so they would take most of the budget, and
+// searches would fail for lack of retries.
 type Budget struct {
 	config BudgetConfig
 	// startedAt is the origin from which buckets are counted, because the wall clock may jump.
@@ -40,10 +57,18 @@
 // serviceBudget counts the requests and repeats at one service within the window.
 type serviceBudget struct {
 	mutex sync.Mutex
-	// requests and repeats are counts by bucket, in a ring; bucket is the number of the latest one.
-	requests [budgetBuckets + 1]float64
-	repeats  [budgetBuckets + 1]float64
-	bucket   int64
+	// ring holds the counts by bucket; bucket is the number of the latest one.
+	ring   [budgetBuckets + 1]bucketCounts
+	bucket int64
+	// hedgesFrom is the first bucket in which hedges are granted again after a retry was denied.
+	hedgesFrom int64
+}
+
+// bucketCounts counts what happened within one bucket.
+type bucketCounts struct {
+	requests, hedges, retries float64
+	// wantedRetries counts the retries that were asked for, whether or not they were granted.
+	wantedRetries float64
 }
 
 // NewBudget returns a budget without any counted requests.
@@ -63,22 +88,33 @@
 	serviceBudget := budget.service(service)
 	serviceBudget.mutex.Lock()
 	defer serviceBudget.mutex.Unlock()
-	serviceBudget.requests[serviceBudget.advance(budget.bucketAt(now))]++
+	serviceBudget.advance(budget.bucketAt(now)).requests++
 }
 
 // Take reports whether one more repeat at a service is granted, and counts it. share is the fraction of the budget that may be
 // used; a value below one leaves the rest to requests that need it more.
-func (budget *Budget) Take(now time.Time, service string, share float64) bool {
+func (budget *Budget) Take(now time.Time, service string, purpose Purpose, share float64) bool {
 	serviceBudget := budget.service(service)
 	serviceBudget.mutex.Lock()
 	defer serviceBudget.mutex.Unlock()
-	index := serviceBudget.advance(budget.bucketAt(now))
-	requests, repeats := serviceBudget.windowTotals(index)
-	allowed := (1 - budgetMargin) * (budget.config.Ratio*requests + budget.slack(now))
-	if repeats+1 > share*allowed {
+	current := serviceBudget.advance(budget.bucketAt(now))
+	window := serviceBudget.windowTotals()
+	limit := share * (1 - budgetMargin) * (budget.config.Ratio*window.requests + budget.slack(now))
+	used := window.hedges + window.retries
+	if purpose == Hedge {
+		reserved := max(0, serviceBudget.forecastRetries()-window.retries)
+		if serviceBudget.bucket < serviceBudget.hedgesFrom || used+reserved+1 > limit {
+			return false
+		}
+		current.hedges++
+		return true
+	}
+	current.wantedRetries++
+	if used+1 > limit {
+		serviceBudget.hedgesFrom = serviceBudget.bucket + demandBuckets
 		return false
 	}
-	serviceBudget.repeats[index]++
+	current.retries++
 	return true
 }
 
@@ -95,29 +131,44 @@
 	return int64(now.Sub(budget.startedAt)) / max(1, int64(budget.config.Window)/budgetBuckets)
 }
 
-// advance moves the window forward to a bucket and returns its index in the ring. The caller holds the mutex.
-func (serviceBudget *serviceBudget) advance(bucket int64) int {
-	const size = budgetBuckets + 1
-	if bucket-serviceBudget.bucket > size {
+// advance moves the window forward to a bucket and returns its counts. The caller holds the mutex.
+func (serviceBudget *serviceBudget) advance(bucket int64) *bucketCounts {
+	if size := int64(len(serviceBudget.ring)); bucket-serviceBudget.bucket > size {
 		serviceBudget.bucket = bucket - size
 	}
 	for serviceBudget.bucket < bucket {
 		serviceBudget.bucket++
-		serviceBudget.requests[serviceBudget.bucket%size] = 0
-		serviceBudget.repeats[serviceBudget.bucket%size] = 0
+		*serviceBudget.counts(0) = bucketCounts{}
 	}
-	return int(serviceBudget.bucket % size)
+	return serviceBudget.counts(0)
+}
+
+// counts returns the counts of the bucket that is age buckets older than the latest one. The caller holds the mutex.
+func (serviceBudget *serviceBudget) counts(age int64) *bucketCounts {
+	size := int64(len(serviceBudget.ring))
+	return &serviceBudget.ring[(serviceBudget.bucket-age+size)%size]
 }
 
 // windowTotals returns the requests that are certainly within the window and the repeats that may be. The caller holds the mutex.
-func (serviceBudget *serviceBudget) windowTotals(index int) (requests, repeats float64) {
-	const size = budgetBuckets + 1
-	oldest := (index + 1) % size
-	for i := range serviceBudget.requests {
-		repeats += serviceBudget.repeats[i]
-		if i != oldest {
-			requests += serviceBudget.requests[i]
+func (serviceBudget *serviceBudget) windowTotals() bucketCounts {
+	var totals bucketCounts
+	for age := range int64(len(serviceBudget.ring)) {
+		counts := serviceBudget.counts(age)
+		totals.hedges += counts.hedges
+		totals.retries += counts.retries
+		if age < budgetBuckets {
+			totals.requests += counts.requests
 		}
 	}
-	return requests, repeats
+	return totals
+}
+
+// forecastRetries returns the number of retries that a whole window will want if they go on as in the latest buckets. A single one is
+// not taken for a trend. The caller holds the mutex.
+func (serviceBudget *serviceBudget) forecastRetries() float64 {
+	recent := 0.0
+	for age := range int64(demandBuckets) {
+		recent += serviceBudget.counts(age).wantedRetries
+	}
+	return max(0, recent-1) * budgetBuckets / demandBuckets
 }
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -196,14 +196,18 @@
 	if !call.request.route.Gathered() && call.rejected && !call.handler.capacityOf(call.shards[shard].service).hasCapacity {
 		return false
 	}
-	if call.isHedge(shard) && !call.hasReplicaWithoutQueue(shard) {
-		return false
+	purpose := Retry
+	if call.isHedge(shard) {
+		purpose = Hedge
+		if !call.hasReplicaWithoutQueue(shard) {
+			return false
+		}
 	}
 	share := optionalRepeatShare
 	if call.needsEveryRemainingShard() {
 		share = 1
 	}
-	granted := call.handler.config.Budget.Take(time.Now(), call.shards[shard].service, share)
+	granted := call.handler.config.Budget.Take(time.Now(), call.shards[shard].service, purpose, share)
 	if !granted {
 		call.deniedRepeats++
 	}
--- a/internal/swgateway/gathered_test.go
+++ b/internal/swgateway/gathered_test.go
@@ -248,7 +248,7 @@
 			now := time.Now()
 			budgets[vm].CountRequest(now, "s")
 			requests[i]++
-			for random.IntN(3) > 0 && budgets[vm].Take(now, "s", 1) {
+			for random.IntN(3) > 0 && budgets[vm].Take(now, "s", Purpose(random.IntN(2)), 1) {
 				repeats[i]++
 			}
 		}
--- a/internal/swgateway/handler.go
+++ b/internal/swgateway/handler.go
@@ -191,7 +191,7 @@
 		call.run(ctx, releaseTurn)
 		call.reportCrashes()
 		call.recordOverload(time.Now())
-		if !call.canRequeue() || call.sent && !handler.config.Budget.Take(time.Now(), services[0], 1) {
+		if !call.canRequeue() || call.sent && !handler.config.Budget.Take(time.Now(), services[0], Retry, 1) {
 			return call, nil
 		}
 		last = call
