Let the requests lapse that a VM saved up for a replica with a low rate limit

Cause: a VM's bucket holds at least one request however small its share is. Hundreds of VMs that sent a limited replica little each have one saved; when its siblings fail, all of them send it at once. Why it works: where a share is below one a second, a saved request lapses after a second and another one has to be earned, so the VMs together hold at most what the replica takes in a second.

--- a/internal/swreplica/ratelimit.go
+++ b/internal/swreplica/ratelimit.go
@@ -1,6 +1,7 @@
 package swreplica
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,6 +13,9 @@
 	nearRateFraction = 0.8
 	// rateBurst is the time over which a VM may save up its share of a limit, beyond one request.
 	rateBurst = 250 * time.Millisecond
+	// maxTokenAge is how long a saved token may be used where a VM's share is below one request in that time. Otherwise, at hundreds of
+	// VMs, the tokens that all of them have saved up are far more than the replica takes in seconds.
+	maxTokenAge = time.Second
 )
 
 // rateShare returns this VM's share of the requests per second that a replica takes from all VMs together. The shares of all VMs add
@@ -36,10 +40,10 @@
 	mutex sync.Mutex
 	// limit is the number of requests per second that the replica takes from all VMs; zero if it named none.
 	limit float64
-	// share is this VM's share of the limit, and tokens the requests that may be sent, as of refilledAt.
-	share      float64
-	tokens     float64
-	refilledAt time.Time
+	// share is this VM's share of the limit, and tokens the requests that could be sent at countedAt.
+	share     float64
+	tokens    float64
+	countedAt time.Time
 }
 
 // set changes the limit and this VM's share of it, and returns the former limit. A zero limit means none. The first tokens are random:
@@ -48,19 +52,33 @@
 	rateLimiter.mutex.Lock()
 	defer rateLimiter.mutex.Unlock()
 	former = rateLimiter.limit
-	if former == 0 {
-		rateLimiter.tokens, rateLimiter.refilledAt = rand.Float64(), now
+	switch {
+	case limit == former && share == rateLimiter.share:
+		return former
+	case former == 0:
+		rateLimiter.tokens = rand.Float64()
+	default:
+		rateLimiter.tokens = rateLimiter.available(now)
 	}
-	rateLimiter.refill(now)
-	rateLimiter.limit, rateLimiter.share = limit, share
+	rateLimiter.limit, rateLimiter.share, rateLimiter.countedAt = limit, share, now
 	return former
 }
 
-// refill adds the tokens since the last call. The caller holds the mutex.
-func (rateLimiter *rateLimiter) refill(now time.Time) {
-	capacity := max(1, rateLimiter.share*rateBurst.Seconds())
-	rateLimiter.tokens = min(capacity, rateLimiter.tokens+rateLimiter.share*now.Sub(rateLimiter.refilledAt).Seconds())
-	rateLimiter.refilledAt = now
+// available returns the requests that may be sent now. The caller holds the mutex.
+func (rateLimiter *rateLimiter) available(now time.Time) float64 {
+	share := rateLimiter.share
+	capacity := max(1, share*rateBurst.Seconds())
+	tokens := rateLimiter.tokens + share*now.Sub(rateLimiter.countedAt).Seconds()
+	if tokens <= capacity {
+		return tokens
+	}
+	savedFor := (tokens - capacity) / share
+	if share*maxTokenAge.Seconds() >= 1 || savedFor <= maxTokenAge.Seconds() {
+		return capacity
+	}
+	// Each token that has lapsed is followed by another one, which is earned first.
+	earning := 1 / share
+	return min(1, share*math.Mod(savedFor-maxTokenAge.Seconds(), earning+maxTokenAge.Seconds()))
 }
 
 // take takes the token of one request. It returns false if the limit allows none now.
@@ -70,11 +88,11 @@
 	if rateLimiter.limit == 0 {
 		return true
 	}
-	rateLimiter.refill(now)
-	if rateLimiter.tokens < 1 {
+	available := rateLimiter.available(now)
+	if available < 1 {
 		return false
 	}
-	rateLimiter.tokens--
+	rateLimiter.tokens, rateLimiter.countedAt = available-1, now
 	return true
 }
 
@@ -85,10 +103,10 @@
 	if rateLimiter.limit == 0 {
 		return 0
 	}
-	rateLimiter.refill(now)
-	if rateLimiter.tokens >= 1 {
+	available := rateLimiter.available(now)
+	if available >= 1 {
 		return 0
 	}
 	// The microsecond covers rounding.
-	return time.Duration((1-rateLimiter.tokens)/rateLimiter.share*float64(time.Second)) + time.Microsecond
+	return time.Duration((1-available)/rateLimiter.share*float64(time.Second)) + time.Microsecond
 }
--- a/internal/swreplica/ratelimit_test.go
+++ b/internal/swreplica/ratelimit_test.go
@@ -67,6 +67,60 @@
 	}
 }
 
+// TestVMsThatWereIdleKeepARateLimit guards against a replica that gets far more requests than its limit because all VMs send the requests
+// that they have saved up: the VMs send it little until its siblings fail, and then want to send it everything.
+func TestVMsThatWereIdleKeepARateLimit(t *testing.T) {
+	const idleFor, burstFor = time.Minute, 8 * time.Second
+	for name, test := range map[string]struct {
+		limit     float64
+		vms       VMCounts
+		near, far int
+	}{
+		"nine VMs":                   {10, VMCounts{3, 9}, 3, 0},
+		"84 VMs":                     {4, VMCounts{14, 84}, 14, 0},
+		"84 VMs, all send directly":  {4, VMCounts{14, 84}, 14, 70},
+		"295 VMs":                    {10, VMCounts{50, 295}, 50, 0},
+		"295 VMs, a low limit":       {3, VMCounts{50, 295}, 50, 0},
+		"295 VMs, all send directly": {10, VMCounts{50, 295}, 50, 245},
+		"1,426 VMs":                  {10, VMCounts{68, 1426}, 68, 0},
+		"1,426 VMs, all send directly, high limit": {100, VMCounts{68, 1426}, 68, 1358},
+		"300 VMs in one data centre":               {50, VMCounts{300, 300}, 300, 0},
+	} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				start := time.Now()
+				limiters := make([]rateLimiter, test.near+test.far)
+				for i := range limiters {
+					distance := SameDataCentre
+					if i >= test.near {
+						distance = OtherRegion
+					}
+					limiters[i].set(start, test.limit, rateShare(test.limit, distance, test.vms))
+				}
+				var admitted []time.Time
+				send := func(now, until time.Time, demand float64) {
+					for {
+						now = now.Add(time.Duration(random.ExpFloat64() / demand * float64(time.Second)))
+						if !now.Before(until) {
+							return
+						}
+						if limiters[random.IntN(len(limiters))].take(now) {
+							admitted = append(admitted, now)
+						}
+					}
+				}
+				send(start, start.Add(idleFor), test.limit/10)
+				send(start.Add(idleFor), start.Add(idleFor+burstFor), 100*test.limit)
+				allowed := int(limitFactor*test.limit*limitWindow.Seconds()) + limitExtra
+				if most := mostWithin(admitted, limitWindow); most > allowed {
+					t.Errorf("%d requests within %s, want at most %d", most, limitWindow, allowed)
+				}
+			})
+		}
+	}
+}
+
 // mostWithin returns the largest number of times within any window.
 func mostWithin(times []time.Time, window time.Duration) int {
 	most, first := 0, 0
