Keep what a replica said about itself when its entry is removed and comes back

An entry that lapses in an outage of the platform and comes back made a new Replica, which did not know that the process had said that it leaves, wants nothing for a while, or limits its rate (DRAIN, BUDGET, LIMIT). Each return of an entry cost it one request a VM at least.

--- a/internal/swgateway/report_test.go
+++ b/internal/swgateway/report_test.go
@@ -238,3 +238,33 @@
 		})
 	}
 }
+
+// TestReplicaWhoseEntryComesBackKeepsItsWord guards against requests to a replica that said that it leaves, or that it wants nothing for a
+// minute, once its entry was removed and came back: entries lapse in an outage of the platform.
+func TestReplicaWhoseEntryComesBackKeepsItsWord(t *testing.T) {
+	for name, script := range map[string]func(*receivedRequest){
+		"leaving":     respondWith(time.Millisecond, http.StatusOK, "Leaving: 1\r\nSignature: a\r\n", "a"),
+		"retry after": respondWith(time.Millisecond, http.StatusServiceUnavailable, "Not-Run: 1\r\nRetry-In: 1m\r\n", ""),
+		"rate limit":  respondWith(time.Millisecond, http.StatusOK, "Limit: 0.1\r\nSignature: a\r\n", "a"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				testHandler := newTestHandler(t, 1)
+				defer testHandler.close()
+				testHandler.setRoute(idempotentRoute())
+				replica := testHandler.addReplica("s", "a", script)
+				testHandler.send(t.Context(), http.MethodGet, "/", "")
+				entry := testHandler.registry.Find("a").Entry()
+				for range 5 {
+					testHandler.registry.Update(nil, []string{"a"})
+					time.Sleep(time.Second)
+					testHandler.registry.Update([]swreplica.Entry{entry}, nil)
+					testHandler.sendWithTimeout(t.Context(), http.MethodGet, "/", "", 100*time.Millisecond)
+				}
+				if got := replica.count(); got > 2 {
+					t.Errorf("the replica got %d requests, want at most 2", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -89,6 +89,7 @@
 	replica := &Replica{
 		pool:            pool,
 		distance:        distance,
+		reports:         &reportState{},
 		warmUpEnd:       now.Add(entry.WarmUpLeft),
 		inFlight:        make(map[*InFlightRequest]struct{}),
 		openConnections: make(map[*swconn.Connection]struct{}),
--- a/internal/swreplica/registry.go
+++ b/internal/swreplica/registry.go
@@ -1,6 +1,7 @@
 package swreplica
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,14 +19,26 @@
 type Registry struct {
 	config RegistryConfig
 
-	mutex    sync.Mutex
-	byID     map[string]*Replica
+	mutex sync.Mutex
+	byID  map[string]*Replica
+	// removed holds the replicas that were removed in the last reportMemory, by ID.
+	removed  map[string]removedReplica
 	services atomic.Pointer[map[string][]*Replica]
 }
 
+// removedReplica is a replica that is no longer listed.
+type removedReplica struct {
+	replica   *Replica
+	removedAt time.Time
+}
+
+// reportMemory is how long what a replica said about itself is kept after its entry was removed. Its entry may lapse in an outage of the
+// platform and come back, while the process still leaves or is short of capacity.
+const reportMemory = maxHoldOff
+
 // NewRegistry returns an empty registry.
 func NewRegistry(config RegistryConfig) *Registry {
-	registry := &Registry{config: config, byID: make(map[string]*Replica)}
+	registry := &Registry{config: config, byID: make(map[string]*Replica), removed: make(map[string]removedReplica)}
 	registry.services.Store(&map[string][]*Replica{})
 	return registry
 }
@@ -58,16 +71,18 @@
 		if replica, ok := registry.byID[id]; ok {
 			replica.Retire()
 			delete(registry.byID, id)
+			registry.removed[id] = removedReplica{replica: replica, removedAt: now}
 		}
 	}
+	maps.DeleteFunc(registry.removed, func(_ string, removed removedReplica) bool { return now.Sub(removed.removedAt) > reportMemory })
 	for i := range entries {
 		registry.upsert(entries[i], now)
 	}
 	registry.publish()
 }
 
-// upsert adds or updates one entry. A replica that was restarted under the same ID starts with no recorded state. The caller
-// holds the mutex.
+// upsert adds or updates one entry. A replica that was restarted under the same ID starts with no recorded state; one whose entry was
+// removed and comes back keeps what it said about itself. The caller holds the mutex.
 func (registry *Registry) upsert(entry Entry, now time.Time) {
 	existing, ok := registry.byID[entry.ID]
 	if ok {
@@ -78,7 +93,14 @@
 		}
 		existing.Retire()
 	}
-	registry.byID[entry.ID] = registry.config.Pool.newReplica(entry, registry.distance(&entry), now)
+	replica := registry.config.Pool.newReplica(entry, registry.distance(&entry), now)
+	if removed, ok := registry.removed[entry.ID]; ok {
+		if before := removed.replica.Entry(); before.sameProcess(&entry) {
+			replica.reports = removed.replica.reports
+		}
+		delete(registry.removed, entry.ID)
+	}
+	registry.byID[entry.ID] = replica
 }
 
 func (registry *Registry) distance(entry *Entry) Distance {
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -55,10 +55,9 @@
 	pool     *Pool
 	distance Distance
 	entry    atomic.Pointer[Entry]
-	// saidLeaving is set once the replica has said in a response that it leaves.
-	saidLeaving atomic.Bool
-	// rateLimiter limits the requests of this VM to its share of what the replica takes.
-	rateLimiter rateLimiter
+	// reports is what the replica's process said about itself. It is shared with the former Replica of a process whose entry was removed
+	// and came back.
+	reports *reportState
 	// warmUpEnd is when the replica finishes warming up.
 	warmUpEnd time.Time
 
@@ -88,8 +87,6 @@
 	// inFlightLimit is the number of this VM's requests that may be in flight at the replica. A rejection lowers it and each
 	// answer raises it slightly; zero means that the replica has not rejected any request.
 	inFlightLimit float64
-	// heldUntil is until when the replica wants no requests from this VM.
-	heldUntil time.Time
 	// down is set while the replica cannot be reached and probes are running.
 	down bool
 	// answeredAt is when the replica last answered any request, including with a rejection.
@@ -125,7 +122,7 @@
 		RecentlyRejected: now.Sub(replica.rejectedAt) < rejectionBackoff<<min(max(0, replica.consecutiveRejections-1), maxRejectionDoublings),
 		FailureRate:      replica.decayedFailureRate(now),
 		WarmingUp:        now.Before(replica.warmUpEnd),
-		RateLimited:      replica.rateLimiter.wait(now) > 0,
+		RateLimited:      replica.reports.rateLimiter.wait(now) > 0,
 		Distance:         replica.distance,
 	}
 	candidate.AtLimit = replica.inFlightLimit > 0 && now.Sub(replica.rejectedAt) < inFlightLimitDuration && float64(candidate.InFlight+1) > replica.inFlightLimit
@@ -283,7 +280,7 @@
 
 // InUse reports whether the replica is listed and not leaving, by its entry or by what it said.
 func (replica *Replica) InUse() bool {
-	if replica.entry.Load().Leaving || replica.saidLeaving.Load() {
+	if replica.entry.Load().Leaving || replica.reports.leaving.Load() {
 		return false
 	}
 	replica.mutex.Lock()
@@ -293,12 +290,7 @@
 
 // AcceptsWork reports whether the replica is in use and wants requests from this VM.
 func (replica *Replica) AcceptsWork() bool {
-	if !replica.InUse() {
-		return false
-	}
-	replica.mutex.Lock()
-	defer replica.mutex.Unlock()
-	return !time.Now().Before(replica.heldUntil)
+	return replica.InUse() && replica.reports.heldFor(time.Now()) <= 0
 }
 
 // update applies a newer entry of the same process.
--- a/internal/swreplica/report.go
+++ b/internal/swreplica/report.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -35,6 +37,34 @@
 	returnSpread = 0.2
 )
 
+// reportState is what one process of a replica has said about itself. It is safe for concurrent use; the zero value is that of a process
+// that has said nothing.
+type reportState struct {
+	// leaving is set once the process has said that it leaves.
+	leaving atomic.Bool
+	// rateLimiter limits the requests of this VM to its share of what the process takes.
+	rateLimiter rateLimiter
+	mutex       sync.Mutex
+	// heldUntil is until when the process wants no requests from this VM.
+	heldUntil time.Time
+}
+
+// holdOff sets the time for which the process wants no requests, unless a longer one is set.
+func (reportState *reportState) holdOff(now time.Time, wait time.Duration) {
+	reportState.mutex.Lock()
+	defer reportState.mutex.Unlock()
+	if until := now.Add(wait); until.After(reportState.heldUntil) {
+		reportState.heldUntil = until
+	}
+}
+
+// heldFor returns for how long the process wants no requests; it is negative if it wants them.
+func (reportState *reportState) heldFor(now time.Time) time.Duration {
+	reportState.mutex.Lock()
+	defer reportState.mutex.Unlock()
+	return reportState.heldUntil.Sub(now)
+}
+
 // ReadReport reads the report in a response's header. ok is false for the response of another replica, such as one at an address
 // that is used again.
 type ReadReport func(status int, header http.Header) (report Report, ok bool)
@@ -83,7 +113,7 @@
 	if report.RateLimit > 0 {
 		share = rateShare(report.RateLimit, replica.distance, replica.pool.config.VMCounts(replica.entry.Load().DataCentre))
 	}
-	former := replica.rateLimiter.set(now, report.RateLimit, share)
+	former := replica.reports.rateLimiter.set(now, report.RateLimit, share)
 	if math.Abs(report.RateLimit-former) <= rateLimitTolerance*former {
 		return
 	}
@@ -94,30 +124,23 @@
 
 // Admit takes one request from this VM's share of the rate that the replica takes. It returns false if the share is used up.
 func (replica *Replica) Admit(now time.Time) bool {
-	return replica.rateLimiter.take(now)
+	return replica.reports.rateLimiter.take(now)
 }
 
 // ReadyIn returns how long it takes until the replica may get another request; zero if it may get one now.
 func (replica *Replica) ReadyIn(now time.Time) time.Duration {
-	replica.mutex.Lock()
-	held := replica.heldUntil.Sub(now)
-	replica.mutex.Unlock()
-	return max(0, held, replica.rateLimiter.wait(now))
+	return max(0, replica.reports.heldFor(now), replica.reports.rateLimiter.wait(now))
 }
 
 // HoldOff sends the replica nothing for a time.
 func (replica *Replica) HoldOff(now time.Time, wait time.Duration) {
-	replica.mutex.Lock()
-	defer replica.mutex.Unlock()
-	if until := now.Add(wait); until.After(replica.heldUntil) {
-		replica.heldUntil = until
-	}
+	replica.reports.holdOff(now, wait)
 }
 
 // observeLeaving takes a replica out of use that said that it leaves, whatever the platform's list says: a VM may be cut off from
 // the platform while it reaches the replica. This can't be withdrawn; the next incarnation of the replica is another Replica.
 func (replica *Replica) observeLeaving(report Report) {
-	if !replica.saidLeaving.CompareAndSwap(false, true) {
+	if !replica.reports.leaving.CompareAndSwap(false, true) {
 		return
 	}
 	replica.pool.config.CountEvent("replicas_said_leaving", 1)
