--- a/internal/swapp/metrics.go
+++ b/internal/swapp/metrics.go
@@ -12,19 +12,26 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swmetric"
+	"github.com/sycamorewall/sycamorewall/internal/swreplica"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
 // metricHeaderTimeout bounds the time in which the metrics collector must send a request's header.
 const metricHeaderTimeout = 5 * time.Second
 
+// gaugeInterval is the time between two updates of the metrics that show a current state.
+const gaugeInterval = time.Second
+
 // metricServer serves metrics on a listener of its own, which clients cannot reach. It does nothing if no address is configured.
 type metricServer struct {
 	listener net.Listener
 	server   *http.Server
+	recorder *swmetric.Recorder
+	replicas *swreplica.Registry
 	log      zerolog.Logger
 }
 
-func newMetricServer(config Config, recorder *swmetric.Recorder, log zerolog.Logger) (*metricServer, error) {
+func newMetricServer(config Config, recorder *swmetric.Recorder, replicas *swreplica.Registry, log zerolog.Logger) (*metricServer, error) {
 	address := config.Settings.Gateway.Metrics
 	if !address.IsValid() {
 		return &metricServer{}, nil
@@ -36,7 +43,7 @@
 	router := mux.NewRouter()
 	router.Handle("/metrics", recorder.Handler()).Methods(http.MethodGet)
 	return &metricServer{
-		listener: listener, log: log,
+		listener: listener, recorder: recorder, replicas: replicas, log: log,
 		server: &http.Server{Handler: router, ReadHeaderTimeout: metricHeaderTimeout},
 	}, nil
 }
@@ -50,6 +57,14 @@
 			metricServer.log.Error().Err(err).Msg("the metrics listener failed")
 		}
 	})
+	group.Go(func(ctx context.Context) {
+		for swtimer.Wait(ctx, gaugeInterval) == nil {
+			counts := metricServer.replicas.CountByState(time.Now())
+			for _, state := range swreplica.States {
+				metricServer.recorder.SetReplicas(string(state), counts[state])
+			}
+		}
+	})
 }
 
 func (metricServer *metricServer) close() {
--- a/internal/swmetric/metric.go
+++ b/internal/swmetric/metric.go
@@ -122,6 +122,11 @@
 	}).Inc(count)
 }
 
+// SetReplicas sets the number of replicas in a state.
+func (recorder *Recorder) SetReplicas(state string, count int) {
+	recorder.scope.Tagged(map[string]string{"state": state}).Gauge("replicas").Update(float64(count))
+}
+
 // labels returns the labels for a caller's metrics, with otherCaller in place of the callers over maxCallers. Concurrent calls
 // may exceed maxCallers by a few.
 func (recorder *Recorder) labels(priority swrule.Priority, caller string) labels {
--- a/internal/swreplica/ratelimit.go
+++ b/internal/swreplica/ratelimit.go
@@ -64,6 +64,13 @@
 	return former
 }
 
+// isSet reports whether there is a limit.
+func (rateLimiter *rateLimiter) isSet() bool {
+	rateLimiter.mutex.Lock()
+	defer rateLimiter.mutex.Unlock()
+	return rateLimiter.limit > 0
+}
+
 // available returns the requests that may be sent now. The caller holds the mutex.
 func (rateLimiter *rateLimiter) available(now time.Time) float64 {
 	share := rateLimiter.share
