--- a/internal/swplatform/call.go
+++ b/internal/swplatform/call.go
@@ -80,20 +80,12 @@
 	return ErrMalformedResponse
 }
 
-// write makes a call that changes an object.
+// write makes a call that changes an object and returns the object.
 func (client *Client) write(ctx context.Context, apiRequest apiRequest) (object Object, err error) {
 	defer client.observe(apiRequest, time.Now(), &err)
-	if len(apiRequest.body) > MaxValueSize {
-		cause := errors.Errorf("value of %d bytes exceeds the limit of %d", len(apiRequest.body), MaxValueSize)
-		return Object{}, &Error{Operation: apiRequest.describe(), Reason: ErrRejected, Cause: cause}
-	}
-	response, mayHaveArrived, err := client.send(ctx, apiRequest)
+	response, err := client.sendWrite(ctx, apiRequest)
 	if err != nil {
-		reason := ErrUnavailable
-		if mayHaveArrived {
-			reason = ErrOutcomeUnknown
-		}
-		return Object{}, &Error{Operation: apiRequest.describe(), Reason: reason, Cause: err}
+		return Object{}, err
 	}
 	switch response.status {
 	case http.StatusNoContent:
@@ -104,7 +96,27 @@
 		}
 		return object, nil
 	}
-	return Object{}, &Error{Operation: apiRequest.describe(), Reason: writeReason(response.status), Status: response.status}
+	return Object{}, &Error{Operation: apiRequest.describe(), Reason: ErrOutcomeUnknown, Status: response.status}
+}
+
+// sendWrite sends a call that changes an object, unless its value is too large, and returns the response if its status is 2xx.
+func (client *Client) sendWrite(ctx context.Context, apiRequest apiRequest) (response, error) {
+	if len(apiRequest.body) > MaxValueSize {
+		cause := errors.Errorf("value of %d bytes exceeds the limit of %d", len(apiRequest.body), MaxValueSize)
+		return response{}, &Error{Operation: apiRequest.describe(), Reason: ErrRejected, Cause: cause}
+	}
+	answer, mayHaveArrived, err := client.send(ctx, apiRequest)
+	if err != nil {
+		reason := ErrUnavailable
+		if mayHaveArrived {
+			reason = ErrOutcomeUnknown
+		}
+		return response{}, &Error{Operation: apiRequest.describe(), Reason: reason, Cause: err}
+	}
+	if answer.status < http.StatusOK || answer.status >= http.StatusMultipleChoices {
+		return response{}, &Error{Operation: apiRequest.describe(), Reason: writeReason(answer.status), Status: answer.status}
+	}
+	return answer, nil
 }
 
 func writeReason(status int) error {
--- a/internal/swplatform/client_test.go
+++ b/internal/swplatform/client_test.go
@@ -170,6 +170,9 @@
 			_, err := client.Create(ctx, "Rules", "main", make([]byte, MaxValueSize+1))
 			return err
 		}, ErrRejected},
+		{"write of another package's object above the size limit", respondWith(200, "{}"), func(ctx context.Context, client *Client) error {
+			return client.Write(ctx, Request{Operation: "put", Kind: "k", Method: http.MethodPut, Body: make([]byte, MaxValueSize+1)}, nil)
+		}, ErrRejected},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/swplatform/request.go
+++ b/internal/swplatform/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"net/url"
 	"time"
 )
@@ -32,16 +31,9 @@
 func (client *Client) Write(ctx context.Context, request Request, target any) (err error) {
 	apiRequest := request.toAPIRequest()
 	defer client.observe(apiRequest, time.Now(), &err)
-	response, mayHaveArrived, err := client.send(ctx, apiRequest)
+	response, err := client.sendWrite(ctx, apiRequest)
 	if err != nil {
-		reason := ErrUnavailable
-		if mayHaveArrived {
-			reason = ErrOutcomeUnknown
-		}
-		return &Error{Operation: apiRequest.describe(), Reason: reason, Cause: err}
-	}
-	if response.status < http.StatusOK || response.status >= http.StatusMultipleChoices {
-		return &Error{Operation: apiRequest.describe(), Reason: writeReason(response.status), Status: response.status}
+		return err
 	}
 	if target == nil || len(response.body) == 0 {
 		return nil
