--- a/internal/swfeed/feed.go
+++ b/internal/swfeed/feed.go
@@ -30,7 +30,7 @@
 	minProbeBackoff = 400 * time.Millisecond
 	maxProbeBackoff = 1600 * time.Millisecond
 	// probeTimeout is how long a probe waits for the store to list one kind. With the longest backoff, it bounds how long a VM that was
-	// cut off keeps its old copies after the cut.
+	// cut off from the store keeps its old copies after the cut.
 	probeTimeout = 1200 * time.Millisecond
 	// probeConfirmDelay is the delay after a successful probe, in which the upstreams may reach the store again as well.
 	probeConfirmDelay = 300 * time.Millisecond
--- a/internal/swreplica/registry.go
+++ b/internal/swreplica/registry.go
@@ -21,14 +21,15 @@
 
 	mutex sync.Mutex
 	byID  map[string]*Replica
-	// removed holds the replicas that were removed in the last reportMemory, by ID.
+	// removed holds what the replicas said that were removed in the last reportMemory, by ID.
 	removed  map[string]removedReplica
 	services atomic.Pointer[map[string][]*Replica]
 }
 
-// removedReplica is a replica that is no longer listed.
+// removedReplica holds what a replica said whose entry was removed.
 type removedReplica struct {
-	replica   *Replica
+	entry     Entry
+	reports   *reportState
 	removedAt time.Time
 }
 
@@ -71,7 +72,7 @@
 		if replica, ok := registry.byID[id]; ok {
 			replica.Retire()
 			delete(registry.byID, id)
-			registry.removed[id] = removedReplica{replica: replica, removedAt: now}
+			registry.removed[id] = removedReplica{entry: replica.Entry(), reports: replica.reports, removedAt: now}
 		}
 	}
 	maps.DeleteFunc(registry.removed, func(_ string, removed removedReplica) bool { return now.Sub(removed.removedAt) > reportMemory })
@@ -95,8 +96,8 @@
 	}
 	replica := registry.config.Pool.newReplica(entry, registry.distance(&entry), now)
 	if removed, ok := registry.removed[entry.ID]; ok {
-		if before := removed.replica.Entry(); before.sameProcess(&entry) {
-			replica.reports = removed.replica.reports
+		if removed.entry.sameProcess(&entry) {
+			replica.reports = removed.reports
 		}
 		delete(registry.removed, entry.ID)
 	}
