--- a/internal/swgateway/report_test.go
+++ b/internal/swgateway/report_test.go
@@ -212,12 +212,16 @@
 	}
 }
 
-// TestRestartedReplicaStartsClean restarts a replica that had said that it leaves, and one that wanted nothing for a minute.
+// reportScripts are the scripts of replicas that want few requests or none, by what they say.
+var reportScripts = map[string]func(*receivedRequest){
+	"leaving":     respondWith(time.Millisecond, http.StatusOK, "Leaving: 1\r\nSignature: a\r\n", "a"),
+	"retry after": respondWith(time.Millisecond, http.StatusServiceUnavailable, "Not-Run: 1\r\nRetry-In: 1m\r\n", ""),
+	"rate limit":  respondWith(time.Millisecond, http.StatusOK, "Limit: 0.1\r\nSignature: a\r\n", "a"),
+}
+
+// TestRestartedReplicaStartsClean restarts a replica that wanted few requests or none.
 func TestRestartedReplicaStartsClean(t *testing.T) {
-	for name, script := range map[string]func(*receivedRequest){
-		"leaving":     respondWith(time.Millisecond, http.StatusOK, "Leaving: 1\r\nSignature: a\r\n", "a"),
-		"retry after": respondWith(time.Millisecond, http.StatusServiceUnavailable, "Not-Run: 1\r\nRetry-In: 1m\r\n", ""),
-	} {
+	for name, script := range reportScripts {
 		t.Run(name, func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
 				testHandler := newTestHandler(t, 1)
@@ -239,14 +243,10 @@
 	}
 }
 
-// TestReplicaWhoseEntryComesBackKeepsItsWord guards against requests to a replica that said that it leaves, or that it wants nothing for a
-// minute, once its entry was removed and came back: entries lapse in an outage of the platform.
+// TestReplicaWhoseEntryComesBackKeepsItsWord guards against requests to a replica that wants few or none, once its entry was removed and
+// came back: entries lapse in an outage of the platform.
 func TestReplicaWhoseEntryComesBackKeepsItsWord(t *testing.T) {
-	for name, script := range map[string]func(*receivedRequest){
-		"leaving":     respondWith(time.Millisecond, http.StatusOK, "Leaving: 1\r\nSignature: a\r\n", "a"),
-		"retry after": respondWith(time.Millisecond, http.StatusServiceUnavailable, "Not-Run: 1\r\nRetry-In: 1m\r\n", ""),
-		"rate limit":  respondWith(time.Millisecond, http.StatusOK, "Limit: 0.1\r\nSignature: a\r\n", "a"),
-	} {
+	for name, script := range reportScripts {
 		t.Run(name, func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
 				testHandler := newTestHandler(t, 1)
--- a/internal/swreplica/ratelimit_test.go
+++ b/internal/swreplica/ratelimit_test.go
@@ -17,6 +17,19 @@
 	limitExtra  = 5
 )
 
+// limitersOfVMs returns the limiters of a number of VMs in a replica's data centre and in others, which have just heard of its limit.
+func limitersOfVMs(now time.Time, limit float64, vms VMCounts, near, far int) []rateLimiter {
+	limiters := make([]rateLimiter, near+far)
+	for i := range limiters {
+		distance := SameDataCentre
+		if i >= near {
+			distance = OtherRegion
+		}
+		limiters[i].set(now, limit, rateShare(limit, distance, vms))
+	}
+	return limiters
+}
+
 // TestAllVMsTogetherKeepARateLimit guards against a replica that gets far more requests than the limit that it named. It replays a
 // replica that names a limit far below what the VMs want to send it, at fleets of several sizes. In the largest ones, a VM's share is
 // less than one request per second.
@@ -43,14 +56,7 @@
 			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
 				random := rand.New(rand.NewPCG(seed, 1))
 				start := time.Now()
-				limiters := make([]rateLimiter, test.near+test.far)
-				for i := range limiters {
-					distance := SameDataCentre
-					if i >= test.near {
-						distance = OtherRegion
-					}
-					limiters[i].set(start, test.limit, rateShare(test.limit, distance, test.vms))
-				}
+				limiters := limitersOfVMs(start, test.limit, test.vms, test.near, test.far)
 				var admitted []time.Time
 				for now := start; now.Sub(start) < 30*time.Second; {
 					now = now.Add(time.Duration(random.ExpFloat64() / test.demand * float64(time.Second)))
@@ -90,14 +96,7 @@
 			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
 				random := rand.New(rand.NewPCG(seed, 1))
 				start := time.Now()
-				limiters := make([]rateLimiter, test.near+test.far)
-				for i := range limiters {
-					distance := SameDataCentre
-					if i >= test.near {
-						distance = OtherRegion
-					}
-					limiters[i].set(start, test.limit, rateShare(test.limit, distance, test.vms))
-				}
+				limiters := limitersOfVMs(start, test.limit, test.vms, test.near, test.far)
 				var admitted []time.Time
 				send := func(now, until time.Time, demand float64) {
 					for {
