Give the soak's VMs ports that the system gives to nobody else

The soak chose a port that was free when the fleet started, among those that the system gives to other sockets; a program beside it was given the port while the VM restarted. Ruled out: the product, whose process never came to serve. Now the ports lie below those.

--- a/lab/internal/swlabsoak/fleet.go
+++ b/lab/internal/swlabsoak/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -312,14 +313,39 @@
 	return created, errors.Wrap(os.WriteFile(created.settingsPath, data, privateMode), "write settings")
 }
 
-// freePort returns a loopback port that is free for TCP. It does not check UDP, and another process may take the port later.
+const (
+	// minPort and maxPort bound the ports of VMs. They are below those that operating systems give to outgoing connections and to
+	// listeners that ask for any port, which would take the port of a VM while it restarts.
+	minPort = 16384
+	maxPort = 32767
+	// maxPortAttempts bounds the number of ports that are tried.
+	maxPortAttempts = 100
+)
+
+// freePort returns a loopback port that is free for TCP and UDP. Another process that is given the same port may take it later.
 func freePort() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var lastErr error
+	for range maxPortAttempts {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(minPort+rand.IntN(maxPort-minPort+1)))
+		if lastErr = checkFree(address); lastErr == nil {
+			return address, nil
+		}
+	}
+	return netip.AddrPort{}, errors.Wrap(lastErr, "find a free port")
+}
+
+// checkFree returns an error if an address is in use.
+func checkFree(address netip.AddrPort) error {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "find a free port")
+		return errors.Wrap(err, "listen for TCP")
 	}
 	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
+	packetConn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return errors.Wrap(err, "listen for UDP")
+	}
+	return errors.Wrap(packetConn.Close(), "close UDP socket")
 }
 
 // start starts the VM's process, which appends its log to a file in the directory.
