Keep the soak to one process a VM

Cause: a process that ends at a SIGHUP during its startup is started again, and a fault that stops and starts the same VM starts another one; only the last is known and stopped. start does nothing now while a process runs that was not asked to stop.

--- a/lab/internal/swlabsoak/fleet.go
+++ b/lab/internal/swlabsoak/fleet.go
@@ -348,10 +348,13 @@
 	return errors.Wrap(packetConn.Close(), "close UDP socket")
 }
 
-// start starts the VM's process, which appends its log to a file in the directory.
+// start starts the VM's process, unless it runs already. The process appends its log to a file in the directory.
 func (vm *vm) start(binary, directory string) error {
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
+	if vm.process != nil && vm.process.runs() {
+		return nil
+	}
 	log, err := os.OpenFile(filepath.Join(directory, vm.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open log")
@@ -374,6 +377,16 @@
 	return nil
 }
 
+// runs reports whether the process has neither exited nor been asked to stop.
+func (process *process) runs() bool {
+	select {
+	case <-process.exited:
+		return false
+	default:
+		return !process.stopRequested.Load()
+	}
+}
+
 // maxStartupTime is how long a process may take to install its SIGHUP handler. A SIGHUP before that ends the process.
 const maxStartupTime = 500 * time.Millisecond
 
