--- a/internal/swgateway/gathered_test.go
+++ b/internal/swgateway/gathered_test.go
@@ -206,14 +206,17 @@
 		"rolling restart":                130,
 		"continuous restarts of all VMs": 20,
 	} {
-		t.Run(name, func(t *testing.T) {
-			inVirtualTime(t, func(t *testing.T) { checkBudgetHolds(t, restartInterval) })
-		})
+		for wanted, purposes := range map[string][]Purpose{"retries": {Retry}, "hedges": {Hedge}, "both": {Retry, Hedge}} {
+			t.Run(name+", "+wanted, func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T) { checkBudgetHolds(t, restartInterval, purposes) })
+			})
+		}
 	}
 }
 
-// checkBudgetHolds runs the load. Every restartInterval steps one VM restarts, and thereby loses its counts.
-func checkBudgetHolds(t *testing.T, restartInterval int) {
+// checkBudgetHolds runs the load. Every restartInterval steps one VM restarts, and thereby loses its counts. Each repeat is wanted for
+// all purposes in turn.
+func checkBudgetHolds(t *testing.T, restartInterval int, purposes []Purpose) {
 	t.Helper()
 	const (
 		vms    = 9
@@ -248,7 +251,8 @@
 			now := time.Now()
 			budgets[vm].CountRequest(now, "s")
 			requests[i]++
-			for random.IntN(3) > 0 && budgets[vm].Take(now, "s", Purpose(random.IntN(2)), 1) {
+			granted := func(purpose Purpose) bool { return budgets[vm].Take(now, "s", purpose, 1) }
+			for random.IntN(3) > 0 && slices.ContainsFunc(purposes, granted) {
 				repeats[i]++
 			}
 		}
--- a/lab/internal/swlabsoak/fleet.go
+++ b/lab/internal/swlabsoak/fleet.go
@@ -97,7 +97,9 @@
 	journal   *swlabusers.Journal
 	group     *swgroup.Group
 	vms       []*vm
-	results   *results
+	// assigned holds the addresses that were given to VMs. Only startFleet uses it.
+	assigned map[netip.AddrPort]bool
+	results  *results
 
 	mutex                sync.Mutex
 	replicas             map[string]*proxiedReplica
@@ -115,7 +117,7 @@
 	fleet := &fleet{
 		binary: config.Binary, directory: config.Directory, network: swlabproxy.NewNetwork(config.Seed), store: store,
 		journal: swlabusers.NewJournal(), group: swgroup.New(context.Background()), results: &results{},
-		replicas: make(map[string]*proxiedReplica),
+		replicas: make(map[string]*proxiedReplica), assigned: make(map[netip.AddrPort]bool),
 	}
 	for _, service := range fleet.services() {
 		for i := range replicasPerService {
@@ -278,7 +280,7 @@
 	}
 	ports := make([]netip.AddrPort, 3)
 	for i := range ports {
-		port, err := freePort()
+		port, err := fleet.assignPort()
 		if err != nil {
 			return nil, err
 		}
@@ -322,12 +324,17 @@
 	maxPortAttempts = 100
 )
 
-// freePort returns a loopback port that is free for TCP and UDP. Another process that is given the same port may take it later.
-func freePort() (netip.AddrPort, error) {
-	var lastErr error
+// assignPort returns a loopback port that is free for TCP and UDP and that no VM was given before. Those that were given to VMs are free
+// until the VM's process has started.
+func (fleet *fleet) assignPort() (netip.AddrPort, error) {
+	lastErr := errors.New("all ports that were tried belong to VMs")
 	for range maxPortAttempts {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(minPort+rand.IntN(maxPort-minPort+1)))
+		if fleet.assigned[address] {
+			continue
+		}
 		if lastErr = checkFree(address); lastErr == nil {
+			fleet.assigned[address] = true
 			return address, nil
 		}
 	}
--- a/lab/internal/swlabsoak/port_test.go
+++ b/lab/internal/swlabsoak/port_test.go
@@ -2,14 +2,16 @@
 
 import (
 	"net"
+	"net/netip"
 	"testing"
 )
 
 // TestNoOtherSocketIsGivenThePortOfAVM guards against a VM that can't listen again after a restart, because the system gave its port to
 // another socket meanwhile.
 func TestNoOtherSocketIsGivenThePortOfAVM(t *testing.T) {
+	fleet := &fleet{assigned: make(map[netip.AddrPort]bool)}
 	for range 100 {
-		port, err := freePort()
+		port, err := fleet.assignPort()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -23,3 +25,21 @@
 		}
 	}
 }
+
+// TestEachVMHasPortsOfItsOwn guards against two VMs with the same port, of which one can't serve. Many ports are assigned, since few
+// rarely meet.
+func TestEachVMHasPortsOfItsOwn(t *testing.T) {
+	const ports = 1000
+	fleet := &fleet{assigned: make(map[netip.AddrPort]bool)}
+	seen := make(map[netip.AddrPort]bool)
+	for range ports {
+		port, err := fleet.assignPort()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[port] {
+			t.Fatalf("port %d was assigned twice", port.Port())
+		}
+		seen[port] = true
+	}
+}
