Allow for a first random token in the test of relayed rate limits

Cause: the test is wrong. A limiter's first tokens are random, below one; at 0.5 a second they grow by about 0.01 during the first attempt, so that in one case in a hundred one is complete. That request is within the limit.

--- a/internal/swrelay/relay_test.go
+++ b/internal/swrelay/relay_test.go
@@ -317,6 +317,10 @@
 		}
 		relayHarness.send(time.Second)
 		result, _, _ := relayHarness.send(time.Second)
+		if result.Outcome == swreplica.Answered {
+			// The first tokens are random, so that one may be complete by now. No second one is.
+			result, _, _ = relayHarness.send(time.Second)
+		}
 		if result.Outcome != swreplica.NotSent || result.RetryAfter <= 0 || result.RetryAfter > 2*time.Second {
 			t.Errorf("outcome %d, to be sent after %s; want not sent, for at most 2s", result.Outcome, result.RetryAfter)
 		}
