--- a/internal/swfeed/follow.go
+++ b/internal/swfeed/follow.go
@@ -113,6 +113,8 @@
 func (feed *Feed) receive(kindIndex int, change swfollow.Change) {
 	recoveredAt, ok := feed.caches[kindIndex].apply(change)
 	if !ok {
+		feed.config.Log.Warn().Str("Kind", feed.config.Kinds[kindIndex].Name).Uint64("Revision", change.Revision).
+			Uint64("Held", feed.caches[kindIndex].currentRevision()).Msg("a change that is older than this VM's copies was not applied")
 		return
 	}
 	change.RecoveredAt = recoveredAt
