--- a/cmd/rules.go
+++ b/cmd/rules.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/diff"
+	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"github.com/sycamorewall/sycamorewall/internal/swedit"
@@ -75,7 +76,7 @@
 // ruleStore returns the store that holds the rules at the client's platform.
 func (options *platformOptions) ruleStore(client *swplatform.Client) swedit.Store {
 	if options.gateway {
-		return swedit.NewVersionedStore(platform.NewStore(client), swfollow.KindShared, swfollow.PrefixRules)
+		return swedit.NewVersionedStore(platform.NewStore(client, swplatform.NewEraTracker(zerolog.Nop())), swfollow.KindShared, swfollow.PrefixRules)
 	}
 	return client
 }
--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -85,7 +85,7 @@
 		fx.Provide(
 			newLogger, newGroup, newRecorder, newMetricServer, newGracePeriod,
 			newPlatformClient, newActiveTable, newReplicaRegistry, newGatewayQuarantine, newServerMirror,
-			newObjectStore, newFleet, newVMMirror, newPeers, newSharedRecordStore,
+			newEraTracker, newObjectStore, newFleet, newVMMirror, newPeers, newSharedRecordStore,
 			newFeed, newRelayClient, newActiveRules, newGatewayLimiter, newGatewayHandler, newGatewayServer,
 		),
 		fx.Invoke(bindGatewayLifecycle),
@@ -172,8 +172,12 @@
 	})
 }
 
-func newObjectStore(client *swplatform.Client) *platform.Store {
-	return platform.NewStore(client)
+func newEraTracker(log zerolog.Logger) *swplatform.EraTracker {
+	return swplatform.NewEraTracker(log)
+}
+
+func newObjectStore(client *swplatform.Client, eras *swplatform.EraTracker) *platform.Store {
+	return platform.NewStore(client, eras)
 }
 
 func newFleet(config Config) *swfleet.Fleet {
@@ -209,6 +213,7 @@
 
 	Config  Config
 	Store   *platform.Store
+	Eras    *swplatform.EraTracker
 	Peers   *peers
 	Fleet   *swfleet.Fleet
 	Routes  *swroute.ActiveTable
@@ -221,7 +226,7 @@
 
 func newFeed(dependencies feedDependencies) *swfeed.Feed {
 	settings := dependencies.Config.Settings.Gateway
-	return swfeed.New(swfeed.Config{
+	feed := swfeed.New(swfeed.Config{
 		Source:     dependencies.Store,
 		Transport:  dependencies.Peers,
 		Upstreams:  dependencies.Fleet.Upstreams,
@@ -240,6 +245,8 @@
 			}},
 		},
 	})
+	dependencies.Eras.OnNewEra(feed.ObserveEra)
+	return feed
 }
 
 // receiveConfig applies the configuration in a change if it is newer than the one in force.
@@ -250,11 +257,11 @@
 		}
 		table, err := platform.DecodeConfig(object.Value)
 		if err != nil {
-			log.Error().Err(err).Uint64("Revision", object.Revision).Msg("invalid configuration, the last good one stays in force")
+			log.Error().Err(err).Object("Position", object.Position).Msg("invalid configuration, the last good one stays in force")
 			continue
 		}
 		if routes.UpdateIfNewer(table) {
-			log.Info().Uint64("Config", table.Version).Int("Routes", table.Len()).Uint64("Revision", object.Revision).Msg("configuration in force")
+			log.Info().Uint64("Config", table.Version).Int("Routes", table.Len()).Object("Position", object.Position).Msg("configuration in force")
 		}
 	}
 }
@@ -276,10 +283,10 @@
 			err = rules.set(versioned.Version, versioned.Value)
 		}
 		if err != nil {
-			log.Error().Err(err).Uint64("Revision", object.Revision).Msg("invalid rules, the last good ones stay in force")
+			log.Error().Err(err).Object("Position", object.Position).Msg("invalid rules, the last good ones stay in force")
 			return
 		}
-		log.Info().Uint64("Rules", versioned.Version).Uint64("Revision", object.Revision).Msg("rules in force")
+		log.Info().Uint64("Rules", versioned.Version).Object("Position", object.Position).Msg("rules in force")
 	}
 	rules.synced.Store(true)
 }
--- a/internal/swedit/versioned.go
+++ b/internal/swedit/versioned.go
@@ -13,7 +13,7 @@
 type ObjectStore interface {
 	ReadObject(ctx context.Context, kind, name string) (swplatform.Object, error)
 	CreateObject(ctx context.Context, kind, name string, value []byte) error
-	ReplaceObject(ctx context.Context, kind, name string, revision uint64, value []byte) error
+	ReplaceObject(ctx context.Context, kind, name string, at swplatform.Position, value []byte) error
 }
 
 // VersionedStore is a Store on top of an ObjectStore. It counts the versions of objects itself and stores each object's
@@ -100,7 +100,7 @@
 	if err != nil {
 		return swplatform.Object{}, err
 	}
-	if err := store.store.ReplaceObject(ctx, store.kind, store.prefix+name, current.Revision, encoded); err != nil {
+	if err := store.store.ReplaceObject(ctx, store.kind, store.prefix+name, current.Position, encoded); err != nil {
 		return swplatform.Object{}, err
 	}
 	return swplatform.Object{Kind: kind, Name: name, Version: version + 1, Value: value}, nil
--- a/internal/swfeed/cache.go
+++ b/internal/swfeed/cache.go
@@ -13,14 +13,14 @@
 // receives all objects.
 const maxLoggedChanges = 1024
 
-// cache holds the objects of one kind as of a revision of the store, and a log of the latest changes.
+// cache holds the objects of one kind as of a position of the store, and a log of the latest changes.
 type cache struct {
 	mutex    sync.Mutex
 	objects  map[string]swplatform.Object
-	revision uint64
-	// changes is the log of the latest changes; it is complete for the revisions after baseRevision.
+	position swplatform.Position
+	// changes is the log of the latest changes of the position's era; it is complete for the positions after basePosition.
 	changes      []loggedObject
-	baseRevision uint64
+	basePosition swplatform.Position
 	// recoveredAt is when the store last recovered from an outage.
 	recoveredAt time.Time
 	// synced is set after the first listing.
@@ -29,41 +29,48 @@
 	compressed map[string]compressedValue
 }
 
-// compressedValue is the compressed value of an object at a revision; the value is nil where compression failed.
+// compressedValue is the compressed value of an object at a position; the value is nil where compression failed.
 type compressedValue struct {
-	revision uint64
+	position swplatform.Position
 	value    []byte
 }
 
-// loggedObject is a changed or deleted object with the revision at which this VM learned of the change.
+// loggedObject is a changed or deleted object with the position at which this VM learned of the change.
 type loggedObject struct {
 	swplatform.Object
-	knownAt uint64
+	knownAt swplatform.Position
 }
 
 func newCache() *cache {
 	return &cache{objects: make(map[string]swplatform.Object), compressed: make(map[string]compressedValue)}
 }
 
-// apply applies a change, and returns when the store last recovered from an outage. ok is false for a change that is older than the
-// cache, and for an incremental one before the first listing.
+// apply applies a change, and returns when the store last recovered from an outage or came back from an older copy. ok is false for a
+// change that is older than the cache, and for an incremental one before the first listing of the store's era.
 func (cache *cache) apply(change swfollow.Change) (recoveredAt time.Time, ok bool) {
 	cache.mutex.Lock()
 	defer cache.mutex.Unlock()
-	if cache.synced && change.Revision < cache.revision || !cache.synced && !change.Full {
+	isNewEra := change.Position.Era > cache.position.Era
+	if cache.synced && change.Position.Before(cache.position) || (!cache.synced || isNewEra) && !change.Full {
 		return cache.recoveredAt, false
 	}
 	if change.RecoveredAt.After(cache.recoveredAt) {
 		cache.recoveredAt = change.RecoveredAt
+	} else if cache.synced && isNewEra {
+		// The writers of objects that are not in the store's copy write them again, as after an outage.
+		cache.recoveredAt = time.Now()
+	}
+	if isNewEra {
+		cache.changes, cache.basePosition = nil, change.Position
 	}
 	if change.Full {
 		cache.applyFull(change)
 	} else {
 		for _, object := range change.Objects {
-			cache.put(object, change.Revision)
+			cache.put(object, change.Position)
 		}
 	}
-	cache.revision = change.Revision
+	cache.position = change.Position
 	cache.synced = true
 	return cache.recoveredAt, true
 }
@@ -71,25 +78,25 @@
 // applyFull replaces all objects and logs the difference. The caller holds the mutex.
 func (cache *cache) applyFull(change swfollow.Change) {
 	if !cache.synced {
-		cache.baseRevision = change.Revision
+		cache.basePosition = change.Position
 	}
 	listed := make(map[string]bool, len(change.Objects))
 	for _, object := range change.Objects {
 		listed[object.Name] = true
-		if known, ok := cache.objects[object.Name]; !ok || known.Revision != object.Revision {
-			cache.put(object, change.Revision)
+		if known, ok := cache.objects[object.Name]; !ok || known.Position != object.Position {
+			cache.put(object, change.Position)
 		}
 	}
 	for name, object := range cache.objects {
 		if !listed[name] {
 			object.Deleted = true
-			cache.put(object, change.Revision)
+			cache.put(object, change.Position)
 		}
 	}
 }
 
 // put stores or deletes one object and logs the change, dropping the older half of a full log. The caller holds the mutex.
-func (cache *cache) put(object swplatform.Object, at uint64) {
+func (cache *cache) put(object swplatform.Object, at swplatform.Position) {
 	if object.Deleted {
 		delete(cache.objects, object.Name)
 		delete(cache.compressed, object.Name)
@@ -98,22 +105,22 @@
 	}
 	if len(cache.changes) == maxLoggedChanges {
 		half := maxLoggedChanges / 2
-		cache.baseRevision = cache.changes[half-1].knownAt
+		cache.basePosition = cache.changes[half-1].knownAt
 		cache.changes = append(cache.changes[:0], cache.changes[half:]...)
 	}
 	cache.changes = append(cache.changes, loggedObject{Object: object, knownAt: at})
 }
 
-// changesSince returns the changes after a revision, or all objects if the log does not reach back that far. ok is false if nothing
+// changesSince returns the changes after a position, or all objects if the log does not reach back that far. ok is false if nothing
 // has changed since.
-func (cache *cache) changesSince(revision uint64) (change swfollow.Change, ok bool) {
+func (cache *cache) changesSince(position swplatform.Position) (change swfollow.Change, ok bool) {
 	cache.mutex.Lock()
 	defer cache.mutex.Unlock()
-	if !cache.synced || revision >= cache.revision {
+	if !cache.synced || !position.Before(cache.position) {
 		return swfollow.Change{}, false
 	}
-	change = swfollow.Change{Revision: cache.revision, RecoveredAt: cache.recoveredAt}
-	if revision < cache.baseRevision || revision == 0 {
+	change = swfollow.Change{Position: cache.position, RecoveredAt: cache.recoveredAt}
+	if position.Before(cache.basePosition) || position.IsZero() {
 		change.Full = true
 		for _, object := range cache.objects {
 			change.Objects = append(change.Objects, object)
@@ -121,18 +128,18 @@
 		return change, true
 	}
 	for _, logged := range cache.changes {
-		if logged.knownAt > revision {
+		if position.Before(logged.knownAt) {
 			change.Objects = append(change.Objects, logged.Object)
 		}
 	}
 	return change, true
 }
 
-// currentRevision returns the cache's revision; it is zero before the first listing.
-func (cache *cache) currentRevision() uint64 {
+// currentPosition returns the cache's position; it is zero before the first listing.
+func (cache *cache) currentPosition() swplatform.Position {
 	cache.mutex.Lock()
 	defer cache.mutex.Unlock()
-	return cache.revision
+	return cache.position
 }
 
 // compress returns the cached compressed value of a large object, or nil for an object that is sent uncompressed.
@@ -143,7 +150,7 @@
 	cache.mutex.Lock()
 	defer cache.mutex.Unlock()
 	known, ok := cache.compressed[object.Name]
-	if ok && known.revision == object.Revision {
+	if ok && known.position == object.Position {
 		return known.value
 	}
 	value, err := swpack.Compress(object.Value)
@@ -151,6 +158,6 @@
 		// The object is sent uncompressed.
 		value = nil
 	}
-	cache.compressed[object.Name] = compressedValue{revision: object.Revision, value: value}
+	cache.compressed[object.Name] = compressedValue{position: object.Position, value: value}
 	return value
 }
--- a/internal/swfeed/fallback.go
+++ b/internal/swfeed/fallback.go
@@ -41,7 +41,7 @@
 	if feed.failedPolls < maxFailedPolls {
 		feed.config.Log.Warn().Dur("Overdue", overdue).Msg("no polled VM has confirmed the copies in time; listing the store")
 	}
-	if feed.caches[0].currentRevision() == 0 {
+	if feed.caches[0].currentPosition().IsZero() {
 		feed.directUntil, feed.failedPolls = now.Add(reviewInterval/2), 0
 		return false
 	}
@@ -110,12 +110,12 @@
 			continue
 		}
 		listCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		objects, revision, err := feed.config.Source.ListObjects(listCtx, feed.config.Kinds[i].Name)
+		objects, position, err := feed.config.Source.ListObjects(listCtx, feed.config.Kinds[i].Name)
 		cancel()
 		if err != nil {
 			return err
 		}
-		change := swfollow.Change{Full: true, Objects: objects, Revision: revision}
+		change := swfollow.Change{Full: true, Objects: objects, Position: position}
 		if afterOutage {
 			change.RecoveredAt = time.Now()
 		}
--- a/internal/swfeed/faults_test.go
+++ b/internal/swfeed/faults_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 )
 
 const (
@@ -15,6 +17,9 @@
 	stableWindow = 4 * time.Second
 	// maxStep is the longest time between two events of a random timeline.
 	maxStep = 500 * time.Millisecond
+	// maxLost and maxAway bound how many changes a rollback of the store loses, and how long the store is down for it.
+	maxLost = 15
+	maxAway = 3 * time.Second
 	// minFault and maxFault bound how long a fault lasts.
 	minFault = 200 * time.Millisecond
 	maxFault = 5 * time.Second
@@ -36,9 +41,12 @@
 	kinds  int
 	// faultEnds is when the latest fault of each VM ends.
 	faultEnds []time.Time
-	// due is when the VMs without a fault must hold a revision, by revision.
-	due map[uint64]time.Time
-	log string
+	// due is when the VMs without a fault must hold a position, by position.
+	due map[swplatform.Position]time.Time
+	// rollsBack is set if the store may lose its latest changes, and backAt is when it returns; it is the zero time while it is up.
+	rollsBack bool
+	backAt    time.Time
+	log       string
 }
 
 // step lets some time pass, ends faults, and may begin a fault and change the store.
@@ -62,13 +70,39 @@
 		timeline.faultEnds[vm] = now.Add(lasts)
 		timeline.log += fmt.Sprintf("%s VM %d: %s for %s\n", now.Format("05.000"), vm, fault, lasts)
 	}
-	if timeline.random.IntN(4) == 0 {
+	if timeline.rollsBack {
+		timeline.stepStore(now)
+	}
+	if timeline.backAt.IsZero() && timeline.random.IntN(4) == 0 {
 		timeline.fleet.store.change()
-		timeline.due[timeline.fleet.store.revision] = now.Add(applyWithin)
-		timeline.log += fmt.Sprintf("%s revision %d\n", now.Format("05.000"), timeline.fleet.store.revision)
+		timeline.expect(now)
+	}
+}
+
+// stepStore ends a rollback of the store, or may begin one.
+func (timeline *timeline) stepStore(now time.Time) {
+	store := timeline.fleet.store
+	switch {
+	case !timeline.backAt.IsZero() && !now.Before(timeline.backAt):
+		timeline.backAt = time.Time{}
+		store.set(func() { store.down = false })
+		timeline.expect(now)
+	case timeline.backAt.IsZero() && timeline.random.IntN(12) == 0:
+		lost := 1 + timeline.random.Uint64N(maxLost)
+		timeline.backAt = now.Add(time.Duration(timeline.random.Int64N(int64(maxAway))))
+		store.set(func() { store.down = true })
+		store.rollBack(lost)
+		clear(timeline.due)
+		timeline.log += fmt.Sprintf("%s the store loses %d changes and is away until %s\n", now.Format("05.000"), lost, timeline.backAt.Format("05.000"))
 	}
 }
 
+// expect makes the store's position due.
+func (timeline *timeline) expect(now time.Time) {
+	timeline.due[timeline.fleet.store.position] = now.Add(applyWithin)
+	timeline.log += fmt.Sprintf("%s position %v\n", now.Format("05.000"), timeline.fleet.store.position)
+}
+
 func (timeline *timeline) setFault(vm int, name string) {
 	fleet, fault := timeline.fleet, vmFaults[name]
 	fleet.mutex.Lock()
@@ -82,15 +116,15 @@
 	t.Helper()
 	synctest.Wait()
 	now := time.Now()
-	for revision, due := range timeline.due {
+	for position, due := range timeline.due {
 		if now.Before(due) {
 			continue
 		}
-		delete(timeline.due, revision)
+		delete(timeline.due, position)
 		timeline.fleet.mutex.Lock()
-		for vm, held := range timeline.fleet.revisions {
-			if now.Sub(timeline.faultEnds[vm]) > stableWindow && held < revision {
-				t.Errorf("%s: VM %d holds revision %d, want %d\n%s", now.Format("05.000"), vm, held, revision, timeline.log)
+		for vm, held := range timeline.fleet.positions {
+			if now.Sub(timeline.faultEnds[vm]) > stableWindow && held.Before(position) {
+				t.Errorf("%s: VM %d holds position %v, want %v\n%s", now.Format("05.000"), vm, held, position, timeline.log)
 			}
 		}
 		timeline.fleet.mutex.Unlock()
@@ -100,31 +134,42 @@
 // TestChangesReachVMsWithoutFaultWhileOthersFail guards against changes that are in force late at a VM without a fault because its
 // upstreams fail one after the other: each failure is noticed in time, but the times add up.
 func TestChangesReachVMsWithoutFaultWhileOthersFail(t *testing.T) {
-	const vms, kinds, steps = 6, 2, 60
 	// The first three failed before VMs noticed that their copies were not confirmed.
 	seeds := []uint64{1324, 2408, 2769}
 	for seed := range uint64(100) {
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				fleet := newTestFleetOfKinds(t, vms, kinds)
-				defer fleet.group.Stop()
-				time.Sleep(5 * time.Second)
-				timeline := timeline{
-					random: rand.New(rand.NewPCG(seed, 0)), fleet: fleet, kinds: kinds,
-					faultEnds: make([]time.Time, vms), due: make(map[uint64]time.Time),
-				}
-				for range steps {
-					timeline.step()
-					timeline.check(t)
-				}
-			})
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runTimeline(t, seed, false) })
 	}
 }
 
+// TestChangesReachVMsWhileTheStoreRollsBack guards against VMs that take changes of a store that came back from an older copy for known
+// ones, beside faults of the VMs.
+func TestChangesReachVMsWhileTheStoreRollsBack(t *testing.T) {
+	for seed := range uint64(100) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runTimeline(t, seed, true) })
+	}
+}
+
+// runTimeline runs one random timeline, in which the store may roll back.
+func runTimeline(t *testing.T, seed uint64, rollsBack bool) {
+	const vms, kinds, steps = 6, 2, 60
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleetOfKinds(t, vms, kinds)
+		defer fleet.group.Stop()
+		time.Sleep(5 * time.Second)
+		timeline := timeline{
+			random: rand.New(rand.NewPCG(seed, 0)), fleet: fleet, kinds: kinds, rollsBack: rollsBack,
+			faultEnds: make([]time.Time, vms), due: make(map[swplatform.Position]time.Time),
+		}
+		for range steps {
+			timeline.step()
+			timeline.check(t)
+		}
+	})
+}
+
 // TestVMHoldsChangesOnceItCountsAsHealthyAfterACut guards against a probe that waits for an answer that the cut from the store has
 // swallowed, so that the VM lists the store too late after the cut while its upstream has no access to the store. Backoffs are random,
 // so many cuts are tried.
@@ -145,7 +190,7 @@
 			synctest.Wait()
 			fleet.mutex.Lock()
 			defer fleet.mutex.Unlock()
-			if fleet.revisions[1] < fleet.store.revision {
+			if fleet.positions[1].Before(fleet.store.position) {
 				late++
 			}
 		})
--- a/internal/swfeed/feed.go
+++ b/internal/swfeed/feed.go
@@ -119,6 +119,13 @@
 	// expectedAt is when this VM's copies were to be confirmed by the store's next response to this VM or its upstream; it is the zero
 	// time before the first confirmation.
 	expectedAt time.Time
+	// era is the latest era of the store that this VM knows, and newEraAt when it learned of it; newEraAt is zero once all copies are of
+	// that era. peerEra is the latest era that a peer has named.
+	era      uint64
+	newEraAt time.Time
+	peerEra  uint64
+	// followers are the followers of the kinds while this VM follows the store.
+	followers []*swfollow.Follower
 	// upstream is the VM that this one polls, for the log; it is empty for the store, and "?" before the first choice.
 	upstream string
 }
--- a/internal/swfeed/feed_test.go
+++ b/internal/swfeed/feed_test.go
@@ -22,10 +22,10 @@
 	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
-// testStore is a store of one kind with one object, whose value is its revision.
+// testStore is a store of one kind with one object, whose value is its position.
 type testStore struct {
 	mutex    sync.Mutex
-	revision uint64
+	position swplatform.Position
 	changed  chan struct{}
 	down     bool
 	// refused holds the VMs whose calls the store refuses, and silent those whose calls it does not answer.
@@ -35,13 +35,23 @@
 }
 
 func newTestStore() *testStore {
-	return &testStore{revision: 1, changed: make(chan struct{}), refused: make(map[int]bool), silent: make(map[int]bool)}
+	return &testStore{position: swplatform.Position{Era: 1, Revision: 1}, changed: make(chan struct{}), refused: make(map[int]bool), silent: make(map[int]bool)}
 }
 
 func (store *testStore) change() {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	store.revision++
+	store.position.Revision++
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+// rollBack makes the store lose its latest changes. Watches end because the store does not have their revision.
+func (store *testStore) rollBack(revisions uint64) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.position.Era++
+	store.position.Revision -= min(revisions, store.position.Revision-1)
 	close(store.changed)
 	store.changed = make(chan struct{})
 }
@@ -65,16 +75,16 @@
 	vm    int
 }
 
-func (vmSource vmSource) read() ([]swplatform.Object, uint64, <-chan struct{}, error) {
+func (vmSource vmSource) read() ([]swplatform.Object, swplatform.Position, <-chan struct{}, error) {
 	store := vmSource.store
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.calls++
 	if store.down || store.refused[vmSource.vm] {
-		return nil, 0, nil, &swplatform.Error{Reason: swplatform.ErrUnavailable}
+		return nil, swplatform.Position{}, nil, &swplatform.Error{Reason: swplatform.ErrUnavailable}
 	}
-	object := swplatform.Object{Name: "o", Revision: store.revision, Value: fmt.Append(nil, store.revision)}
-	return []swplatform.Object{object}, store.revision, store.changed, nil
+	object := swplatform.Object{Name: "o", Position: store.position, Value: fmt.Append(nil, store.position)}
+	return []swplatform.Object{object}, store.position, store.changed, nil
 }
 
 // callTimeout is how long after the end of its wait a call of a silent store fails.
@@ -95,35 +105,38 @@
 	return &swplatform.Error{Reason: swplatform.ErrUnavailable}
 }
 
-func (vmSource vmSource) ListObjects(ctx context.Context, _ string) ([]swplatform.Object, uint64, error) {
+func (vmSource vmSource) ListObjects(ctx context.Context, _ string) ([]swplatform.Object, swplatform.Position, error) {
 	if vmSource.isSilent() {
-		return nil, 0, vmSource.timeOut(ctx, callTimeout)
+		return nil, swplatform.Position{}, vmSource.timeOut(ctx, callTimeout)
 	}
 	time.Sleep(4 * time.Millisecond)
-	objects, revision, _, err := vmSource.read()
-	return objects, revision, err
+	objects, position, _, err := vmSource.read()
+	return objects, position, err
 }
 
-func (vmSource vmSource) WatchObjects(ctx context.Context, _ string, after uint64, wait time.Duration) ([]swplatform.Object, uint64, error) {
+func (vmSource vmSource) WatchObjects(ctx context.Context, _ string, after swplatform.Position, wait time.Duration) ([]swplatform.Object, swplatform.Position, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		if vmSource.isSilent() {
-			return nil, 0, vmSource.timeOut(ctx, wait+callTimeout)
+			return nil, swplatform.Position{}, vmSource.timeOut(ctx, wait+callTimeout)
+		}
+		objects, position, changed, err := vmSource.read()
+		if err == nil && position.Revision < after.Revision {
+			err = &swplatform.Error{Reason: swplatform.ErrRevisionTooOld}
 		}
-		objects, revision, changed, err := vmSource.read()
-		if err != nil || revision > after {
-			return objects, revision, err
+		if err != nil || position.Revision > after.Revision {
+			return objects, position, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			if vmSource.isSilent() {
-				return nil, 0, vmSource.timeOut(ctx, callTimeout)
+				return nil, swplatform.Position{}, vmSource.timeOut(ctx, callTimeout)
 			}
-			return nil, revision, nil
+			return nil, position, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, swplatform.Position{}, ctx.Err()
 		}
 	}
 }
@@ -139,9 +152,9 @@
 	stops []context.CancelFunc
 	// partitioned holds the VMs that are partitioned from all others.
 	partitioned map[int]bool
-	// revisions holds the revision of the first kind that each VM has received. receivedAt is when it last received a newer
-	// revision, by VM and kind.
-	revisions  []uint64
+	// positions holds the position of the first kind that each VM has received. receivedAt is when it last received a newer
+	// position, by VM and kind.
+	positions  []swplatform.Position
 	receivedAt [][]time.Time
 	// recoveredAt holds the time of the store's recovery in the last change of the first kind that each VM has received.
 	recoveredAt []time.Time
@@ -158,7 +171,7 @@
 	fleet := &testFleet{
 		t: t, store: newTestStore(), group: swgroup.New(context.Background()), partitioned: make(map[int]bool),
 		feeds: make([]*Feed, vms), stops: make([]context.CancelFunc, vms),
-		revisions: make([]uint64, vms), receivedAt: make([][]time.Time, vms),
+		positions: make([]swplatform.Position, vms), receivedAt: make([][]time.Time, vms),
 		recoveredAt: make([]time.Time, vms),
 	}
 	for vm := range vms {
@@ -182,7 +195,7 @@
 	if fleet.stops[vm] != nil {
 		fleet.stops[vm]()
 	}
-	fleet.feeds[vm], fleet.stops[vm], fleet.revisions[vm] = feed, stop, 0
+	fleet.feeds[vm], fleet.stops[vm], fleet.positions[vm] = feed, stop, swplatform.Position{}
 	fleet.receivedAt[vm] = make([]time.Time, kinds)
 	fleet.group.Go(func(context.Context) { feed.Run(ctx) })
 }
@@ -190,15 +203,15 @@
 // kinds returns a number of kinds that all hold the store's object.
 func (fleet *testFleet) kinds(vm, count int) []Kind {
 	kinds := make([]Kind, count)
-	received := make([]uint64, count)
+	received := make([]swplatform.Position, count)
 	for i := range kinds {
 		kinds[i] = Kind{Name: fmt.Sprint("k", i), TracksReachability: true, WatchWait: applyWithin / 2, Receive: func(change swfollow.Change) {
 			fleet.mutex.Lock()
 			defer fleet.mutex.Unlock()
-			if change.Revision > received[i] {
-				received[i], fleet.receivedAt[vm][i] = change.Revision, time.Now()
+			if received[i].Before(change.Position) {
+				received[i], fleet.receivedAt[vm][i] = change.Position, time.Now()
 			}
-			fleet.revisions[vm] = received[0]
+			fleet.positions[vm] = received[0]
 			if i == 0 {
 				fleet.recoveredAt[vm] = change.RecoveredAt
 			}
@@ -265,8 +278,8 @@
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	for _, vm := range vms {
-		if diff := cmp.Diff(fleet.store.revision, fleet.revisions[vm]); diff != "" {
-			fleet.t.Errorf("revision at VM %d after %s (-want +got):\n%s", vm, within, diff)
+		if diff := cmp.Diff(fleet.store.position, fleet.positions[vm]); diff != "" {
+			fleet.t.Errorf("position at VM %d after %s (-want +got):\n%s", vm, within, diff)
 		}
 	}
 }
@@ -443,11 +456,11 @@
 func TestCacheSendsAllObjectsToLaggingPeers(t *testing.T) {
 	cache := newCache()
 	object := func(name string, revision uint64) swplatform.Object {
-		return swplatform.Object{Name: name, Revision: revision, Value: []byte("1")}
+		return swplatform.Object{Name: name, Position: swplatform.Position{Revision: revision}, Value: []byte("1")}
 	}
-	cache.apply(swfollow.Change{Full: true, Revision: 10, Objects: []swplatform.Object{object("a", 5)}})
+	cache.apply(swfollow.Change{Full: true, Position: swplatform.Position{Revision: 10}, Objects: []swplatform.Object{object("a", 5)}})
 	for revision := uint64(11); revision < 11+2*maxLoggedChanges; revision++ {
-		cache.apply(swfollow.Change{Revision: revision, Objects: []swplatform.Object{object("b", revision)}})
+		cache.apply(swfollow.Change{Position: swplatform.Position{Revision: revision}, Objects: []swplatform.Object{object("b", revision)}})
 	}
 	type outcome struct {
 		Whole   bool
@@ -456,7 +469,7 @@
 	last := uint64(10 + 2*maxLoggedChanges)
 	got := make(map[uint64]outcome)
 	for _, revision := range []uint64{0, 9, 10, last - 3, last} {
-		if change, ok := cache.changesSince(revision); ok {
+		if change, ok := cache.changesSince(swplatform.Position{Revision: revision}); ok {
 			got[revision] = outcome{change.Full, len(change.Objects)}
 		}
 	}
@@ -464,7 +477,7 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error("changes (-want +got):\n" + diff)
 	}
-	if _, ok := cache.apply(swfollow.Change{Full: true, Revision: 5}); ok {
+	if _, ok := cache.apply(swfollow.Change{Full: true, Position: swplatform.Position{Revision: 5}}); ok {
 		t.Error("a listing that is older than the cache was applied")
 	}
 }
@@ -472,7 +485,7 @@
 func TestLeavingVMRefusesPolls(t *testing.T) {
 	feed := New(Config{Kinds: []Kind{{Name: "k", TracksReachability: true}}})
 	feed.Leave()
-	if _, err := feed.HandleFollow(t.Context(), "", FollowRequest{Revisions: []uint64{0}}); !errors.Is(err, errLeaving) {
+	if _, err := feed.HandleFollow(t.Context(), "", FollowRequest{Positions: make([]swplatform.Position, 1)}); !errors.Is(err, errLeaving) {
 		t.Errorf("error %v, want %v", err, errLeaving)
 	}
 }
@@ -492,3 +505,33 @@
 		t.Errorf("log %q, want the reason", log.String())
 	}
 }
+
+// TestChangesArriveAfterTheStoreCameBackOlder guards against changes that VMs take for known ones, because the store has lost its latest
+// changes and gives out their revisions again.
+func TestChangesArriveAfterTheStoreCameBackOlder(t *testing.T) {
+	for _, lost := range []uint64{1, 2, 5} {
+		for _, changes := range []uint64{1, 2, 5} {
+			t.Run(fmt.Sprintf("%d lost, %d new", lost, changes), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fleet := newTestFleetOfKinds(t, 4, 2)
+					defer fleet.group.Stop()
+					for range 10 {
+						time.Sleep(time.Second)
+						fleet.store.change()
+					}
+					time.Sleep(time.Second)
+					fleet.store.set(func() { fleet.store.down = true })
+					fleet.store.rollBack(lost)
+					time.Sleep(2 * time.Second)
+					fleet.store.set(func() { fleet.store.down = false })
+					time.Sleep(4 * time.Second)
+					for range changes - 1 {
+						fleet.store.change()
+						time.Sleep(100 * time.Millisecond)
+					}
+					fleet.expectChange(time.Second, 0, 1, 2, 3)
+				})
+			})
+		}
+	}
+}
--- a/internal/swfeed/follow.go
+++ b/internal/swfeed/follow.go
@@ -10,6 +10,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
@@ -21,9 +22,10 @@
 	defer group.Stop()
 	var once sync.Once
 	responded := make(chan struct{})
+	followers := make([]*swfollow.Follower, len(feed.config.Kinds))
 	for i := range feed.config.Kinds {
 		kind := &feed.config.Kinds[i]
-		follower := swfollow.NewFollower(swfollow.FollowerConfig{
+		followers[i] = swfollow.NewFollower(swfollow.FollowerConfig{
 			Source: feed.config.Source, Kind: kind.Name, WatchWait: kind.WatchWait, LapseAfter: feed.config.LapseAfter,
 			Log:     feed.config.Log,
 			Receive: func(change swfollow.Change) { feed.receive(i, change) },
@@ -32,6 +34,10 @@
 				once.Do(func() { close(responded) })
 			},
 		})
+	}
+	feed.setFollowers(followers)
+	defer feed.setFollowers(nil)
+	for i, follower := range followers {
 		group.Go(func(ctx context.Context) {
 			if i > 0 {
 				select {
@@ -53,9 +59,9 @@
 // poll polls a VM once for changes.
 func (feed *Feed) poll(ctx context.Context, peer Peer) {
 	wait, timeout := feed.pollTimeouts(time.Now())
-	request := FollowRequest{Wait: wait, Revisions: make([]uint64, len(feed.caches))}
+	request := FollowRequest{Wait: wait, Positions: make([]swplatform.Position, len(feed.caches)), Era: feed.currentEra()}
 	for i, cache := range feed.caches {
-		request.Revisions[i] = cache.currentRevision()
+		request.Positions[i] = cache.currentPosition()
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -76,7 +82,7 @@
 	}
 	now := time.Now()
 	for i := range reply.Changes {
-		if reply.Changes[i].Revision == 0 {
+		if reply.Changes[i].Position.IsZero() {
 			continue
 		}
 		change, err := reply.Changes[i].decode(feed.config.Kinds[i].Name, now)
@@ -98,7 +104,7 @@
 func (feed *Feed) pollTimeouts(now time.Time) (wait, timeout time.Duration) {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
-	if feed.failedPolls > 0 || feed.caches[0].currentRevision() == 0 {
+	if feed.failedPolls > 0 || feed.caches[0].currentPosition().IsZero() {
 		return retryPollWait, retryPollWait + retryPollSlack
 	}
 	timeout = pollWait + pollSlack
@@ -113,12 +119,14 @@
 func (feed *Feed) receive(kindIndex int, change swfollow.Change) {
 	recoveredAt, ok := feed.caches[kindIndex].apply(change)
 	if !ok {
-		feed.config.Log.Warn().Str("Kind", feed.config.Kinds[kindIndex].Name).Uint64("Revision", change.Revision).
-			Uint64("Held", feed.caches[kindIndex].currentRevision()).Msg("a change that is older than this VM's copies was not applied")
+		feed.config.Log.Warn().Str("Kind", feed.config.Kinds[kindIndex].Name).Object("Position", change.Position).
+			Object("Held", feed.caches[kindIndex].currentPosition()).Msg("a change that is older than this VM's copies was not applied")
 		return
 	}
+	feed.ObserveEra(change.Position.Era)
 	change.RecoveredAt = recoveredAt
 	feed.config.Kinds[kindIndex].Receive(change)
+	feed.logNewEra()
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	close(feed.changed)
--- a/internal/swfeed/message.go
+++ b/internal/swfeed/message.go
@@ -14,8 +14,10 @@
 type FollowRequest struct {
 	_ struct{} `cbor:",toarray"`
 
-	// Revisions holds the revisions that the polling VM has, in the order of the kinds; zero requests all objects.
-	Revisions []uint64
+	// Positions holds the positions that the polling VM has, in the order of the kinds; the zero position requests all objects.
+	Positions []swplatform.Position
+	// Era is the latest era of the store that the polling VM knows.
+	Era uint64
 	// Wait is how long the polled VM may wait for a change.
 	Wait time.Duration
 }
@@ -36,8 +38,8 @@
 
 	// Whole marks a complete listing: objects that it lacks are deleted.
 	Whole bool
-	// Revision is zero when there is no change.
-	Revision uint64
+	// Position is zero when there is no change.
+	Position swplatform.Position
 	Objects  []Object
 	// RegainedAgo is how long ago the store recovered from an outage; it is zero when there was none.
 	RegainedAgo time.Duration
@@ -48,7 +50,7 @@
 	_ struct{} `cbor:",toarray"`
 
 	Name     string
-	Revision uint64
+	Position swplatform.Position
 	Value    []byte
 	Deleted  bool
 	// Packed reports whether Value is compressed.
@@ -64,9 +66,9 @@
 
 // encodeChange encodes a change for a peer. compress returns the compressed value of an object, or nil to send it uncompressed.
 func encodeChange(change swfollow.Change, now time.Time, compress func(object *swplatform.Object) []byte) KindChange {
-	encoded := KindChange{Whole: change.Full, Revision: change.Revision, Objects: make([]Object, len(change.Objects))}
+	encoded := KindChange{Whole: change.Full, Position: change.Position, Objects: make([]Object, len(change.Objects))}
 	for i, object := range change.Objects {
-		encoded.Objects[i] = Object{Name: object.Name, Revision: object.Revision, Deleted: object.Deleted}
+		encoded.Objects[i] = Object{Name: object.Name, Position: object.Position, Deleted: object.Deleted}
 		if object.Deleted {
 			continue
 		}
@@ -82,7 +84,7 @@
 }
 
 func (encoded *KindChange) decode(kind string, now time.Time) (swfollow.Change, error) {
-	change := swfollow.Change{Full: encoded.Whole, Revision: encoded.Revision, Objects: make([]swplatform.Object, len(encoded.Objects))}
+	change := swfollow.Change{Full: encoded.Whole, Position: encoded.Position, Objects: make([]swplatform.Object, len(encoded.Objects))}
 	for i, object := range encoded.Objects {
 		if object.Packed {
 			value, err := swpack.Decompress(object.Value, maxObjectSize)
@@ -92,8 +94,7 @@
 			object.Value = value
 		}
 		change.Objects[i] = swplatform.Object{
-			Kind: kind, Name: object.Name, Version: object.Revision, Revision: object.Revision,
-			Value: object.Value, Deleted: object.Deleted,
+			Kind: kind, Name: object.Name, Position: object.Position, Value: object.Value, Deleted: object.Deleted,
 		}
 	}
 	if encoded.RegainedAgo > 0 {
--- a/internal/swfeed/serve.go
+++ b/internal/swfeed/serve.go
@@ -5,6 +5,8 @@
 	"errors"
 	"slices"
 	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 )
 
 // HandleFollow answers a peer's poll. A VM that was polled follows the store itself for pollerTimeout, so that VMs never poll
@@ -13,6 +15,7 @@
 	if !feed.recordPoll(time.Now()) {
 		return FollowReply{}, errLeaving
 	}
+	feed.observePeerEra(request.Era)
 	if feed.config.OnPoll != nil {
 		feed.config.OnPoll(peer)
 	}
@@ -82,11 +85,11 @@
 	feed.mutex.Unlock()
 	reply := FollowReply{Changes: make([]KindChange, len(feed.caches)), Overdue: feed.overdue(now)}
 	for i, cache := range feed.caches {
-		revision := uint64(0)
-		if i < len(request.Revisions) {
-			revision = request.Revisions[i]
+		var position swplatform.Position
+		if i < len(request.Positions) {
+			position = request.Positions[i]
 		}
-		if change, ok := cache.changesSince(revision); ok {
+		if change, ok := cache.changesSince(position); ok {
 			reply.Changes[i] = encodeChange(change, now, cache.compress)
 		}
 	}
@@ -95,5 +98,5 @@
 
 // hasChanges reports whether any kind changed.
 func (reply *FollowReply) hasChanges() bool {
-	return slices.ContainsFunc(reply.Changes, func(change KindChange) bool { return change.Revision > 0 })
+	return slices.ContainsFunc(reply.Changes, func(change KindChange) bool { return !change.Position.IsZero() })
 }
--- a/internal/swfleet/fleet_test.go
+++ b/internal/swfleet/fleet_test.go
@@ -55,12 +55,12 @@
 	fails   int
 }
 
-func (registry *memoryRegistry) ListStale(context.Context, string) ([]swplatform.Object, uint64, error) {
+func (registry *memoryRegistry) ListStale(context.Context, string) ([]swplatform.Object, swplatform.Position, error) {
 	if registry.fails > 0 {
 		registry.fails--
-		return nil, 0, &swplatform.Error{Reason: swplatform.ErrUnavailable}
+		return nil, swplatform.Position{}, &swplatform.Error{Reason: swplatform.ErrUnavailable}
 	}
-	return registry.objects, 1, nil
+	return registry.objects, swplatform.Position{Revision: 1}, nil
 }
 
 func (registry *memoryRegistry) PutObject(_ context.Context, _, name string, value []byte) error {
--- a/internal/swfleet/maintain_test.go
+++ b/internal/swfleet/maintain_test.go
@@ -22,8 +22,8 @@
 	names  []string
 }
 
-func (registry *sharedRegistry) ListStale(context.Context, string) ([]swplatform.Object, uint64, error) {
-	return nil, 0, nil
+func (registry *sharedRegistry) ListStale(context.Context, string) ([]swplatform.Object, swplatform.Position, error) {
+	return nil, swplatform.Position{}, nil
 }
 
 func (registry *sharedRegistry) PutObject(_ context.Context, kind, name string, value []byte) error {
--- a/internal/swfleet/register.go
+++ b/internal/swfleet/register.go
@@ -19,7 +19,7 @@
 // Store reads and writes objects of this project's kinds in the platform's store.
 type Store interface {
 	// ListStale lists the objects of a kind from data that may be some seconds old. This is cheaper than a current listing.
-	ListStale(ctx context.Context, kind string) ([]swplatform.Object, uint64, error)
+	ListStale(ctx context.Context, kind string) ([]swplatform.Object, swplatform.Position, error)
 	// PutObject creates or replaces an object.
 	PutObject(ctx context.Context, kind, name string, value []byte) error
 }
--- a/internal/swfollow/mirror_test.go
+++ b/internal/swfollow/mirror_test.go
@@ -204,27 +204,27 @@
 	store.down, store.wasDown = down, true
 }
 
-func (store *outageStore) ListObjects(context.Context, string) ([]swplatform.Object, uint64, error) {
+func (store *outageStore) ListObjects(context.Context, string) ([]swplatform.Object, swplatform.Position, error) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.revision++
 	switch {
 	case store.down:
-		return nil, 0, &swplatform.Error{Reason: swplatform.ErrUnavailable}
+		return nil, swplatform.Position{}, &swplatform.Error{Reason: swplatform.ErrUnavailable}
 	case store.wasDown:
-		return objects("a"), store.revision, nil
+		return objects("a"), swplatform.Position{Revision: store.revision}, nil
 	}
-	return objects("a", "b"), store.revision, nil
+	return objects("a", "b"), swplatform.Position{Revision: store.revision}, nil
 }
 
-func (store *outageStore) WatchObjects(ctx context.Context, _ string, after uint64, _ time.Duration) ([]swplatform.Object, uint64, error) {
+func (store *outageStore) WatchObjects(ctx context.Context, _ string, after swplatform.Position, _ time.Duration) ([]swplatform.Object, swplatform.Position, error) {
 	if err := swtimer.Wait(ctx, 100*time.Millisecond); err != nil {
-		return nil, 0, err
+		return nil, swplatform.Position{}, err
 	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	if store.down {
-		return nil, 0, &swplatform.Error{Reason: swplatform.ErrUnavailable}
+		return nil, swplatform.Position{}, &swplatform.Error{Reason: swplatform.ErrUnavailable}
 	}
 	return nil, after, nil
 }
@@ -236,22 +236,22 @@
 	changes chan []swplatform.Object
 }
 
-func (store *scriptedStore) ListObjects(context.Context, string) ([]swplatform.Object, uint64, error) {
+func (store *scriptedStore) ListObjects(context.Context, string) ([]swplatform.Object, swplatform.Position, error) {
 	store.lists++
-	return objects("a"), uint64(store.lists), nil
+	return objects("a"), swplatform.Position{Revision: uint64(store.lists)}, nil
 }
 
-func (store *scriptedStore) WatchObjects(ctx context.Context, _ string, after uint64, _ time.Duration) ([]swplatform.Object, uint64, error) {
+func (store *scriptedStore) WatchObjects(ctx context.Context, _ string, after swplatform.Position, _ time.Duration) ([]swplatform.Object, swplatform.Position, error) {
 	if len(store.watches) > 0 {
 		err := store.watches[0]
 		store.watches = store.watches[1:]
-		return nil, 0, err
+		return nil, swplatform.Position{}, err
 	}
 	select {
 	case changed := <-store.changes:
-		return changed, after + 1, nil
+		return changed, swplatform.Position{Era: after.Era, Revision: after.Revision + 1}, nil
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, swplatform.Position{}, ctx.Err()
 	}
 }
 
--- a/internal/swplatform/call.go
+++ b/internal/swplatform/call.go
@@ -34,23 +34,31 @@
 	body   []byte
 	// etag is the entity tag of the body, or empty without one.
 	etag string
+	// header is the response's header, or nil if there was no response.
+	header http.Header
 }
 
 // read makes a call without side effects and decodes the response into target.
 func (client *Client) read(ctx context.Context, apiRequest apiRequest, target any) (err error) {
 	defer client.observe(apiRequest, time.Now(), &err)
-	_, err = client.readWithETag(ctx, apiRequest, target)
+	_, err = client.readResponse(ctx, apiRequest, target)
 	return err
 }
 
 // readWithETag is like read and also returns the entity tag of the response. A call with the tag of an earlier response
 // leaves target unchanged if that response is still current.
 func (client *Client) readWithETag(ctx context.Context, apiRequest apiRequest, target any) (etag string, err error) {
+	response, err := client.readResponse(ctx, apiRequest, target)
+	return response.etag, err
+}
+
+// readResponse is like read and also returns the response, if there was one.
+func (client *Client) readResponse(ctx context.Context, apiRequest apiRequest, target any) (response, error) {
 	response, _, err := client.send(ctx, apiRequest)
 	if err != nil {
-		return "", &Error{Operation: apiRequest.describe(), Reason: ErrUnavailable, Cause: err}
+		return response, &Error{Operation: apiRequest.describe(), Reason: ErrUnavailable, Cause: err}
 	}
-	return response.etag, decodeReadResponse(&apiRequest, &response, target)
+	return response, decodeReadResponse(&apiRequest, &response, target)
 }
 
 func decodeReadResponse(apiRequest *apiRequest, response *response, target any) error {
@@ -99,7 +107,8 @@
 	return Object{}, &Error{Operation: apiRequest.describe(), Reason: ErrOutcomeUnknown, Status: response.status}
 }
 
-// sendWrite sends a call that changes an object, unless its value is too large, and returns the response if its status is 2xx.
+// sendWrite sends a call that changes an object, unless its value is too large. It returns the response, and an error unless its status is
+// 2xx.
 func (client *Client) sendWrite(ctx context.Context, apiRequest apiRequest) (response, error) {
 	if len(apiRequest.body) > MaxValueSize {
 		cause := errors.Errorf("value of %d bytes exceeds the limit of %d", len(apiRequest.body), MaxValueSize)
@@ -114,7 +123,7 @@
 		return response{}, &Error{Operation: apiRequest.describe(), Reason: reason, Cause: err}
 	}
 	if answer.status < http.StatusOK || answer.status >= http.StatusMultipleChoices {
-		return response{}, &Error{Operation: apiRequest.describe(), Reason: writeReason(answer.status), Status: answer.status}
+		return answer, &Error{Operation: apiRequest.describe(), Reason: writeReason(answer.status), Status: answer.status}
 	}
 	return answer, nil
 }
@@ -179,7 +188,7 @@
 	if len(body) > maxResponseSize {
 		return response{}, errors.Errorf("response exceeds %d bytes", maxResponseSize)
 	}
-	return response{status: httpResponse.StatusCode, body: body, etag: httpResponse.Header.Get(headerETag)}, nil
+	return response{status: httpResponse.StatusCode, body: body, etag: httpResponse.Header.Get(headerETag), header: httpResponse.Header}, nil
 }
 
 func escapePath(elements []string) []string {
--- a/internal/swplatform/client_test.go
+++ b/internal/swplatform/client_test.go
@@ -41,7 +41,7 @@
 
 func TestCallsFollowTheProtocol(t *testing.T) {
 	const object = `{"Kind":"Rules","Name":"main","Version":3,"Revision":9,"Value":{"Text":"x"}}`
-	want := Object{Kind: "Rules", Name: "main", Version: 3, Revision: 9, Value: json.RawMessage(`{"Text":"x"}`)}
+	want := Object{Kind: "Rules", Name: "main", Version: 3, Position: Position{Revision: 9}, Value: json.RawMessage(`{"Text":"x"}`)}
 	tests := []struct {
 		name, line, ifMatch, ifNoneMatch, body string
 		status                                 int
@@ -171,7 +171,8 @@
 			return err
 		}, ErrRejected},
 		{"write of another package's object above the size limit", respondWith(200, "{}"), func(ctx context.Context, client *Client) error {
-			return client.Write(ctx, Request{Operation: "put", Kind: "k", Method: http.MethodPut, Body: make([]byte, MaxValueSize+1)}, nil)
+			_, err := client.Write(ctx, Request{Operation: "put", Kind: "k", Method: http.MethodPut, Body: make([]byte, MaxValueSize+1)}, nil)
+			return err
 		}, ErrRejected},
 	}
 	for _, test := range tests {
--- a/internal/swplatform/error.go
+++ b/internal/swplatform/error.go
@@ -22,6 +22,9 @@
 	ErrOutcomeUnknown = errors.New("outcome of write unknown")
 	// ErrRevisionTooOld means that the store no longer keeps the changes since the watch's revision: list the objects again.
 	ErrRevisionTooOld = errors.New("revision too old")
+	// ErrFormerEra means that the response belongs to an era that the store has left: it says nothing about the current state. Call
+	// again.
+	ErrFormerEra = errors.New("response of a former era of the platform's store")
 	// ErrRejected means that the call was rejected, for example as malformed or too large. A write had no effect.
 	ErrRejected = errors.New("rejected by platform")
 	// ErrMalformedResponse means that the response to a read does not follow the protocol.
--- a/internal/swplatform/object.go
+++ b/internal/swplatform/object.go
@@ -14,8 +14,8 @@
 	Name string
 	// Version counts the writes of this object.
 	Version uint64
-	// Revision counts the writes of the whole store.
-	Revision uint64
+	// Position is where in the store's history the object last changed, where the store names it.
+	Position Position `json:"Revision"`
 	// Value is a JSON document. It is empty in the result of a write.
 	Value json.RawMessage
 	// Deleted marks an object that a watch reports as removed.
--- a/internal/swplatform/request.go
+++ b/internal/swplatform/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/url"
 	"time"
 )
@@ -21,27 +22,28 @@
 	Wait time.Duration
 }
 
-// Read makes a call without side effects and decodes the JSON response into target. It fails with the same errors as Get.
-func (client *Client) Read(ctx context.Context, request Request, target any) error {
-	return client.read(ctx, request.toAPIRequest(), target)
+// Read makes a call without side effects and decodes the JSON response into target. It returns the header of the response, or nil if
+// there was none, and fails with the same errors as Get.
+func (client *Client) Read(ctx context.Context, request Request, target any) (header http.Header, err error) {
+	apiRequest := request.toAPIRequest()
+	defer client.observe(apiRequest, time.Now(), &err)
+	response, err := client.readResponse(ctx, apiRequest, target)
+	return response.header, err
 }
 
-// Write makes a call that changes an object and decodes the JSON response into target, which may be nil. It fails with the
-// same errors as Update.
-func (client *Client) Write(ctx context.Context, request Request, target any) (err error) {
+// Write makes a call that changes an object and decodes the JSON response into target, which may be nil. It returns the header of the
+// response, or nil if there was none, and fails with the same errors as Update.
+func (client *Client) Write(ctx context.Context, request Request, target any) (header http.Header, err error) {
 	apiRequest := request.toAPIRequest()
 	defer client.observe(apiRequest, time.Now(), &err)
 	response, err := client.sendWrite(ctx, apiRequest)
-	if err != nil {
-		return err
-	}
-	if target == nil || len(response.body) == 0 {
-		return nil
+	if err != nil || target == nil || len(response.body) == 0 {
+		return response.header, err
 	}
 	if err := json.Unmarshal(response.body, target); err != nil {
-		return &Error{Operation: apiRequest.describe(), Reason: ErrOutcomeUnknown, Status: response.status, Cause: err}
+		return response.header, &Error{Operation: apiRequest.describe(), Reason: ErrOutcomeUnknown, Status: response.status, Cause: err}
 	}
-	return nil
+	return response.header, nil
 }
 
 func (request *Request) toAPIRequest() apiRequest {
--- a/internal/swrollout/platform_test.go
+++ b/internal/swrollout/platform_test.go
@@ -61,7 +61,7 @@
 func (platform *fakePlatform) store(kind, name string, value []byte) swplatform.Object {
 	platform.revision++
 	object := platform.objects[kind+"/"+name]
-	object = swplatform.Object{Kind: kind, Name: name, Version: object.Version + 1, Revision: platform.revision, Value: value}
+	object = swplatform.Object{Kind: kind, Name: name, Version: object.Version + 1, Position: swplatform.Position{Revision: platform.revision}, Value: value}
 	platform.objects[kind+"/"+name] = object
 	return object
 }
@@ -114,7 +114,7 @@
 func (platform *fakePlatform) since(kind string, after uint64) []swplatform.Object {
 	var objects []swplatform.Object
 	for _, object := range platform.objects {
-		if object.Kind == kind && object.Revision > after {
+		if object.Kind == kind && object.Position.Revision > after {
 			objects = append(objects, object)
 		}
 	}
--- a/lab/internal/swlabsoak/fleet.go
+++ b/lab/internal/swlabsoak/fleet.go
@@ -18,6 +18,7 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/sycamorewall/sycamorewall/internal/swedit"
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
@@ -153,7 +154,7 @@
 		return err
 	}
 	defer client.Close()
-	rules := swedit.NewVersionedStore(platform.NewStore(client), swfollow.KindShared, swfollow.PrefixRules)
+	rules := swedit.NewVersionedStore(platform.NewStore(client, swplatform.NewEraTracker(zerolog.Nop())), swfollow.KindShared, swfollow.PrefixRules)
 	_, err = swedit.New(swedit.Config{Store: rules}).Apply(context.Background(), swedit.Request{
 		By: "soak", Text: "refuse Path=" + refusedPath + "* # the soak\npass # the soak\n",
 	})
--- a/lab/internal/swlabusers/rules_test.go
+++ b/lab/internal/swlabusers/rules_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"github.com/sycamorewall/sycamorewall/cmd"
 	"github.com/sycamorewall/sycamorewall/internal/swedit"
@@ -31,7 +32,7 @@
 		t.Fatal(err)
 	}
 	defer client.Close()
-	rules := swedit.NewVersionedStore(platform.NewStore(client), swfollow.KindShared, swfollow.PrefixRules)
+	rules := swedit.NewVersionedStore(platform.NewStore(client, swplatform.NewEraTracker(zerolog.Nop())), swfollow.KindShared, swfollow.PrefixRules)
 	editor := swedit.New(swedit.Config{Store: rules})
 	apply := func(base uint64, text string) (uint64, error) {
 		result, err := editor.Apply(t.Context(), swedit.Request{Base: base, By: "ana", Text: text})
