Keep VMs in the fleet that a restored store has lost

A store that came back from a copy from before the VMs registered lists none of them.

A VM whose own object is missing from a complete listing writes it within a second, at a random moment, rather than at the next check after up to 5 s.

TestVMsKeepTheirSharesWhenTheStoreLosesTheRegistry counted 3 of 50 VMs with the former grace and listing.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -192,7 +192,9 @@
 }
 
 func newVMMirror(fleet *swfleet.Fleet) *swfollow.Mirror[swfleet.VM] {
-	return swfollow.NewMirror(swfollow.MirrorConfig[swfleet.VM]{Decode: swfleet.Decode, Apply: fleet.Apply})
+	return swfollow.NewMirror(swfollow.MirrorConfig[swfleet.VM]{
+		Decode: swfleet.Decode, Apply: fleet.Apply, RemovalGrace: swfleet.RemovalGrace,
+	})
 }
 
 func newSharedRecordStore(store *platform.Store, group *swgroup.Group, log zerolog.Logger) *swrecord.Store {
@@ -239,6 +241,7 @@
 			}},
 			{Name: platform.KindServers, TracksReachability: true, WatchWait: settings.DrainWithin / watchesPerDeadline, Receive: dependencies.Servers.Receive},
 			{Name: swfollow.KindShared, WatchWait: sharedWatchWait, Receive: func(change swfollow.Change) {
+				dependencies.Fleet.ObserveListing(change)
 				dependencies.VMs.Receive(change.WithPrefix(swfollow.PrefixVM))
 				dependencies.Records.Receive(change.WithPrefix(swfollow.PrefixRecord))
 				receiveRules(dependencies.Rules, change.WithPrefix(swfollow.PrefixRules), dependencies.Log)
@@ -366,6 +369,7 @@
 
 func (components *gatewayComponents) start(context.Context) error {
 	components.Group.Go(components.Servers.Run)
+	components.Group.Go(components.VMs.Run)
 	components.Group.Go(components.joinFleet)
 	components.Group.Go(components.pruneStatistics)
 	components.Group.Go(func(ctx context.Context) { monitorClocks(ctx, components.Log) })
--- a/internal/swfleet/fleet.go
+++ b/internal/swfleet/fleet.go
@@ -65,8 +65,9 @@
 	relays map[string][]swrelay.Relay
 	// lastPolled is when each VM last polled this one.
 	lastPolled map[string]time.Time
-	// unregistered is set while this VM's own object is not in the store.
-	unregistered bool
+	// unregistered is set while this VM's own object is not in the store, and becameUnregistered receives a signal when it is set.
+	unregistered       bool
+	becameUnregistered chan struct{}
 	// view caches the result of View; nil when it must be computed.
 	view *swmember.View
 }
@@ -79,6 +80,29 @@
 		counts:     map[string]int{self.DataCentre: 1},
 		relays:     make(map[string][]swrelay.Relay),
 		lastPolled: make(map[string]time.Time),
+
+		becameUnregistered: make(chan struct{}, 1),
+	}
+}
+
+// ObserveListing checks whether a complete listing of the registry holds this VM. A store that came back from an older copy may have
+// lost its object.
+func (fleet *Fleet) ObserveListing(change swfollow.Change) {
+	isListed := func(object swplatform.Object) bool { return object.Name == fleet.self.objectName() && !object.Deleted }
+	if !change.Full || slices.ContainsFunc(change.Objects, isListed) {
+		return
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.markUnregistered()
+}
+
+// markUnregistered records that this VM's object is not in the store. The caller holds the mutex.
+func (fleet *Fleet) markUnregistered() {
+	fleet.unregistered = true
+	select {
+	case fleet.becameUnregistered <- struct{}{}:
+	default:
 	}
 }
 
@@ -95,7 +119,7 @@
 	for _, object := range removed {
 		name := strings.TrimPrefix(object, swfollow.PrefixVM)
 		if name == fleet.self.Name {
-			fleet.unregistered = true
+			fleet.markUnregistered()
 			continue
 		}
 		delete(fleet.vms, name)
--- a/internal/swfleet/maintain.go
+++ b/internal/swfleet/maintain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,6 +17,11 @@
 	removeAfter = 10 * time.Minute
 	// maintainInterval is the time between two checks of the registry.
 	maintainInterval = 5 * time.Second
+	// registerSpread is the time over which the VMs whose objects the store has lost write them again.
+	registerSpread = time.Second
+	// RemovalGrace is how long VMs that the store has lost stay in the fleet. Without them, each VM would take the shares of all for
+	// itself: of retry budgets, rate limits and connections.
+	RemovalGrace = 2 * maintainInterval
 )
 
 // RegistryStore is the store that Maintain needs.
@@ -36,10 +42,12 @@
 // leader removes VMs that have not polled it for removeAfter; otherwise, failed VMs would stay registered forever.
 func (fleet *Fleet) Maintain(ctx context.Context, store RegistryStore, isLeader func() bool, log zerolog.Logger) {
 	leaderSince := time.Now()
-	for swtimer.Wait(ctx, maintainInterval) == nil {
+	for interval := maintainInterval; fleet.waitForCheck(ctx, interval) == nil; {
+		interval = maintainInterval
 		if fleet.isUnregistered() {
 			if err := fleet.register(ctx, store); err != nil {
 				log.Warn().Err(err).Msg("re-registration in the platform's store failed")
+				interval = maxRegisterBackoff
 				continue
 			}
 			fleet.setUnregistered(false)
@@ -59,6 +67,20 @@
 	}
 }
 
+// waitForCheck waits for an interval, or until this VM learns that it is not registered.
+func (fleet *Fleet) waitForCheck(ctx context.Context, interval time.Duration) error {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-fleet.becameUnregistered:
+		return swtimer.Wait(ctx, time.Duration(rand.Int64N(int64(registerSpread))))
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // unresponsive returns this data centre's VMs without a poll for removeAfter, counted from when this VM became the leader.
 func (fleet *Fleet) unresponsive(leaderSince, now time.Time) []VM {
 	fleet.mutex.RLock()
--- a/internal/swfleet/maintain_test.go
+++ b/internal/swfleet/maintain_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 )
@@ -53,6 +54,59 @@
 	return slices.Sorted(slices.Values(registry.names))
 }
 
+// TestVMsKeepTheirSharesWhenTheStoreLosesTheRegistry guards against VMs that take the budgets and limits of all for themselves, because
+// the store came back from a copy from before they registered.
+func TestVMsKeepTheirSharesWhenTheStoreLosesTheRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 50
+		group := swgroup.New(t.Context())
+		defer group.Stop()
+		registry := &sharedRegistry{}
+		var mirrors []*swfollow.Mirror[VM]
+		for i := range vms {
+			fleet := New(newVM(i, "dc", 1))
+			registry.fleets = append(registry.fleets, fleet)
+			mirror := swfollow.NewMirror(swfollow.MirrorConfig[VM]{Decode: Decode, Apply: fleet.Apply, RemovalGrace: RemovalGrace})
+			mirrors = append(mirrors, mirror)
+			group.Go(mirror.Run)
+			group.Go(func(ctx context.Context) {
+				fleet.Maintain(ctx, registry, func() bool { return i == 0 }, zerolog.Nop())
+			})
+		}
+		deliver := func(change swfollow.Change) {
+			for i, mirror := range mirrors {
+				registry.fleets[i].ObserveListing(change)
+				mirror.Receive(change)
+			}
+		}
+		var objects []swplatform.Object
+		for i := range vms {
+			vm := newVM(i, "dc", 1)
+			value, err := vm.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			objects = append(objects, swplatform.Object{Name: vm.objectName(), Value: value})
+		}
+		deliver(swfollow.Change{Full: true, Objects: objects})
+		time.Sleep(maintainInterval / 2)
+		deliver(swfollow.Change{Full: true, Objects: objects[:3], RecoveredAt: time.Now()})
+		smallest := vms
+		for range 150 {
+			time.Sleep(10 * time.Millisecond)
+			for _, fleet := range registry.fleets {
+				smallest = min(smallest, fleet.Len())
+			}
+		}
+		if diff := cmp.Diff(vms, smallest); diff != "" {
+			t.Error("smallest number of VMs that a VM counted (-want +got):\n" + diff)
+		}
+		if diff := cmp.Diff(vms-3, len(registry.sorted())); diff != "" {
+			t.Error("VMs that registered again (-want +got):\n" + diff)
+		}
+	})
+}
+
 // Of three VMs in a data centre, the first is the leader. One never polls it and must be removed, one is partitioned for a
 // while and must register again. A VM of another data centre must stay.
 func TestUnresponsiveVMsAreRemovedFromTheRegistry(t *testing.T) {
