Keep one certificate authority when the store loses it

When the store came back from a copy from before the authority was created, VMs that started afterwards created another one. VMs with different authorities can't talk: they neither poll each other nor relay attempts, for the rest of their lives.

Each VM reads the authority after the store's return, the leaders of the data centres at once and the others within a second. It writes it again if it is missing, and opens its transport anew if another one is there.

The first era that a process meets is no longer reported as a new one.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -398,9 +398,16 @@
 	relayServer := swrelay.NewServer(swrelay.ServerConfig{
 		Replicas: components.Replicas, Codec: swgateway.Codec{Protocol: platform.Headers{}}, Leaving: components.Server.Leaving,
 	})
-	if err := components.Peers.open(ctx, components.Config.Settings, components.Store, components.Feed, relayServer, components.Limiter); err != nil {
+	services := peerServices{feed: components.Feed, relay: relayServer, limiter: components.Limiter}
+	authority, err := components.Peers.open(ctx, components.Config.Settings, components.Store, services)
+	if err != nil {
 		components.Log.Error().Err(err).Msg("cannot communicate with other VMs; following the platform's store")
 	}
+	if authority != nil {
+		components.Group.Go(func(ctx context.Context) {
+			components.Peers.maintainAuthority(ctx, components.Config.Settings, components.Store, authority, services)
+		})
+	}
 	if components.Fleet.Join(ctx, components.Store, components.Log) != nil {
 		return
 	}
--- a/internal/swapp/peers.go
+++ b/internal/swapp/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -12,19 +15,37 @@
 	"github.com/sycamorewall/sycamorewall/internal/swauthority"
 	"github.com/sycamorewall/sycamorewall/internal/swfeed"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 	"github.com/sycamorewall/sycamorewall/internal/swsetting"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
+// restoreSpread is the time over which the VMs that do not lead a data centre check the certificate authority after the store came back
+// from an older copy.
+const restoreSpread = time.Second
+
 // peers is the transport to other VMs. It opens after the certificate authority was read from the platform's store, so that no
 // private key is ever written to a disk.
 type peers struct {
 	node atomic.Pointer[swpeer.Node]
 	log  zerolog.Logger
+	// newEra receives a signal when the store has come back from an older copy.
+	newEra chan struct{}
+
+	mutex  sync.Mutex
+	closed bool
 }
 
-func newPeers(log zerolog.Logger) *peers {
-	return &peers{log: log}
+func newPeers(eras *swplatform.EraTracker, log zerolog.Logger) *peers {
+	peers := &peers{log: log, newEra: make(chan struct{}, 1)}
+	eras.OnNewEra(func(uint64) {
+		select {
+		case peers.newEra <- struct{}{}:
+		default:
+		}
+	})
+	return peers
 }
 
 var errPeersNotOpen = errors.New("the transport to other VMs is not open")
@@ -45,17 +66,38 @@
 	}
 }
 
-// open reads the certificate authority, listens, and serves peers: those that follow this VM's feed, relay attempts through it,
-// or borrow tokens of rate limits from it.
-func (peers *peers) open(ctx context.Context, settings swsetting.Settings, store swauthority.Store, feed *swfeed.Feed, relay *swrelay.Server, limiter *swadmission.Limiter) error {
+// peerServices serve peers: those that follow this VM's feed, relay attempts through it, or borrow tokens of rate limits from it.
+type peerServices struct {
+	feed    *swfeed.Feed
+	relay   *swrelay.Server
+	limiter *swadmission.Limiter
+}
+
+// open reads the certificate authority, listens and serves peers. It returns the authority.
+func (peers *peers) open(ctx context.Context, settings swsetting.Settings, store swauthority.Store, services peerServices) (*swauthority.Authority, error) {
 	authority, err := swauthority.LoadOrCreate(ctx, store)
 	if err != nil {
-		return errors.Wrap(err, "read the certificate authority")
+		return nil, errors.Wrap(err, "read the certificate authority")
 	}
+	return authority, peers.listen(settings, authority, services)
+}
+
+// listen serves peers with a new certificate of an authority, and stops serving them with a former one.
+func (peers *peers) listen(settings swsetting.Settings, authority *swauthority.Authority, services peerServices) error {
 	config, err := authority.TLS(settings.Name)
 	if err != nil {
 		return err
 	}
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	if peers.closed {
+		return errPeersNotOpen
+	}
+	if former := peers.node.Swap(nil); former != nil {
+		if err := former.Close(); err != nil {
+			peers.log.Warn().Err(err).Msg("closing the transport to other VMs failed")
+		}
+	}
 	node, err := swpeer.Listen(swpeer.Config{
 		Listen: settings.Peer.Listen,
 		TLS:    config,
@@ -66,17 +108,49 @@
 	if err != nil {
 		return err
 	}
-	swpeer.HandleCall(node, swpeer.MethodFollow, feed.HandleFollow)
-	swpeer.HandleCall(node, swpeer.MethodRelay, relay.Handle)
-	swpeer.HandleCall(node, swpeer.MethodTokens, limiter.AllocateTokens)
+	swpeer.HandleCall(node, swpeer.MethodFollow, services.feed.HandleFollow)
+	swpeer.HandleCall(node, swpeer.MethodRelay, services.relay.Handle)
+	swpeer.HandleCall(node, swpeer.MethodTokens, services.limiter.AllocateTokens)
 	node.Serve()
 	peers.node.Store(node)
 	return nil
 }
 
+// maintainAuthority keeps one certificate authority for all VMs when the store comes back from an older copy: the authority is written
+// again if the store has lost it, and replaced here if another VM has created one meanwhile. It returns when the context ends.
+func (peers *peers) maintainAuthority(ctx context.Context, settings swsetting.Settings, store swauthority.Store, held *swauthority.Authority, services peerServices) {
+	for {
+		select {
+		case <-peers.newEra:
+		case <-ctx.Done():
+			return
+		}
+		if !services.feed.IsLeader() && swtimer.Wait(ctx, time.Duration(rand.Int64N(int64(restoreSpread)))) != nil {
+			return
+		}
+		stored, err := swauthority.Restore(ctx, store, held)
+		if err != nil {
+			peers.log.Error().Err(err).Msg("the certificate authority cannot be restored in the platform's store")
+			continue
+		}
+		if stored.Equal(held) {
+			continue
+		}
+		peers.log.Warn().Msg("the platform's store holds another certificate authority; opening the transport to other VMs again")
+		if err := peers.listen(settings, stored, services); err != nil {
+			peers.log.Error().Err(err).Msg("cannot communicate with other VMs; following the platform's store")
+			continue
+		}
+		held = stored
+	}
+}
+
 // Close closes the connections to all peers.
 func (peers *peers) Close() error {
-	node := peers.node.Load()
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	peers.closed = true
+	node := peers.node.Swap(nil)
 	if node == nil {
 		return nil
 	}
--- a/internal/swauthority/authority.go
+++ b/internal/swauthority/authority.go
@@ -87,6 +87,11 @@
 	return &Authority{certificate: certificate, key: private}, nil
 }
 
+// Equal reports whether both are the same authority.
+func (authority *Authority) Equal(other *Authority) bool {
+	return authority.certificate.Equal(other.certificate)
+}
+
 // Certificate returns the authority's own certificate.
 func (authority *Authority) Certificate() *x509.Certificate {
 	return authority.certificate
--- a/internal/swauthority/authority_test.go
+++ b/internal/swauthority/authority_test.go
@@ -71,6 +71,52 @@
 	})
 }
 
+// TestAuthorityLostByTheStoreStaysTheOnlyOne guards against VMs that can't communicate for the rest of their lives: the store came back
+// from a copy from before the authority was created, and VMs that started afterwards created another one.
+func TestAuthorityLostByTheStoreStaysTheOnlyOne(t *testing.T) {
+	for name, lastRestore := range map[string]time.Duration{
+		"restored at once":              0,
+		"restored while VMs start":      300 * time.Millisecond,
+		"restored after VMs have begun": 2 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &fakeStore{}
+				held, err := LoadOrCreate(t.Context(), store)
+				if err != nil {
+					t.Fatal(err)
+				}
+				store.value = nil
+				authorities := make([]*Authority, 8)
+				var vms sync.WaitGroup
+				for vm := range authorities {
+					vms.Go(func() {
+						var err error
+						if vm < 2 {
+							authorities[vm], err = LoadOrCreate(t.Context(), store)
+						} else {
+							time.Sleep(lastRestore * time.Duration(vm) / time.Duration(len(authorities)))
+							authorities[vm], err = Restore(t.Context(), store, held)
+						}
+						if err != nil {
+							t.Error(err)
+						}
+					})
+				}
+				vms.Wait()
+				for vm, authority := range authorities {
+					if !authority.Equal(authorities[0]) {
+						t.Errorf("VM %d has another authority", vm)
+					}
+				}
+				if lastRestore == 0 && !authorities[0].Equal(held) {
+					t.Error("the VMs have another authority than before")
+				}
+			})
+		})
+	}
+}
+
 func TestConnectionsRequireTheSameAuthority(t *testing.T) {
 	authority, err := New()
 	if err != nil {
--- a/internal/swauthority/store.go
+++ b/internal/swauthority/store.go
@@ -61,6 +61,28 @@
 	}
 }
 
+// Restore writes an authority again if the store has lost it because it came back from an older copy. It returns the authority that the
+// store holds: a VM that started meanwhile may have created another one. It retries until the context ends.
+func Restore(ctx context.Context, store Store, held *Authority) (*Authority, error) {
+	value, err := held.Encode()
+	if err != nil {
+		return nil, err
+	}
+	backoff := swplatform.NewBackoff(swplatform.BackoffConfig{InitialDelay: initialReadRetryDelay, MaxDelay: maxReadRetryDelay})
+	for {
+		stored, err := store.GetObject(ctx, ObjectKind, ObjectName, false)
+		if err == nil {
+			return Decode(stored)
+		}
+		if errors.Is(err, swplatform.ErrNotFound) && store.CreateObject(ctx, ObjectKind, ObjectName, value) == nil {
+			return held, nil
+		}
+		if err := backoff.Wait(ctx); err != nil {
+			return nil, err
+		}
+	}
+}
+
 func createAuthority(ctx context.Context, store Store) (*Authority, error) {
 	authority, err := New()
 	if err != nil {
--- a/internal/swplatform/era.go
+++ b/internal/swplatform/era.go
@@ -28,7 +28,7 @@
 	return &EraTracker{log: log}
 }
 
-// OnNewEra registers receive to be called with each later era.
+// OnNewEra registers receive to be called with each era that follows the first one that this process has known.
 func (tracker *EraTracker) OnNewEra(receive func(era uint64)) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
@@ -66,6 +66,9 @@
 	}
 	tracker.era, tracker.warnedFormer = era, false
 	receivers := tracker.onNewEra
+	if latest == 0 {
+		receivers = nil
+	}
 	tracker.mutex.Unlock()
 	for _, receive := range receivers {
 		receive(era)
