Do not use replicas again by a former entry

A store that came back from an older copy lists replicas as they were: one that had reported that it leaves is "ready" again until it writes again, one whose entry was removed is back until that lapses, one that restarted under its ID has its former start. VMs sent them requests.

Entries of one process are ordered by the start and the sequence that it writes: it stays leaving, and a former state changes nothing else. A removed replica that is listed again in a former state gets requests only once it writes its entry, or once the entry was listed for four heartbeats, in which those of dead replicas lapse. An earlier start gets the same: it may be a new process whose clock was set back.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -151,6 +151,7 @@
 	})
 	return swreplica.NewRegistry(swreplica.RegistryConfig{
 		Pool: pool, DataCentre: config.Settings.DataCentre, Region: config.Settings.Region,
+		ConfirmAfter: time.Duration(confirmHeartbeats * float64(config.Settings.Gateway.Heartbeat)),
 	})
 }
 
@@ -209,6 +210,10 @@
 // lapse after three, of which one may have passed before the outage; the intervals vary a little.
 const lapseHeartbeats = 1.85
 
+// confirmHeartbeats is the number of heartbeat intervals after which an entry that the store still lists is that of a live backend server:
+// it lapses after three without a write.
+const confirmHeartbeats = 4.0
+
 // feedDependencies are the components that the feed uses or delivers changes to. fx sets the fields by their types.
 type feedDependencies struct {
 	fx.In
--- a/internal/swreplica/registry.go
+++ b/internal/swreplica/registry.go
@@ -13,6 +13,9 @@
 	// DataCentre and Region are the location of this VM.
 	DataCentre string
 	Region     string
+	// ConfirmAfter is how long the entry of a removed replica must be listed again, without a newer write, until it counts as that of a
+	// live one: the entries of others lapse in this time.
+	ConfirmAfter time.Duration
 }
 
 // Registry holds the replicas by service. It is safe for concurrent use; ServiceReplicas takes no lock.
@@ -85,21 +88,27 @@
 // upsert adds or updates one entry. A replica that was restarted under the same ID starts with no recorded state; one whose entry was
 // removed and comes back keeps what it said about itself. The caller holds the mutex.
 func (registry *Registry) upsert(entry Entry, now time.Time) {
-	existing, ok := registry.byID[entry.ID]
-	if ok {
-		before := existing.Entry()
-		if before.sameProcess(&entry) {
+	former, known := registry.removed[entry.ID]
+	delete(registry.removed, entry.ID)
+	if existing, ok := registry.byID[entry.ID]; ok {
+		if before := existing.Entry(); before.sameProcess(&entry) {
 			existing.update(entry, now)
 			return
 		}
 		existing.Retire()
+		former, known = removedReplica{entry: existing.Entry(), reports: existing.reports}, true
+	}
+	isSameProcess := known && former.entry.sameProcess(&entry)
+	if isSameProcess {
+		entry.keepLeaving(&former.entry)
 	}
 	replica := registry.config.Pool.newReplica(entry, registry.distance(&entry), now)
-	if removed, ok := registry.removed[entry.ID]; ok {
-		if removed.entry.sameProcess(&entry) {
-			replica.reports = removed.reports
-		}
-		delete(registry.removed, entry.ID)
+	if isSameProcess {
+		replica.reports = former.reports
+	}
+	if known && entry.saysNothingNewAfter(&former.entry) {
+		// A start before the known one may also be that of a new process whose clock was set back.
+		replica.unconfirmedUntil = now.Add(registry.config.ConfirmAfter)
 	}
 	registry.byID[entry.ID] = replica
 }
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -62,6 +62,9 @@
 	warmUpEnd time.Time
 
 	mutex sync.Mutex
+	// unconfirmedUntil is until when the replica gets no requests because its entry was removed and is listed again in a former state; the
+	// zero time otherwise.
+	unconfirmedUntil time.Time
 	// retired replicas are no longer listed.
 	retired  bool
 	inFlight map[*InFlightRequest]struct{}
@@ -285,7 +288,7 @@
 	}
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
-	return !replica.retired
+	return !replica.retired && (replica.unconfirmedUntil.IsZero() || !time.Now().Before(replica.unconfirmedUntil))
 }
 
 // AcceptsWork reports whether the replica is in use and wants requests from this VM.
@@ -293,12 +296,21 @@
 	return replica.InUse() && replica.reports.heldFor(time.Now()) <= 0
 }
 
-// update applies a newer entry of the same process.
+// update applies another entry of the same process. A former state of the entry changes only whether the replica leaves.
 func (replica *Replica) update(entry Entry, now time.Time) {
+	known := replica.Entry()
+	isFormer := entry.saysNothingNewAfter(&known)
+	entry.keepLeaving(&known)
+	if isFormer {
+		known.Leaving = entry.Leaving
+		replica.entry.Store(&known)
+		return
+	}
 	replica.entry.Store(&entry)
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	replica.warmUpEnd = now.Add(entry.WarmUpLeft)
+	replica.unconfirmedUntil = time.Time{}
 }
 
 // Retire removes the replica from use. Requests in flight continue, and idle connections are closed.
--- a/internal/swreplica/replica_test.go
+++ b/internal/swreplica/replica_test.go
@@ -143,6 +143,56 @@
 	})
 }
 
+// TestRemovedOrLeavingReplicaIsNotUsedAgainByAFormerEntry guards against requests to a replica that has left, because the store came back
+// from a copy from before it said so or was removed.
+func TestRemovedOrLeavingReplicaIsNotUsedAgainByAFormerEntry(t *testing.T) {
+	const confirmAfter = 5 * time.Second
+	entry := func(sequence, startedMS int64, leaving bool) Entry {
+		return Entry{ID: "a", Service: "s", DataCentre: "dc", StartedAt: time.UnixMilli(startedMS), Sequence: sequence, Leaving: leaving}
+	}
+	type step struct {
+		entry   Entry
+		removed bool
+		wait    time.Duration
+		want    bool
+	}
+	for name, steps := range map[string][]step{
+		"leaves, then a former entry":       {{entry(1, 1, false), false, 0, true}, {entry(2, 1, true), false, 0, false}, {entry(1, 1, false), false, time.Minute, false}},
+		"leaves and is removed":             {{entry(2, 1, true), false, 0, false}, {removed: true}, {entry(1, 1, false), false, time.Minute, false}},
+		"leaves by a former entry":          {{entry(3, 1, false), false, 0, true}, {entry(2, 1, true), false, 0, false}},
+		"removed, then a former entry":      {{entry(2, 1, false), false, 0, true}, {removed: true}, {entry(1, 1, false), false, 0, false}},
+		"removed, then listed as it was":    {{entry(2, 1, false), false, 0, true}, {removed: true}, {entry(2, 1, false), false, 0, false}},
+		"removed, and still listed later":   {{entry(2, 1, false), false, 0, true}, {removed: true}, {entry(1, 1, false), false, confirmAfter, true}},
+		"removed, and writes its entry":     {{entry(2, 1, false), false, 0, true}, {removed: true}, {entry(1, 1, false), false, 0, false}, {entry(3, 1, false), false, 0, true}},
+		"lapsed, and back with a new write": {{entry(2, 1, false), false, 0, true}, {removed: true}, {entry(3, 1, false), false, 0, true}},
+		"restarted, then its former start":  {{entry(1, 2, false), false, 0, true}, {entry(9, 1, false), false, 0, false}, {entry(2, 2, false), false, 0, true}},
+		"restarted with its clock set back": {{entry(9, 2, false), false, 0, true}, {entry(1, 1, false), false, confirmAfter, true}},
+		"restarted after it left":           {{entry(9, 1, true), false, 0, false}, {removed: true}, {entry(1, 2, false), false, 0, true}},
+		"later start removed":               {{entry(1, 2, false), false, 0, true}, {removed: true}, {entry(9, 1, false), false, 0, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				group := swgroup.New(context.Background())
+				defer group.Stop()
+				registry := NewRegistry(RegistryConfig{
+					DataCentre: "dc", ConfirmAfter: confirmAfter, Pool: NewPool(PoolConfig{Group: group, Log: zerolog.Nop()}),
+				})
+				for i, step := range steps {
+					if step.removed {
+						registry.Update(nil, []string{"a"})
+						continue
+					}
+					registry.Update([]Entry{step.entry}, nil)
+					time.Sleep(step.wait)
+					if diff := cmp.Diff(step.want, registry.Find("a").InUse()); diff != "" {
+						t.Errorf("in use after step %d (-want +got):\n%s", i, diff)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestRegistryReplacesRestartedReplica(t *testing.T) {
 	group := swgroup.New(context.Background())
 	defer group.Stop()
