Pass the confirmed configuration on while the store is behind

Between the store's return from an older copy and the operator's second writing, a VM that started got the old configuration from its peers: they held the newer one in force but kept the store's listing for others.

A kind may now keep objects that a listing lacks or holds older (swfeed.Kind.Keeps). Configurations stay until a higher version arrives. A VM that starts and follows the store itself, as the first of its data centre does, still takes what the store holds.

TestVMThatStartsWhileTheStoreIsBehindReceivesWhatItsPeersHold and the table of keepsConfig are new.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -241,7 +241,7 @@
 		LapseAfter: time.Duration(lapseHeartbeats * float64(settings.Heartbeat)),
 		Log:        dependencies.Log,
 		Kinds: []swfeed.Kind{
-			{Name: platform.KindConfig, TracksReachability: true, WatchWait: settings.ApplyWithin / watchesPerDeadline, Receive: func(change swfollow.Change) {
+			{Name: platform.KindConfig, TracksReachability: true, WatchWait: settings.ApplyWithin / watchesPerDeadline, Keeps: keepsConfig, Receive: func(change swfollow.Change) {
 				receiveConfig(dependencies.Routes, change, dependencies.Log)
 			}},
 			{Name: platform.KindServers, TracksReachability: true, WatchWait: settings.DrainWithin / watchesPerDeadline, Receive: dependencies.Servers.Receive},
@@ -257,6 +257,23 @@
 	return feed
 }
 
+// keepsConfig reports whether a configuration stays although another one, or none, arrived in its place: a confirmed version holds until a
+// newer one is confirmed, also for VMs that start after the store came back from an older copy.
+func keepsConfig(held, arrived *swplatform.Object) bool {
+	if held.Name != platform.ConfigName {
+		return false
+	}
+	heldTable, err := platform.DecodeConfig(held.Value)
+	if err != nil {
+		return false
+	}
+	if arrived.Deleted {
+		return true
+	}
+	arrivedTable, err := platform.DecodeConfig(arrived.Value)
+	return err != nil || arrivedTable.Version < heldTable.Version
+}
+
 // receiveConfig applies the configuration in a change if it is newer than the one in force.
 func receiveConfig(routes *swroute.ActiveTable, change swfollow.Change, log zerolog.Logger) {
 	for _, object := range change.Objects {
--- a/internal/swfeed/cache.go
+++ b/internal/swfeed/cache.go
@@ -15,6 +15,8 @@
 
 // cache holds the objects of one kind as of a position of the store, and a log of the latest changes.
 type cache struct {
+	// keeps is Kind.Keeps; it may be nil.
+	keeps    func(held, arrived *swplatform.Object) bool
 	mutex    sync.Mutex
 	objects  map[string]swplatform.Object
 	position swplatform.Position
@@ -41,8 +43,8 @@
 	knownAt swplatform.Position
 }
 
-func newCache() *cache {
-	return &cache{objects: make(map[string]swplatform.Object), compressed: make(map[string]compressedValue)}
+func newCache(keeps func(held, arrived *swplatform.Object) bool) *cache {
+	return &cache{keeps: keeps, objects: make(map[string]swplatform.Object), compressed: make(map[string]compressedValue)}
 }
 
 // apply applies a change, and returns when the store last recovered from an outage or came back from an older copy. ok is false for a
@@ -89,14 +91,17 @@
 	}
 	for name, object := range cache.objects {
 		if !listed[name] {
-			object.Deleted = true
-			cache.put(object, change.Position)
+			cache.put(swplatform.Object{Kind: object.Kind, Name: name, Position: change.Position, Deleted: true}, change.Position)
 		}
 	}
 }
 
-// put stores or deletes one object and logs the change, dropping the older half of a full log. The caller holds the mutex.
+// put stores or deletes one object, unless the held one is kept, and logs the change, dropping the older half of a full log. The caller
+// holds the mutex.
 func (cache *cache) put(object swplatform.Object, at swplatform.Position) {
+	if held, ok := cache.objects[object.Name]; ok && cache.keeps != nil && cache.keeps(&held, &object) {
+		return
+	}
 	if object.Deleted {
 		delete(cache.objects, object.Name)
 		delete(cache.compressed, object.Name)
--- a/internal/swfeed/feed.go
+++ b/internal/swfeed/feed.go
@@ -13,6 +13,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 )
 
 const (
@@ -73,6 +74,10 @@
 	TracksReachability bool
 	// Receive is called with each change, in order.
 	Receive func(change swfollow.Change)
+	// Keeps reports whether this VM keeps the object that it holds, and passes it on to peers, although arrived came from the store in its
+	// place: the store may have come back from a copy from before the held one. arrived is marked deleted if the store has none. It is nil
+	// for objects that never stay.
+	Keeps func(held, arrived *swplatform.Object) bool
 }
 
 // Config configures a Feed.
@@ -141,7 +146,7 @@
 		upstream:      "?",
 	}
 	for i := range feed.caches {
-		feed.caches[i] = newCache()
+		feed.caches[i] = newCache(config.Kinds[i].Keeps)
 	}
 	return feed
 }
--- a/internal/swfeed/feed_test.go
+++ b/internal/swfeed/feed_test.go
@@ -454,7 +454,7 @@
 }
 
 func TestCacheSendsAllObjectsToLaggingPeers(t *testing.T) {
-	cache := newCache()
+	cache := newCache(nil)
 	object := func(name string, revision uint64) swplatform.Object {
 		return swplatform.Object{Name: name, Position: swplatform.Position{Revision: revision}, Value: []byte("1")}
 	}
@@ -535,3 +535,39 @@
 		}
 	}
 }
+
+// TestVMThatStartsWhileTheStoreIsBehindReceivesWhatItsPeersHold guards against a VM that serves an older configuration than its peers,
+// because it starts between the store's return from an older copy and the operator's second writing.
+func TestVMThatStartsWhileTheStoreIsBehindReceivesWhatItsPeersHold(t *testing.T) {
+	object := func(name string, version byte) swplatform.Object {
+		return swplatform.Object{Name: name, Value: []byte{version}}
+	}
+	full := func(position swplatform.Position, objects ...swplatform.Object) swfollow.Change {
+		return swfollow.Change{Full: true, Position: position, Objects: objects}
+	}
+	cache := newCache(func(held, arrived *swplatform.Object) bool {
+		return held.Name == "config" && (arrived.Deleted || arrived.Value[0] < held.Value[0])
+	})
+	for _, step := range []struct {
+		change swfollow.Change
+		want   map[string]byte
+	}{
+		{full(swplatform.Position{Era: 1, Revision: 9}, object("config", 5), object("a", 1)), map[string]byte{"config": 5, "a": 1}},
+		{full(swplatform.Position{Era: 2, Revision: 4}, object("config", 3), object("b", 1)), map[string]byte{"config": 5, "b": 1}},
+		{full(swplatform.Position{Era: 3, Revision: 2}), map[string]byte{"config": 5}},
+		{full(swplatform.Position{Era: 3, Revision: 3}, object("config", 5)), map[string]byte{"config": 5}},
+		{swfollow.Change{Position: swplatform.Position{Era: 3, Revision: 4}, Objects: []swplatform.Object{object("config", 6)}}, map[string]byte{"config": 6}},
+	} {
+		if _, ok := cache.apply(step.change); !ok {
+			t.Errorf("the change at %v was not applied", step.change.Position)
+		}
+		change, _ := cache.changesSince(swplatform.Position{})
+		got := make(map[string]byte)
+		for _, object := range change.Objects {
+			got[object.Name] = object.Value[0]
+		}
+		if diff := cmp.Diff(step.want, got); diff != "" {
+			t.Errorf("objects for a VM that starts, at %v (-want +got):\n%s", step.change.Position, diff)
+		}
+	}
+}
