--- a/internal/swapp/active_rules.go
+++ b/internal/swapp/active_rules.go
@@ -6,10 +6,16 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sycamorewall/sycamorewall/internal/swedit"
+	"github.com/sycamorewall/sycamorewall/internal/swfollow"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swquery"
 	"github.com/sycamorewall/sycamorewall/pkg/swrule"
 )
 
+// rulesObject is the name of the object that holds the rules of the gateway.
+const rulesObject = swfollow.PrefixRules + swedit.NameMain
+
 // activeRules holds the rules in force and their version.
 type activeRules struct {
 	current atomic.Pointer[ruleVersion]
@@ -21,6 +27,8 @@
 type ruleVersion struct {
 	ruleSet *swrule.RuleSet
 	version uint64
+	// object is the object of the users' platform's store that holds the rules.
+	object swplatform.Object
 }
 
 func newActiveRules() *activeRules {
@@ -36,16 +44,42 @@
 	return current.ruleSet, current.version, true
 }
 
-// set decodes rules and puts them in force.
-func (activeRules *activeRules) set(version uint64, value []byte) error {
+// set decodes rules and puts them in force. object is the stored object that holds them, on the users' platform.
+func (activeRules *activeRules) set(version uint64, value []byte, object swplatform.Object) error {
 	ruleSet, err := parseRules(value)
 	if err != nil {
 		return err
 	}
-	activeRules.current.Store(&ruleVersion{ruleSet: ruleSet, version: version})
+	activeRules.current.Store(&ruleVersion{ruleSet: ruleSet, version: version, object: object})
 	return nil
 }
 
+// inForce returns the stored object that holds the rules in force. ok is false if there are none.
+func (activeRules *activeRules) inForce() (object swplatform.Object, ok bool) {
+	current := activeRules.current.Load()
+	if current == nil {
+		return swplatform.Object{}, false
+	}
+	return current.object, true
+}
+
+// keepsRules reports whether rules stay although others, or none, came from the store in their place: the store has come back from a copy
+// from before the held ones were written. Rules that were written after its return replace them, whatever their version.
+func keepsRules(held, arrived *swplatform.Object) bool {
+	if held.Name != rulesObject || held.Position.Era >= arrived.Position.Era {
+		return false
+	}
+	heldValue, err := swedit.DecodeVersionedValue(held.Value)
+	if err != nil {
+		return false
+	}
+	if arrived.Deleted {
+		return true
+	}
+	arrivedValue, err := swedit.DecodeVersionedValue(arrived.Value)
+	return err != nil || arrivedValue.Before(&heldValue)
+}
+
 // parseRules decodes and parses the value of a Rules object. Warnings are ignored.
 func parseRules(value []byte) (*swrule.RuleSet, error) {
 	var object struct{ Text string }
--- a/internal/swapp/active_rules_test.go
+++ b/internal/swapp/active_rules_test.go
@@ -45,10 +45,10 @@
 		t.Run(name, func(t *testing.T) {
 			activeRules := newActiveRules()
 			if test.objects == nil {
-				receiveRules(activeRules, swfollow.Change{Full: true}, zerolog.Nop())
+				receiveRules(activeRules, swfollow.Change{Full: true}, nil, zerolog.Nop())
 			}
 			for _, object := range test.objects {
-				receiveRules(activeRules, swfollow.Change{Objects: []swplatform.Object{object}}, zerolog.Nop())
+				receiveRules(activeRules, swfollow.Change{Objects: []swplatform.Object{object}}, nil, zerolog.Nop())
 			}
 			_, version, _ := activeRules.Current()
 			if diff := cmp.Diff([]any{test.version, test.synced}, []any{version, activeRules.synced.Load()}); diff != "" {
--- a/internal/swapp/bind.go
+++ b/internal/swapp/bind.go
@@ -12,6 +12,7 @@
 	"github.com/sycamorewall/sycamorewall/internal/swkey"
 	"github.com/sycamorewall/sycamorewall/internal/swmember"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
+	"github.com/sycamorewall/sycamorewall/internal/swplatform"
 	"github.com/sycamorewall/sycamorewall/internal/swquery"
 	"github.com/sycamorewall/sycamorewall/internal/swrollout"
 	"github.com/sycamorewall/sycamorewall/internal/swsetting"
@@ -53,7 +54,7 @@
 		if document.Name != swrollout.RulesName {
 			return
 		}
-		logApplied(log, document, rules.set(document.Version, document.Value))
+		logApplied(log, document, rules.set(document.Version, document.Value, swplatform.Object{}))
 	})
 	store.Subscribe(swindex.KindCatalogue, func(document swrollout.Document) {
 		catalogue, err := swindex.DecodeCatalogue(document.Value)
--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -86,7 +87,7 @@
 			newLogger, newGroup, newRecorder, newMetricServer, newGracePeriod,
 			newPlatformClient, newActiveTable, newReplicaRegistry, newGatewayQuarantine, newServerMirror,
 			newEraTracker, newObjectStore, newFleet, newVMMirror, newPeers, newSharedRecordStore,
-			newFeed, newRelayClient, newActiveRules, newGatewayLimiter, newGatewayHandler, newGatewayServer,
+			newFeed, newRelayClient, newActiveRules, newRuleRestorer, newGatewayLimiter, newGatewayHandler, newGatewayServer,
 		),
 		fx.Invoke(bindGatewayLifecycle),
 		fx.Invoke(func(components gatewayComponents) { gateway.components = &components }),
@@ -218,17 +219,18 @@
 type feedDependencies struct {
 	fx.In
 
-	Config  Config
-	Store   *platform.Store
-	Eras    *swplatform.EraTracker
-	Peers   *peers
-	Fleet   *swfleet.Fleet
-	Routes  *swroute.ActiveTable
-	Servers *swfollow.Mirror[swreplica.Entry]
-	VMs     *swfollow.Mirror[swfleet.VM]
-	Records *swrecord.Store
-	Rules   *activeRules
-	Log     zerolog.Logger
+	Config   Config
+	Store    *platform.Store
+	Eras     *swplatform.EraTracker
+	Peers    *peers
+	Fleet    *swfleet.Fleet
+	Routes   *swroute.ActiveTable
+	Servers  *swfollow.Mirror[swreplica.Entry]
+	VMs      *swfollow.Mirror[swfleet.VM]
+	Records  *swrecord.Store
+	Rules    *activeRules
+	Restorer *ruleRestorer
+	Log      zerolog.Logger
 }
 
 func newFeed(dependencies feedDependencies) *swfeed.Feed {
@@ -245,15 +247,16 @@
 				receiveConfig(dependencies.Routes, change, dependencies.Log)
 			}},
 			{Name: platform.KindServers, TracksReachability: true, WatchWait: settings.DrainWithin / watchesPerDeadline, Receive: dependencies.Servers.Receive},
-			{Name: swfollow.KindShared, WatchWait: sharedWatchWait, Receive: func(change swfollow.Change) {
+			{Name: swfollow.KindShared, WatchWait: sharedWatchWait, Keeps: keepsRules, Receive: func(change swfollow.Change) {
 				dependencies.Fleet.ObserveListing(change)
 				dependencies.VMs.Receive(change.WithPrefix(swfollow.PrefixVM))
 				dependencies.Records.Receive(change.WithPrefix(swfollow.PrefixRecord))
-				receiveRules(dependencies.Rules, change.WithPrefix(swfollow.PrefixRules), dependencies.Log)
+				receiveRules(dependencies.Rules, change, dependencies.Restorer.restore, dependencies.Log)
 			}},
 		},
 	})
 	dependencies.Eras.OnNewEra(feed.ObserveEra)
+	dependencies.Restorer.isLeader = feed.IsLeader
 	return feed
 }
 
@@ -291,21 +294,30 @@
 	}
 }
 
-// receiveRules applies the rules in a change. If they were deleted or are invalid, the last valid rules stay in force: a mistake
-// in the store must not let requests pass that the rules refuse. A VM that has no rules yet is not ready while the stored rules
-// are invalid.
-func receiveRules(rules *activeRules, change swfollow.Change, log zerolog.Logger) {
-	for _, object := range change.Objects {
-		if object.Name != swfollow.PrefixRules+swedit.NameMain {
+// receiveRules applies the rules in a change, and calls onLost with what the store holds instead if it has lost the rules in force. If the
+// rules were deleted or are invalid, the last valid ones stay in force: a mistake in the store must not let requests pass that the rules
+// refuse. A VM that has no rules yet is not ready while the stored rules are invalid.
+func receiveRules(rules *activeRules, change swfollow.Change, onLost func(stored swplatform.Object), log zerolog.Logger) {
+	objects := slices.DeleteFunc(slices.Clone(change.Objects), func(object swplatform.Object) bool { return object.Name != rulesObject })
+	if change.Full && len(objects) == 0 {
+		objects = append(objects, swplatform.Object{Name: rulesObject, Position: change.Position, Deleted: true})
+	}
+	for _, object := range objects {
+		held, inForce := rules.inForce()
+		if inForce && keepsRules(&held, &object) {
+			log.Warn().Object("Position", object.Position).Msg("the platform's store has lost the rules in force; they stay in force")
+			onLost(object)
 			continue
 		}
 		if object.Deleted {
-			log.Error().Msg("the rules were deleted, the last ones stay in force")
+			if inForce {
+				log.Error().Msg("the rules were deleted, the last ones stay in force")
+			}
 			continue
 		}
 		versioned, err := swedit.DecodeVersionedValue(object.Value)
 		if err == nil {
-			err = rules.set(versioned.Version, versioned.Value)
+			err = rules.set(versioned.Version, versioned.Value, object)
 		}
 		if err != nil {
 			log.Error().Err(err).Object("Position", object.Position).Msg("invalid rules, the last good ones stay in force")
--- a/internal/swedit/versioned.go
+++ b/internal/swedit/versioned.go
@@ -14,6 +14,8 @@
 	ReadObject(ctx context.Context, kind, name string) (swplatform.Object, error)
 	CreateObject(ctx context.Context, kind, name string, value []byte) error
 	ReplaceObject(ctx context.Context, kind, name string, at swplatform.Position, value []byte) error
+	// Era returns the latest known era of the store.
+	Era() uint64
 }
 
 // VersionedStore is a Store on top of an ObjectStore. It counts the versions of objects itself and stores each object's
@@ -34,13 +36,24 @@
 
 // VersionedValue is the stored form of an object: its version and its value.
 type VersionedValue struct {
+	// Era is the store's era in which the version was written. A store that came back from an older copy may lose versions, which are
+	// then given out again.
+	Era     uint64 `json:",omitempty"`
 	Version uint64
 	Value   json.RawMessage
 }
 
-// encodeVersionedValue returns the stored form of an object.
-func encodeVersionedValue(version uint64, value []byte) ([]byte, error) {
-	encoded, err := json.Marshal(VersionedValue{Version: version, Value: value})
+// Before reports whether the value was written before other.
+func (versionedValue *VersionedValue) Before(other *VersionedValue) bool {
+	if versionedValue.Era != other.Era {
+		return versionedValue.Era < other.Era
+	}
+	return versionedValue.Version < other.Version
+}
+
+// Encode returns the stored form of an object.
+func (versionedValue *VersionedValue) Encode() ([]byte, error) {
+	encoded, err := json.Marshal(versionedValue)
 	return encoded, errors.Wrap(err, "encode versioned object")
 }
 
@@ -76,7 +89,8 @@
 
 // Create creates an object at version 1. It fails with swplatform.ErrConflict if the object exists.
 func (store *VersionedStore) Create(ctx context.Context, kind, name string, value []byte) (swplatform.Object, error) {
-	encoded, err := encodeVersionedValue(1, value)
+	versionedValue := VersionedValue{Era: store.store.Era(), Version: 1, Value: value}
+	encoded, err := versionedValue.Encode()
 	if err != nil {
 		return swplatform.Object{}, err
 	}
@@ -96,7 +110,8 @@
 	if current.Version != version {
 		return swplatform.Object{}, swplatform.ErrConflict
 	}
-	encoded, err := encodeVersionedValue(version+1, value)
+	versionedValue := VersionedValue{Era: current.Position.Era, Version: version + 1, Value: value}
+	encoded, err := versionedValue.Encode()
 	if err != nil {
 		return swplatform.Object{}, err
 	}
--- a/internal/swplatform/era.go
+++ b/internal/swplatform/era.go
@@ -35,6 +35,13 @@
 	tracker.onNewEra = append(tracker.onNewEra, receive)
 }
 
+// Latest returns the latest known era; zero if none is known.
+func (tracker *EraTracker) Latest() uint64 {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.era
+}
+
 // Observe returns the era to which a response belongs; ok is false if the response names none that is readable. Such a response is taken
 // for one of the latest era. The result is false for a response of a former era, which must not be used.
 func (tracker *EraTracker) Observe(era uint64, ok bool) (uint64, bool) {
