Let the lab's store come back from an older copy

The simulated store of the users' platform names its era in each response, loses its latest writes on request and gives out their revisions again, ends watches from revisions that it does not have, and checks the revision of conditional writes, which it ignored. The soak has it as a fault, with the operator and the replicas writing again, and checks from outside that a process that has served a configuration's route does not refuse it before the next one.

--- a/lab/internal/swlabsoak/client.go
+++ b/lab/internal/swlabsoak/client.go
@@ -43,6 +43,8 @@
 	mutex      sync.Mutex
 	requests   []request
 	violations []string
+	// watches holds the IDs of the requests of watchConfiguration.
+	watches map[string]bool
 }
 
 func (results *results) add(request request) {
--- a/lab/internal/swlabsoak/fault.go
+++ b/lab/internal/swlabsoak/fault.go
@@ -43,6 +43,7 @@
 		{"store is slow", storeFault(swlabusers.Fault{Delay: 300 * time.Millisecond})},
 		{"store loses responses", storeFault(swlabusers.Fault{LoseAnswers: true})},
 		{"store drops its history", (*injector).compactStore},
+		{"store comes back from an older copy", (*injector).rollBackStore},
 		{"a VM is cut off from the store", (*injector).cutStoreLink},
 		{"a VM is cut off from its peers", (*injector).cutPeerLink},
 		{"connections to the store stall", (*injector).stallStoreConnections},
@@ -141,6 +142,23 @@
 	injector.fleet.store.Compact()
 }
 
+// maxRollBack bounds how much the store loses.
+const maxRollBack = 1500 * time.Millisecond
+
+// rollBackStore makes the store go away, lose its latest writes and return. The operator then writes the configuration again, and the
+// replicas their entries.
+func (injector *injector) rollBackStore(ctx context.Context) {
+	store := injector.fleet.store
+	store.SetFault(swlabusers.Fault{Reset: true})
+	injector.waitRandom(ctx, 300*time.Millisecond)
+	store.RollBack(time.Now().Add(-time.Duration(injector.random.Int64N(int64(maxRollBack)))))
+	store.SetFault(swlabusers.Fault{})
+	injector.waitRandom(ctx, 100*time.Millisecond)
+	if err := injector.fleet.writeConfigurationAgain(); err != nil {
+		injector.log("configuration not written: %v", err)
+	}
+}
+
 // cutLink cuts a link for a while, in one direction or in both.
 func (injector *injector) cutLink(ctx context.Context, from, to string) {
 	network := injector.fleet.network
--- a/lab/internal/swlabsoak/fleet.go
+++ b/lab/internal/swlabsoak/fleet.go
@@ -106,6 +106,8 @@
 	replicas             map[string]*proxiedReplica
 	replicasStarted      int
 	configurationVersion int
+	// configuration is the latest one that the store has confirmed.
+	configuration map[string]any
 	// usesNextLedger is set while the route without gathering goes to ledger-next instead of ledger.
 	usesNextLedger bool
 }
@@ -133,6 +135,8 @@
 	if err := fleet.applyRules(); err != nil {
 		return fleet, err
 	}
+	// Without a VM that holds them, rules that the store loses are gone.
+	store.Settle()
 	fleet.group.Go(fleet.maintainReplicaEntries)
 	for i := range config.VMs {
 		created, err := fleet.newVM(i)
@@ -188,12 +192,19 @@
 	return fmt.Sprintf("shard-%d", i)
 }
 
+// writeConfigurationAgain writes the latest configuration, which the store may have lost.
+func (fleet *fleet) writeConfigurationAgain() error {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.store.Put("config", "main", fleet.configuration)
+}
+
 // writeNextConfiguration writes a configuration with a new version to the store.
 func (fleet *fleet) writeNextConfiguration() error {
 	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
 	fleet.configurationVersion += 2
 	version, ledger := fleet.configurationVersion, fleet.ledgerService()
-	fleet.mutex.Unlock()
 	gather := make([]string, shardCount)
 	for i := range gather {
 		gather[i] = shardName(i)
@@ -202,7 +213,7 @@
 	for _, name := range fleet.services() {
 		backends = append(backends, map[string]any{"name": name, "health_check_path": "/healthz", "max_connections": 60})
 	}
-	return fleet.store.Put("config", "main", map[string]any{
+	fleet.configuration = map[string]any{
 		"version": version, "backends": backends,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"routes": []map[string]any{
@@ -213,7 +224,8 @@
 			{"name": fmt.Sprint("v", version), "hostname": "soak", "path_prefix": fmt.Sprintf("/version/%d/", version),
 				"route_type": "safe", "timeout_ms": 1500, "priority": 1, "backend": ledger, "attempts": 2},
 		},
-	})
+	}
+	return fleet.store.Put("config", "main", fleet.configuration)
 }
 
 // ledgerService returns the service of the route that is not gathered. The caller holds the mutex.
@@ -256,11 +268,11 @@
 				fleet.store.Delete("servers", id)
 				continue
 			}
-			state := "ready"
+			state, sequence := "ready", 1
 			if proxiedReplica.leaving {
-				state = "draining"
+				state, sequence = "draining", 2
 			}
-			entry := proxiedReplica.replica.Entry(proxiedReplica.proxy.Address().String(), proxiedReplica.dataCentre, state, 1)
+			entry := proxiedReplica.replica.Entry(proxiedReplica.proxy.Address().String(), proxiedReplica.dataCentre, state, sequence)
 			if err := fleet.store.Put("servers", id, entry); err != nil {
 				panic(err)
 			}
--- a/lab/internal/swlabsoak/soak.go
+++ b/lab/internal/swlabsoak/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 	WithoutFaults bool
 	VMs           int
 	Clients       int
+	// Focus restricts one series of faults to those whose name contains it; empty for all faults.
+	Focus string
 	// SafetyOnly checks only guarantees that must hold on a slow machine too. It extends the time that VMs have to become ready
 	// and to apply a configuration.
 	SafetyOnly bool
@@ -119,8 +122,12 @@
 	startedAt := time.Now()
 	var mutex sync.Mutex
 	count := 0
+	focused := slices.DeleteFunc(slices.Clone(environmentFaults), func(fault fault) bool { return !strings.Contains(fault.name, config.Focus) })
+	if len(focused) == 0 {
+		focused = environmentFaults
+	}
 	group := swgroup.New(ctx)
-	for i, faults := range [][]fault{processFaults, environmentFaults, environmentFaults} {
+	for i, faults := range [][]fault{processFaults, environmentFaults, focused} {
 		injector := &injector{fleet: fleet, random: rand.New(rand.NewPCG(config.Seed, uint64(i))), log: func(format string, values ...any) {
 			mutex.Lock()
 			defer mutex.Unlock()
@@ -129,6 +136,9 @@
 		}}
 		group.Go(func(ctx context.Context) { injector.injectUntilDone(ctx, faults) })
 	}
+	for _, vm := range fleet.vms {
+		group.Go(func(ctx context.Context) { fleet.watchConfiguration(ctx, vm) })
+	}
 	group.Wait()
 	return count
 }
@@ -149,27 +159,37 @@
 
 // returnsOK reports whether a GET request to the URL returns status 200.
 func returnsOK(ctx context.Context, url, id, host string) bool {
+	return requestStatus(ctx, url, id, host) == http.StatusOK
+}
+
+// requestStatus sends a request on a new connection and returns the status of the response, or zero without one.
+func requestStatus(ctx context.Context, url, id, host string) int {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return false
+		return 0
 	}
 	request.Header.Set("X-Request-Id", id)
 	request.Host = host
 	request.Close = true
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return false
+		return 0
 	}
 	response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	return response.StatusCode
 }
 
 // checkConfiguration writes a new configuration while no fault is injected, and checks that every VM applies it in time.
 func (fleet *fleet) checkConfiguration(ctx context.Context, results *results, timeout time.Duration) {
 	// A VM that was cut off until now needs time to reconnect to the store.
 	_ = swtimer.Wait(ctx, 2*applyTimeout)
+	fleet.changeAndAwaitConfiguration(ctx, results, timeout)
+}
+
+// changeAndAwaitConfiguration writes a new configuration and checks that every VM applies it in time.
+func (fleet *fleet) changeAndAwaitConfiguration(ctx context.Context, results *results, timeout time.Duration) {
 	if err := fleet.writeNextConfiguration(); err != nil {
 		results.addViolation("CONFIG: configuration not written: %v", err)
 		return
@@ -253,7 +273,7 @@
 		report.MedianLatency, report.P99Latency = latencies[len(latencies)/2], latencies[len(latencies)*99/100]
 	}
 	for _, id := range fleet.journal.IDs() {
-		if !sentIDs[id] {
+		if !sentIDs[id] && !results.watches[id] {
 			results.violations = append(results.violations, fmt.Sprintf("UNASKED: a replica ran %s, which no client sent", id))
 		}
 	}
--- a/lab/internal/swlabsoak/soak_test.go
+++ b/lab/internal/swlabsoak/soak_test.go
@@ -6,19 +6,56 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/sycamorewall/sycamorewall/lab/internal/swlabbuild"
 )
 
+// buildBinary builds sycamorewall and returns the path of the binary.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "sycamorewall")
+	if err := swlabbuild.Build(t.Context(), binary); err != nil {
+		t.Fatal(err)
+	}
+	return binary
+}
+
+// TestConfigurationAppliesAfterTheStoreCameBackOlder guards against VMs that drop new configurations because the store has lost some and
+// gives out their revisions again.
+func TestConfigurationAppliesAfterTheStoreCameBackOlder(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	fleet, err := startFleet(Config{Binary: buildBinary(t), Directory: t.TempDir(), Seed: 1, VMs: 3})
+	if fleet != nil {
+		defer fleet.close()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	const timeout = safetyTimeoutFactor * readyTimeout
+	if err := fleet.awaitReady(t.Context(), timeout); err != nil {
+		t.Fatal(err)
+	}
+	copiedAt := time.Now()
+	for range 3 {
+		fleet.changeAndAwaitConfiguration(t.Context(), fleet.results, timeout)
+	}
+	fleet.store.RollBack(copiedAt)
+	fleet.changeAndAwaitConfiguration(t.Context(), fleet.results, timeout)
+	if diff := cmp.Diff([]string(nil), fleet.results.violations); diff != "" {
+		t.Error("violations (-want +got):\n" + diff)
+	}
+}
+
 // TestSoakFindsNoSafetyViolation runs a short seed, and seeds that failed in the past, each with its cause. It checks safety only,
 // because a busy machine may exceed any timeout; `lab soak` checks the timeouts as well.
 func TestSoakFindsNoSafetyViolation(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	binary := filepath.Join(t.TempDir(), "sycamorewall")
-	if err := swlabbuild.Build(t.Context(), binary); err != nil {
-		t.Fatal(err)
-	}
+	binary := buildBinary(t)
 	seeds := []uint64{
 		1,
 		// A SIGHUP ended a process that had just started, because the handler was installed after the settings were read.
--- a/lab/internal/swlabusers/rules_test.go
+++ b/lab/internal/swlabusers/rules_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
@@ -109,3 +110,53 @@
 		t.Error("exit code of an edit of an old version (-want +got):\n" + diff)
 	}
 }
+
+// TestStoreComesBackFromAnOlderCopy checks that the store loses its latest writes alone, gives out their revisions again, and ends watches
+// from revisions that it does not have.
+func TestStoreComesBackFromAnOlderCopy(t *testing.T) {
+	store, err := StartStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	client, err := swplatform.New(swplatform.Config{URL: "http://" + store.Address()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	objects := platform.NewStore(client, swplatform.NewEraTracker(zerolog.Nop()))
+	put := func(name, value string) {
+		if err := store.Put("k", name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("kept", "1")
+	put("changed", "1")
+	put("deleted", "1")
+	copiedAt := time.Now()
+	put("changed", "2")
+	put("created", "1")
+	store.Delete("k", "deleted")
+	_, before, err := objects.ListObjects(t.Context(), "k")
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.RollBack(copiedAt)
+	if _, _, err := objects.WatchObjects(t.Context(), "k", before, time.Second); !errors.Is(err, swplatform.ErrRevisionTooOld) {
+		t.Errorf("a watch from a lost revision returned %v, want %v", err, swplatform.ErrRevisionTooOld)
+	}
+	listed, after, err := objects.ListObjects(t.Context(), "k")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(map[string]string)
+	for _, object := range listed {
+		got[object.Name] = string(object.Value)
+	}
+	if diff := cmp.Diff(map[string]string{"kept": `"1"`, "changed": `"1"`, "deleted": `"1"`}, got); diff != "" {
+		t.Error("objects (-want +got):\n" + diff)
+	}
+	if diff := cmp.Diff(swplatform.Position{Era: before.Era + 1, Revision: before.Revision - 3}, after); diff != "" {
+		t.Error("position (-want +got):\n" + diff)
+	}
+}
--- a/lab/internal/swlabusers/store.go
+++ b/lab/internal/swlabusers/store.go
@@ -21,8 +21,10 @@
 const (
 	// pageSize is the number of objects in one page of a listing. It is small so that listings have several pages.
 	pageSize = 20
-	// maxHistory is the number of most recent changes that are kept for watches.
+	// maxHistory is the number of most recent changes that are kept for watches, and for returns from an older copy.
 	maxHistory = 4096
+	// headerEra counts in each response how often the store has come back from an older copy.
+	headerEra = "Store-Era"
 )
 
 // Fault holds the faults to simulate. The zero value has none.
@@ -75,8 +77,20 @@
 	history  []event
 	// compactedUpTo is the last revision that is no longer in the history.
 	compactedUpTo uint64
-	changed       chan struct{}
-	calls         int
+	// writes holds the latest writes, so that they can be lost, and era counts how often that happened.
+	writes  []write
+	era     uint64
+	changed chan struct{}
+	calls   int
+}
+
+// write is one write of an object: when it was made, and what it replaced.
+type write struct {
+	at         time.Time
+	kind, name string
+	// former is the object before the write; nil if there was none. revision is the store's revision before it.
+	former   *Object
+	revision uint64
 }
 
 // StartStore starts a store on a free loopback port, which serves until Close.
@@ -87,7 +101,7 @@
 	}
 	store := &Store{
 		group: swgroup.New(context.Background()), address: listener.Addr().String(),
-		kinds: make(map[string]map[string]Object), revision: 1, changed: make(chan struct{}),
+		kinds: make(map[string]map[string]Object), revision: 1, era: 1, changed: make(chan struct{}),
 	}
 	router := mux.NewRouter()
 	router.HandleFunc("/v1/objects/{Kind}", store.withFault(store.list)).Methods(http.MethodGet)
@@ -133,6 +147,45 @@
 	store.history, store.compactedUpTo = nil, store.revision
 }
 
+// RollBack makes the store lose its writes since a time, as if it had come back from a copy. Watches end.
+func (store *Store) RollBack(since time.Time) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	for len(store.writes) > 0 && store.writes[len(store.writes)-1].at.After(since) {
+		write := store.writes[len(store.writes)-1]
+		store.writes = store.writes[:len(store.writes)-1]
+		store.revision = write.revision
+		if write.former == nil {
+			delete(store.kinds[write.kind], write.name)
+		} else {
+			store.kinds[write.kind][write.name] = *write.former
+		}
+	}
+	store.history = slices.DeleteFunc(store.history, func(event event) bool { return event.revision > store.revision })
+	store.compactedUpTo = min(store.compactedUpTo, store.revision)
+	store.era++
+	store.wakeWaiters()
+}
+
+// Settle makes RollBack keep all writes so far.
+func (store *Store) Settle() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.writes = nil
+}
+
+// recordWrite records a write before it is made. The caller holds the mutex.
+func (store *Store) recordWrite(kind, name string) {
+	write := write{at: time.Now(), kind: kind, name: name, revision: store.revision}
+	if former, ok := store.kinds[kind][name]; ok {
+		write.former = &former
+	}
+	if len(store.writes) == maxHistory {
+		store.writes = store.writes[1:]
+	}
+	store.writes = append(store.writes, write)
+}
+
 // Put writes an object without a call over HTTP. It does nothing when the object has this spec already.
 func (store *Store) Put(kind, name string, spec any) error {
 	value, err := json.Marshal(spec)
@@ -153,6 +206,7 @@
 	if !ok {
 		return
 	}
+	store.recordWrite(kind, name)
 	delete(store.kinds[kind], name)
 	store.revision++
 	store.appendEvent(event{revision: store.revision, kind: kind, Deleted: true, Object: object})
@@ -169,6 +223,7 @@
 	if exists && string(object.Spec) == string(value) {
 		return object
 	}
+	store.recordWrite(kind, name)
 	store.revision++
 	if !exists {
 		object.Meta = Meta{Name: name, Created: store.revision, Finalizers: []string{}}
@@ -201,6 +256,7 @@
 		store.mutex.Lock()
 		store.calls++
 		fault := store.fault
+		writer.Header().Set(headerEra, strconv.FormatUint(store.era, 10))
 		store.mutex.Unlock()
 		time.Sleep(fault.Delay)
 		switch {
@@ -267,7 +323,9 @@
 	defer timer.Stop()
 	for timedOut := false; ; {
 		store.mutex.Lock()
-		changed, revision, compacted, fault := store.changed, store.revision, after < store.compactedUpTo, store.fault
+		changed, revision, fault := store.changed, store.revision, store.fault
+		isGone := after < store.compactedUpTo || after > store.revision
+		writer.Header().Set(headerEra, strconv.FormatUint(store.era, 10))
 		events := []event{}
 		for _, event := range store.history {
 			if event.revision > after && event.kind == kind {
@@ -278,7 +336,7 @@
 		switch {
 		case fault.Busy || fault.Reset || fault.Unresponsive:
 			panic(http.ErrAbortHandler)
-		case compacted:
+		case isGone:
 			writer.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || timedOut:
@@ -307,8 +365,8 @@
 }
 
 func (store *Store) create(writer http.ResponseWriter, request *http.Request) {
-	store.writeObject(writer, request, func(exists bool) int {
-		if exists {
+	store.writeObject(writer, request, func(current *Object, _ uint64) int {
+		if current != nil {
 			return http.StatusConflict
 		}
 		return http.StatusCreated
@@ -316,17 +374,20 @@
 }
 
 func (store *Store) replace(writer http.ResponseWriter, request *http.Request) {
-	store.writeObject(writer, request, func(exists bool) int {
-		if !exists {
+	store.writeObject(writer, request, func(current *Object, revision uint64) int {
+		switch {
+		case current == nil:
 			return http.StatusNotFound
+		case revision != 0 && revision != current.Meta.Revision:
+			return http.StatusConflict
 		}
 		return http.StatusOK
 	})
 }
 
-// writeObject decodes the object in the body and writes it if chooseStatus, which is called with whether the object exists, returns
-// a success status. The response holds the object that is now stored.
-func (store *Store) writeObject(writer http.ResponseWriter, request *http.Request, chooseStatus func(exists bool) int) {
+// writeObject decodes the object in the body and writes it if chooseStatus, which is called with the current object, if any, and the
+// revision that the call requires, returns a success status. The response holds the object that is now stored.
+func (store *Store) writeObject(writer http.ResponseWriter, request *http.Request, chooseStatus func(current *Object, revision uint64) int) {
 	var object Object
 	if err := json.NewDecoder(request.Body).Decode(&object); err != nil || object.Meta.Name == "" || strings.Contains(object.Meta.Name, "/") {
 		writer.WriteHeader(http.StatusBadRequest)
@@ -336,7 +397,11 @@
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	current, exists := store.kinds[kind][object.Meta.Name]
-	status := chooseStatus(exists)
+	var existing *Object
+	if exists {
+		existing = &current
+	}
+	status := chooseStatus(existing, object.Meta.Revision)
 	if status < http.StatusMultipleChoices {
 		current = store.put(kind, object.Meta.Name, object.Spec)
 	}
--- a/lab/soak.go
+++ b/lab/soak.go
@@ -32,6 +32,8 @@
 	command.Flags().DurationVar(&soak.config.Duration, "duration", 10*time.Second, "how long faults are injected")
 	command.Flags().IntVar(&soak.config.VMs, "vms", 4, "number of VMs")
 	command.Flags().IntVar(&soak.config.Clients, "clients", 12, "number of clients")
+	command.Flags().StringVar(&soak.config.Focus, "focus", "",
+		"one of the series of faults has only those whose name contains this text, such as \"older copy\"")
 	command.Flags().StringVar(&soak.config.Binary, "binary", "", "binary of sycamorewall; built when empty")
 	command.Flags().StringVar(&soak.config.Directory, "logs", "",
 		"directory for logs; when empty, a temporary one that is removed after a run without violations")
