Write shared records again that the store has lost

Evidence of requests that crash replicas was gone for VMs that start after the store's return from an older copy, and with it the quarantine there; the VMs that have it keep their own copy. Found by reading.

A VM writes its own records again, at a random moment within a second, when a complete listing lacks them or holds a former version. It keeps them until they expire. TestRecordsLostByTheStoreAreWrittenAgain counted one write instead of three before.

--- a/internal/swrecord/store.go
+++ b/internal/swrecord/store.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	maxWriteAttempts    = 10
 	initialWriteBackoff = 200 * time.Millisecond
 	maxWriteBackoff     = 2 * time.Second
+	// rewriteSpread is the time over which the VMs whose records the store has lost write them again.
+	rewriteSpread = time.Second
 )
 
 // Writer writes objects of this project's kinds to the platform's store.
@@ -50,6 +53,8 @@
 	subscribers map[string][]func(swmember.Record)
 	// writing holds the names of the objects that a goroutine is writing.
 	writing map[string]bool
+	// own holds the names of the records that this VM has published and that have not expired.
+	own map[string]bool
 }
 
 // New returns an empty store.
@@ -59,6 +64,7 @@
 		records:     make(map[string]swmember.Record),
 		subscribers: make(map[string][]func(swmember.Record)),
 		writing:     make(map[string]bool),
+		own:         make(map[string]bool),
 	}
 }
 
@@ -77,6 +83,7 @@
 		return false
 	}
 	store.records[name] = record
+	store.own[name] = true
 	isWriting := store.writing[name]
 	store.writing[name] = true
 	store.mutex.Unlock()
@@ -130,6 +137,7 @@
 	isCurrent := ok && stored.Version == record.Version
 	if isCurrent {
 		delete(store.records, name)
+		delete(store.own, name)
 	}
 	store.mutex.Unlock()
 	if !isCurrent {
@@ -172,6 +180,7 @@
 func (store *Store) Receive(change swfollow.Change) {
 	if change.Full {
 		store.removeUnlisted(change.Objects)
+		store.rewriteLost(change.Objects)
 	}
 	for _, object := range change.Objects {
 		if object.Deleted {
@@ -194,10 +203,37 @@
 	defer store.mutex.Unlock()
 	if !store.writing[name] {
 		delete(store.records, name)
+		delete(store.own, name)
 	}
 }
 
-// removeUnlisted removes the records that a complete listing of the store lacks.
+// rewriteLost writes this VM's records again that a complete listing of the store lacks or holds in a former version, because the store
+// has come back from an older copy. Each is written once, at a random moment.
+func (store *Store) rewriteLost(listed []swplatform.Object) {
+	values := make(map[string]swmember.Record, len(listed))
+	for i := range listed {
+		var record swmember.Record
+		if json.Unmarshal(listed[i].Value, &record) == nil {
+			values[listed[i].Name] = record
+		}
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	for name := range store.own {
+		record := store.records[name]
+		if stored, ok := values[name]; store.writing[name] || ok && !record.Supersedes(&stored) {
+			continue
+		}
+		store.writing[name] = true
+		store.config.Group.Go(func(ctx context.Context) {
+			if swtimer.Wait(ctx, time.Duration(rand.Int64N(int64(rewriteSpread)))) == nil {
+				store.writeLatest(ctx, name)
+			}
+		})
+	}
+}
+
+// removeUnlisted removes the records that a complete listing of the store lacks. This VM's own stay until they expire.
 func (store *Store) removeUnlisted(listed []swplatform.Object) {
 	names := make(map[string]bool, len(listed))
 	for i := range listed {
@@ -206,7 +242,7 @@
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	for name := range store.records {
-		if !names[name] && !store.writing[name] {
+		if !names[name] && !store.writing[name] && !store.own[name] {
 			delete(store.records, name)
 		}
 	}
--- a/internal/swrecord/store_test.go
+++ b/internal/swrecord/store_test.go
@@ -111,3 +111,57 @@
 		}
 	})
 }
+
+// TestRecordsLostByTheStoreAreWrittenAgain guards against crash evidence that VMs which start later never see, because the store came back
+// from a copy from before it was written.
+func TestRecordsLostByTheStoreAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lifetime = time.Minute
+		writer := &fakeWriter{}
+		store := newTestStore(t, writer)
+		listing := func(era uint64, records ...swmember.Record) {
+			change := swfollow.Change{Full: true, Position: swplatform.Position{Era: era, Revision: 1}}
+			for _, record := range records {
+				value, err := json.Marshal(record)
+				if err != nil {
+					t.Fatal(err)
+				}
+				change.Objects = append(change.Objects, swplatform.Object{Name: objectName(record.Topic, record.Key), Value: value})
+			}
+			store.Receive(change)
+		}
+		former := swmember.Record{Topic: "topic", Key: "own", Version: 1, Expires: lifetime}
+		latest := swmember.Record{Topic: "topic", Key: "own", Version: 2, Expires: lifetime}
+		other := swmember.Record{Topic: "topic", Key: "other", Version: 1}
+		store.Put(latest)
+		synctest.Wait()
+		for i, step := range []struct {
+			era     uint64
+			records []swmember.Record
+			puts    int
+		}{
+			{1, []swmember.Record{latest, other}, 1},
+			{2, []swmember.Record{other}, 2},
+			{2, []swmember.Record{latest, other}, 2},
+			{3, []swmember.Record{former}, 3},
+		} {
+			listing(step.era, step.records...)
+			time.Sleep(2 * rewriteSpread)
+			synctest.Wait()
+			if diff := cmp.Diff(step.puts, writer.puts); diff != "" {
+				t.Errorf("writes after step %d (-want +got):\n%s", i, diff)
+			}
+		}
+		if held, _ := store.Get("topic", "own"); held.Version != latest.Version {
+			t.Errorf("version %d is held, want %d", held.Version, latest.Version)
+		}
+		time.Sleep(lifetime)
+		synctest.Wait()
+		listing(4)
+		time.Sleep(2 * rewriteSpread)
+		synctest.Wait()
+		if diff := cmp.Diff(3, writer.puts); diff != "" {
+			t.Error("writes after the record has expired (-want +got):\n" + diff)
+		}
+	})
+}
