--- a/internal/swplatform/call.go
+++ b/internal/swplatform/call.go
@@ -24,6 +24,8 @@
 	query     url.Values
 	header    http.Header
 	body      []byte
+	// decode decodes the body of a successful response to a read; if nil, it is decoded as JSON.
+	decode func(body []byte) error
 	// wait is how long a watch asks the platform to wait. It extends the timeout of the call.
 	wait time.Duration
 }
@@ -64,7 +66,11 @@
 func decodeReadResponse(apiRequest *apiRequest, response *response, target any) error {
 	switch response.status {
 	case http.StatusOK:
-		if err := json.Unmarshal(response.body, target); err != nil {
+		decode := apiRequest.decode
+		if decode == nil {
+			decode = func(body []byte) error { return json.Unmarshal(body, target) }
+		}
+		if err := decode(response.body); err != nil {
 			return &Error{Operation: apiRequest.describe(), Reason: ErrMalformedResponse, Cause: err}
 		}
 		return nil
--- a/internal/swplatform/request.go
+++ b/internal/swplatform/request.go
@@ -18,11 +18,13 @@
 	Path  []string
 	Query url.Values
 	Body  []byte
+	// Decode decodes the body of a successful response; if nil, it is decoded as one JSON document into the call's target.
+	Decode func(body []byte) error
 	// Wait is how long a watch asks the platform to wait. It extends the timeout of the call.
 	Wait time.Duration
 }
 
-// Read makes a call without side effects and decodes the JSON response into target. It returns the header of the response, or nil if
+// Read makes a call without side effects and decodes the JSON response into target, or with request.Decode. It returns the header of the response, or nil if
 // there was none, and fails with the same errors as Get.
 func (client *Client) Read(ctx context.Context, request Request, target any) (header http.Header, err error) {
 	apiRequest := request.toAPIRequest()
@@ -49,6 +51,6 @@
 func (request *Request) toAPIRequest() apiRequest {
 	return apiRequest{
 		operation: request.Operation, method: request.Method, kind: request.Kind,
-		path: request.Path, query: request.Query, body: request.Body, wait: request.Wait,
+		path: request.Path, query: request.Query, body: request.Body, decode: request.Decode, wait: request.Wait,
 	}
 }
