Test that a response cut anywhere is an error

Report of other operators: a replica stopped in the middle of its response's header, and clients got a 200 with an empty or short body. It can't happen here: swconn returns no response for any cut of three kinds of responses, at each byte. Only a test is new.

--- a/internal/swconn/connection_test.go
+++ b/internal/swconn/connection_test.go
@@ -157,3 +157,25 @@
 		})
 	}
 }
+
+// TestResponseCutAnywhereIsNotComplete guards against a success with an empty or short body that looks whole, because the server stopped
+// in the middle of its response and closed the connection.
+func TestResponseCutAnywhereIsNotComplete(t *testing.T) {
+	for name, response := range map[string]string{
+		"with a length":  responseA,
+		"in chunks":      "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"without either": "HTTP/1.1 200 OK\r\nId: a\r\nServer: s\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for length := range len(response) {
+				endpoint := newEndpoint(t)
+				results := endpoint.send(t, "a")
+				endpoint.write(t, response[:length])
+				endpoint.server.Close()
+				if result := <-results; result.Err == nil {
+					t.Errorf("a response cut after %q was complete: %+v", response[:length], result.Response)
+				}
+			}
+		})
+	}
+}
