Answer every request before a stopping VM ends

Report of other operators: requests that came late in the grace period of a planned stop were passed on and then cut without an answer, among them some that may not be repeated. It could happen here: a VM takes requests on open connections for 0.6 of its grace period and closes everything at 0.92, whatever still runs.

A leaving VM now answers by 0.88 of the period: a request in flight by then gets 504, one that waits for capacity gets 503. A new request whose deadline is later is refused at once with 503 and Retry-After if it may not run twice, or if its target latency does not fit, so that the client asks another VM; otherwise its deadline is brought forward.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -454,6 +454,9 @@
 const (
 	// drainFraction is the fraction of the grace period in which a leaving VM still accepts requests on open connections.
 	drainFraction = 0.6
+	// answerFraction is the fraction of the grace period in which the last request must be answered, if only with a failure: a connection
+	// that closes without an answer tells a client less.
+	answerFraction = 0.88
 	// finishFraction is the fraction of the grace period in which all requests in flight must finish.
 	finishFraction = 0.92
 )
@@ -464,6 +467,7 @@
 	started := time.Now()
 	grace := time.Duration(components.Grace.Load())
 	components.Server.SetLeaving()
+	components.Handler.AnswerBy(started.Add(time.Duration(answerFraction * float64(grace))))
 	components.Log.Info().Int64("Held", components.Server.InFlight()).Dur("Grace", grace).Msg("leaving")
 	components.Feed.Leave()
 	ctx, cancel := context.WithDeadline(ctx, started.Add(time.Duration(finishFraction*float64(grace))))
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -289,6 +289,8 @@
 			call.execute(now, call.gather.Tick(now))
 		case <-ctx.Done():
 			call.clientGone = true
+		case <-call.handler.stop.passed.Done():
+			call.request.deadline = time.Now()
 		}
 	}
 	call.cancelAttempts()
--- a/internal/swgateway/handler.go
+++ b/internal/swgateway/handler.go
@@ -85,6 +85,7 @@
 	// loadShedders holds the load shedders of gathered routes by route name.
 	loadShedders *swtable.Table[string, *loadShedder]
 	log          *requestLog
+	stop         *stop
 }
 
 // NewHandler returns a handler without any observations.
@@ -96,6 +97,7 @@
 		waitQueues:     swtable.New[string, *waitQueue](),
 		loadShedders:   swtable.New[string, *loadShedder](),
 		log:            newRequestLog(handlerConfig.Log),
+		stop:           newStop(),
 	}
 }
 
@@ -228,6 +230,9 @@
 	}
 	request.body = body
 	handler.setDeadlines(request, requestInfo.Timeout)
+	if refusal := handler.stop.admit(request, request.route.TargetLatency); refusal != nil {
+		return request, refusal
+	}
 	request.fingerprint = fingerprintOf(request.method, request.host, request.target, body)
 	if refusal := handler.matchRules(request, httpRequest); refusal != nil {
 		return request, refusal
--- a/internal/swgateway/queue.go
+++ b/internal/swgateway/queue.go
@@ -120,10 +120,11 @@
 	defer waitQueue.waiting.Add(-1)
 	ctx, cancel := context.WithDeadline(ctx, request.deadline.Add(-reserve))
 	defer cancel()
+	defer context.AfterFunc(handler.stop.passed, cancel)()
 	select {
 	case <-waitQueue.turn:
 	case <-ctx.Done():
-		return releaseTurn, refuseQueueFull(wait)
+		return releaseTurn, handler.refuseWaiting(wait)
 	}
 	passTurn := func() { waitQueue.turn <- struct{}{} }
 	for {
@@ -133,11 +134,19 @@
 		}
 		if swtimer.Wait(ctx, capacityCheckInterval) != nil {
 			passTurn()
-			return releaseTurn, refuseQueueFull(wait)
+			return releaseTurn, handler.refuseWaiting(wait)
 		}
 	}
 }
 
+// refuseWaiting refuses a request that has waited in vain.
+func (handler *Handler) refuseWaiting(wait time.Duration) *Refusal {
+	if handler.stop.passed.Err() != nil {
+		return refuseLeaving()
+	}
+	return refuseQueueFull(wait)
+}
+
 // refuseQueueFull refuses a request for lack of capacity. Its Retry-After is randomised, so that clients that were refused
 // together do not retry together.
 func refuseQueueFull(wait time.Duration) *Refusal {
