--- a/lab/internal/swlabsoak/soak.go
+++ b/lab/internal/swlabsoak/soak.go
@@ -272,11 +272,18 @@
 	if slices.Sort(latencies); len(latencies) > 0 {
 		report.MedianLatency, report.P99Latency = latencies[len(latencies)/2], latencies[len(latencies)*99/100]
 	}
-	for _, id := range fleet.journal.IDs() {
+	results.violations = append(results.violations, results.findUnasked(fleet.journal.IDs(), sentIDs)...)
+}
+
+// findUnasked describes the requests that replicas ran and that nobody sent. The caller holds the mutex.
+func (results *results) findUnasked(runIDs []string, sentIDs map[string]bool) []string {
+	var unasked []string
+	for _, id := range runIDs {
 		if !sentIDs[id] && !results.watches[id] {
-			results.violations = append(results.violations, fmt.Sprintf("UNASKED: a replica ran %s, which no client sent", id))
+			unasked = append(unasked, fmt.Sprintf("UNASKED: a replica ran %s, which no client sent", id))
 		}
 	}
+	return unasked
 }
 
 // impliesNotRun reports whether a status guarantees that the request did not run.
