--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -58,7 +58,8 @@
 	overloaded bool
 	// clientGone is set when the client has closed its connection.
 	clientGone bool
-	// timedOut is set when the deadline has passed.
+	// stopped is set when this VM stops and must answer now. timedOut is set then, and when the deadline has passed.
+	stopped  bool
 	timedOut bool
 }
 
@@ -290,7 +291,7 @@
 		case <-ctx.Done():
 			call.clientGone = true
 		case <-call.handler.stop.passed.Done():
-			call.request.deadline = time.Now()
+			call.stopped = true
 		}
 	}
 	call.cancelAttempts()
@@ -303,7 +304,7 @@
 	switch {
 	case call.clientGone, call.gather.Done():
 		return true
-	case !now.Before(call.request.deadline):
+	case call.stopped, !now.Before(call.request.deadline):
 		call.timedOut = true
 		return true
 	case call.request.route.Gathered() && !call.coverageMet(len(call.shards)-call.failedShards()):
