--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -81,7 +81,7 @@
 	for i := range explanation.RelatedLines {
 		line := &explanation.RelatedLines[i]
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", line.Time.Format(time.RFC3339Nano), line.VM, line.Message,
-			strings.TrimSpace(strings.Join([]string{line.Replica, line.Peer, line.Kind, strings.Join(line.Gone, " ")}, " ")))
+			strings.TrimSpace(strings.Join([]string{line.Replica, line.Peer, line.Kind, strings.Join(line.Gone, " "), line.Position.String()}, " ")))
 	}
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "print")
--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -174,8 +174,10 @@
 	})
 }
 
-func newEraTracker(log zerolog.Logger) *swplatform.EraTracker {
-	return swplatform.NewEraTracker(log)
+func newEraTracker(recorder *swmetric.Recorder, log zerolog.Logger) *swplatform.EraTracker {
+	eras := swplatform.NewEraTracker(log)
+	eras.OnNewEra(func(uint64) { recorder.CountEvent("store_returns", 1) })
+	return eras
 }
 
 func newObjectStore(client *swplatform.Client, eras *swplatform.EraTracker) *platform.Store {
--- a/internal/swexplain/explain.go
+++ b/internal/swexplain/explain.go
@@ -55,6 +55,22 @@
 	Peer    string
 	Kind    string
 	Gone    []string
+	// Position is the position in the history of the platform's store that the line is about; the zero position if there is none.
+	Position Position
+}
+
+// Position is a position in the history of the platform's store, as in the log.
+type Position struct {
+	Era      uint64
+	Revision uint64
+}
+
+// String returns a text for the position, which is empty for the zero position.
+func (position Position) String() string {
+	if position == (Position{}) {
+		return ""
+	}
+	return fmt.Sprintf("era %d revision %d", position.Era, position.Revision)
 }
 
 // Explanation holds the log lines of one request and the cause of its outcome.
--- a/internal/swexplain/explain_test.go
+++ b/internal/swexplain/explain_test.go
@@ -93,3 +93,24 @@
 		t.Error("lines of the request (-want +got):\n" + diff)
 	}
 }
+
+// TestRelatedLinesNameTheStoresPosition guards against explanations that can't tell on which side of the store's return from an older copy a
+// change was received.
+func TestRelatedLinesNameTheStoresPosition(t *testing.T) {
+	const log = `{"VM":"a","Request":"r","Status":404,"Code":"NotFound","Time":"2026-01-02T03:04:05Z","Message":"refused"}
+{"VM":"a","Config":9,"Position":{"Era":2,"Revision":61},"Time":"2026-01-02T03:04:04Z","Message":"configuration in force"}
+{"VM":"a","Former":1,"Era":2,"Time":"2026-01-02T03:04:03Z","Message":"the platform's store has come back from an older copy"}
+`
+	explanation, err := Explain("r", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, line := range explanation.RelatedLines {
+		got = append(got, strings.TrimSpace(line.Message+" "+line.Position.String()))
+	}
+	want := []string{"the platform's store has come back from an older copy", "configuration in force era 2 revision 61"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error("related lines (-want +got):\n" + diff)
+	}
+}
