--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -281,7 +281,8 @@
 	return replica.answeredAt.After(since)
 }
 
-// InUse reports whether the replica is listed and not leaving, by its entry or by what it said.
+// InUse reports whether the replica is listed and not leaving, by its entry or by what it said. A former state of a removed entry counts only
+// once it is confirmed.
 func (replica *Replica) InUse() bool {
 	if replica.entry.Load().Leaving || replica.reports.leaving.Load() {
 		return false
--- a/internal/swreplica/state.go
+++ b/internal/swreplica/state.go
@@ -7,7 +7,8 @@
 
 // The states of a replica from the point of view of one VM. A replica in several of them counts for the first one.
 const (
-	// StateLeaving is that of a replica that leaves, by its entry or by what it said, or whose address another replica has taken.
+	// StateLeaving is that of a replica that leaves, by its entry or by what it said, whose address another replica has taken, or whose
+	// entry was removed and is listed again in a former state.
 	StateLeaving State = "leaving"
 	// StateUnreachable is that of a replica that accepts no connection.
 	StateUnreachable State = "unreachable"
