--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +14,6 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swadmission"
 	"github.com/sycamorewall/sycamorewall/internal/swconn"
-	"github.com/sycamorewall/sycamorewall/internal/swedit"
 	"github.com/sycamorewall/sycamorewall/internal/swfeed"
 	"github.com/sycamorewall/sycamorewall/internal/swfleet"
 	"github.com/sycamorewall/sycamorewall/internal/swfollow"
@@ -262,74 +260,6 @@
 	return feed
 }
 
-// keepsConfig reports whether a configuration stays although another one, or none, arrived in its place: a confirmed version holds until a
-// newer one is confirmed, also for VMs that start after the store came back from an older copy.
-func keepsConfig(held, arrived *swplatform.Object) bool {
-	if held.Name != platform.ConfigName {
-		return false
-	}
-	heldTable, err := platform.DecodeConfig(held.Value)
-	if err != nil {
-		return false
-	}
-	if arrived.Deleted {
-		return true
-	}
-	arrivedTable, err := platform.DecodeConfig(arrived.Value)
-	return err != nil || arrivedTable.Version < heldTable.Version
-}
-
-// receiveConfig applies the configuration in a change if it is newer than the one in force.
-func receiveConfig(routes *swroute.ActiveTable, change swfollow.Change, log zerolog.Logger) {
-	for _, object := range change.Objects {
-		if object.Name != platform.ConfigName || object.Deleted {
-			continue
-		}
-		table, err := platform.DecodeConfig(object.Value)
-		if err != nil {
-			log.Error().Err(err).Object("Position", object.Position).Msg("invalid configuration, the last good one stays in force")
-			continue
-		}
-		if routes.UpdateIfNewer(table) {
-			log.Info().Uint64("Config", table.Version).Int("Routes", table.Len()).Object("Position", object.Position).Msg("configuration in force")
-		}
-	}
-}
-
-// receiveRules applies the rules in a change, and calls onLost with what the store holds instead if it has lost the rules in force. If the
-// rules were deleted or are invalid, the last valid ones stay in force: a mistake in the store must not let requests pass that the rules
-// refuse. A VM that has no rules yet is not ready while the stored rules are invalid.
-func receiveRules(rules *activeRules, change swfollow.Change, onLost func(stored swplatform.Object), log zerolog.Logger) {
-	objects := slices.DeleteFunc(slices.Clone(change.Objects), func(object swplatform.Object) bool { return object.Name != rulesObject })
-	if change.Full && len(objects) == 0 {
-		objects = append(objects, swplatform.Object{Name: rulesObject, Position: change.Position, Deleted: true})
-	}
-	for _, object := range objects {
-		held, inForce := rules.inForce()
-		if inForce && keepsRules(&held, &object) {
-			log.Warn().Object("Position", object.Position).Msg("the platform's store has lost the rules in force; they stay in force")
-			onLost(object)
-			continue
-		}
-		if object.Deleted {
-			if inForce {
-				log.Error().Msg("the rules were deleted, the last ones stay in force")
-			}
-			continue
-		}
-		versioned, err := swedit.DecodeVersionedValue(object.Value)
-		if err == nil {
-			err = rules.set(versioned.Version, versioned.Value, object)
-		}
-		if err != nil {
-			log.Error().Err(err).Object("Position", object.Position).Msg("invalid rules, the last good ones stay in force")
-			return
-		}
-		log.Info().Uint64("Rules", versioned.Version).Object("Position", object.Position).Msg("rules in force")
-	}
-	rules.synced.Store(true)
-}
-
 func newGatewayLimiter(fleet *swfleet.Fleet, peers *peers) *swadmission.Limiter {
 	return swadmission.NewLimiter(swadmission.LimiterConfig{View: fleet.View, Peers: peers})
 }
