Log why a VM takes a service for full when it refuses a request

The log of a refused request said QueueFull and nothing of the state that the VM judged by, and a retry that was not made since no replica seemed to have capacity was counted nowhere, so that the hypotheses could not be told apart. Refusals for a full service and rejected requests to a single service now list the service's replicas with the obstacle that the VM sees; repeats that were held back for lack of capacity are logged and counted.

--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -52,6 +52,8 @@
 	sent        bool
 	// deniedRepeats counts the repeats that the budget did not grant.
 	deniedRepeats int
+	// heldRepeats counts the repeats for which no replica seemed to have capacity.
+	heldRepeats int
 	// attempts records all attempts in the order in which they were started.
 	attempts []attemptRecord
 	// overloaded is set when a replica with a queue rejected the request.
@@ -68,7 +70,8 @@
 	if request.route.Gathered() {
 		return request.route.Shards
 	}
-	return []string{request.route.NextService()}
+	request.service = request.route.NextService()
+	return []string{request.service}
 }
 
 // newCall returns a call with the available replicas of each service.
@@ -195,6 +198,7 @@
 // A request for a single service is not repeated while all replicas reject, because it can wait for capacity without a repeat.
 func (call *call) Take(shard int) bool {
 	if !call.request.route.Gathered() && call.rejected && !call.handler.capacityOf(call.shards[shard].service).hasCapacity {
+		call.heldRepeats++
 		return false
 	}
 	purpose := Retry
--- a/internal/swgateway/handler.go
+++ b/internal/swgateway/handler.go
@@ -108,14 +108,14 @@
 	if refusal != nil {
 		refusal.write(writer)
 		handler.recordMetrics(request, nil, refusal)
-		handler.log.logRefusal(request, httpRequest, refusal)
+		handler.log.logRefusal(request, httpRequest, refusal, handler.describeCapacity)
 		return
 	}
 	call, refusal := handler.serve(httpRequest.Context(), request)
 	if call == nil {
 		refusal.write(writer)
 		handler.recordMetrics(request, nil, refusal)
-		handler.log.logRefusal(request, httpRequest, refusal)
+		handler.log.logRefusal(request, httpRequest, refusal, handler.describeCapacity)
 		return
 	}
 	if call.clientGone {
@@ -150,7 +150,7 @@
 	}
 	recorder.RecordQuery(priority, route, code, time.Since(request.arrivedAt), call.gather.Attempts)
 	for name, count := range map[string]int{
-		"hedges": call.gather.Hedges, "retries": call.gather.Retries, "repeats_denied": call.deniedRepeats,
+		"hedges": call.gather.Hedges, "retries": call.gather.Retries, "repeats_denied": call.deniedRepeats, "repeats_held": call.heldRepeats,
 		"parts_missing": len(call.shards) - call.answeredShards,
 	} {
 		if count > 0 {
--- a/internal/swgateway/log.go
+++ b/internal/swgateway/log.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
 const (
@@ -61,8 +62,9 @@
 	return requestLog.sampleCount%sampleInterval == 1
 }
 
-// logRefusal logs a request that was refused without being sent to a replica.
-func (requestLog *requestLog) logRefusal(request *request, httpRequest *http.Request, refusal *Refusal) {
+// logRefusal logs a request that was refused without being sent to a replica. capacity describes the replicas of a service that is taken
+// to be full.
+func (requestLog *requestLog) logRefusal(request *request, httpRequest *http.Request, refusal *Refusal, capacity func(service string) []string) {
 	now := time.Now()
 	if !requestLog.allow(now) {
 		return
@@ -75,6 +77,9 @@
 	if request.route != nil {
 		line = line.Str("Route", request.route.Name).Strs("Without", request.unreachableServices)
 	}
+	if refusal.Code == swcode.QueueFull && request.service != "" {
+		line = line.Str("Service", request.service).Strs("Capacity", capacity(request.service))
+	}
 	if request.ruleVersion > 0 {
 		line = line.Uint64("Rules", request.ruleVersion).Int("Rule", request.decision.Line).Str("Caller", request.caller)
 	}
@@ -97,9 +102,12 @@
 	}
 	line := requestLog.log.Info().Str("Request", call.request.id).Str("Route", call.request.route.Name).
 		Uint64("Config", call.request.table.Version).Int("Answers", call.answeredShards).Int("Shards", len(call.shards)).
-		Int("Hedges", call.gather.Hedges).Int("Retries", call.gather.Retries).Int("Denied", call.deniedRepeats).
+		Int("Hedges", call.gather.Hedges).Int("Retries", call.gather.Retries).Int("Denied", call.deniedRepeats).Int("Held", call.heldRepeats).
 		Dur("Took", now.Sub(call.request.arrivedAt)).Dur("Within", call.request.deadline.Sub(call.request.arrivedAt)).
 		Strs("Missing", missing).Strs("Attempts", call.describeAttempts(complete && !late))
+	if call.rejected && !call.request.route.Gathered() {
+		line = line.Str("Service", call.request.service).Strs("Capacity", call.handler.describeCapacity(call.request.service))
+	}
 	switch {
 	case refusal != nil:
 		line.Int("Status", refusal.Status).Stringer("Code", refusal.Code).Stringer("Ran", call.gather.Ran()).Msg("not answered")
--- a/internal/swgateway/queue.go
+++ b/internal/swgateway/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -99,6 +100,24 @@
 	return serviceCapacity
 }
 
+// describeCapacity returns one entry for each replica of a service: its distance, the obstacle to a request, and its latency beside the
+// usual one of the service.
+func (handler *Handler) describeCapacity(service string) []string {
+	now := time.Now()
+	serviceLatency := handler.latencies.serviceLatency(service)
+	lines := []string{}
+	for _, replica := range handler.config.Replicas.ServiceReplicas(service) {
+		if !replica.Available() {
+			lines = append(lines, fmt.Sprintf("%s %s Unavailable", replica.ID(), replica.Distance()))
+			continue
+		}
+		candidate := replica.Candidate(now, serviceLatency)
+		lines = append(lines, fmt.Sprintf("%s %s %s %s/%s", replica.ID(), candidate.Distance, candidate.Obstacle(),
+			candidate.Latency.Round(100*time.Microsecond), serviceLatency.Round(100*time.Microsecond)))
+	}
+	return lines
+}
+
 // waitForCapacity waits until a replica of the service has capacity. A request that could not be served in time is refused at
 // once, with the expected wait as its Retry-After. The caller must call releaseTurn once the request is counted at its
 // replica, so that the next waiting request can check for capacity.
--- a/internal/swgateway/request.go
+++ b/internal/swgateway/request.go
@@ -27,6 +27,8 @@
 	host   string
 	table  *swroute.Table
 	route  *swroute.Route
+	// service is the service of a route that is not gathered, once it is chosen.
+	service string
 	// head is the encoded request line with the headers that are the same for all attempts.
 	head []byte
 	body []byte
--- a/internal/swreplica/candidate.go
+++ b/internal/swreplica/candidate.go
@@ -93,10 +93,36 @@
 	return expected
 }
 
-// LikelyRejects reports whether a request sent now would probably be rejected: the replica has as many of this VM's requests as
-// it accepts, its rate is used up, or it has just rejected one while it had none from this VM, so that others keep it full.
+// LikelyRejects reports whether a request sent now would probably be rejected.
 func (candidate *Candidate) LikelyRejects() bool {
-	return candidate.AtLimit || candidate.RateLimited || candidate.RecentlyRejected && candidate.InFlight == 0
+	return candidate.Obstacle() != ObstacleNone
+}
+
+// Obstacle is why a request sent now would probably be rejected.
+type Obstacle string
+
+// Obstacles to a request.
+const (
+	ObstacleNone Obstacle = "None"
+	// ObstacleInFlight is that the replica has as many of this VM's requests in flight as it accepts.
+	ObstacleInFlight Obstacle = "InFlight"
+	// ObstacleRate is that this VM's share of the rate that the replica takes is used up.
+	ObstacleRate Obstacle = "Rate"
+	// ObstacleOthers is that the replica has just rejected a request while it had none from this VM, so that others keep it full.
+	ObstacleOthers Obstacle = "Others"
+)
+
+// Obstacle returns the first obstacle to a request that is sent now, or ObstacleNone.
+func (candidate *Candidate) Obstacle() Obstacle {
+	switch {
+	case candidate.AtLimit:
+		return ObstacleInFlight
+	case candidate.RateLimited:
+		return ObstacleRate
+	case candidate.RecentlyRejected && candidate.InFlight == 0:
+		return ObstacleOthers
+	}
+	return ObstacleNone
 }
 
 // unexplainedFraction returns the fraction of the replica's rejections that its load does not explain. A replica with a full
