Leave a quarter of a service's repeats to requests that fail without them

Cause: searches want a retry of the part of that shard as well, which they can do without, and take nine tenths of the service's budget at each VM. What is left is 3 repeats in 10 s for a VM of nine, less than the plain requests of one VM need.

--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -17,9 +17,10 @@
 	// maxAttemptsPerService bounds the attempts for one service. It is more than any gather makes, so that sending a result never
 	// blocks.
 	maxAttemptsPerService = 8
-	// optionalRepeatShare is the fraction of the budget available to repeats that only make an answer more complete. With many
-	// VMs, each sees few requests of a shard and its budget is a few repeats per window; a much lower fraction would leave none.
-	optionalRepeatShare = 0.9
+	// optionalRepeatShare is the fraction of the budget available to repeats that only make an answer more complete. The rest is for
+	// requests that fail without a repeat, such as those on a plain route to a shard that searches ask as well. With many VMs, each sees
+	// few requests of a shard and its budget is a few repeats per window; a much lower fraction would leave none to searches.
+	optionalRepeatShare = 0.75
 	// costJitter is the fraction by which estimated costs vary at random, so that VMs do not all choose the same replica.
 	costJitter = 0.1
 )
--- a/internal/swgateway/mixed_test.go
+++ b/internal/swgateway/mixed_test.go
@@ -37,6 +37,21 @@
 	return float64(statusCounts.statuses[http.StatusOK]) / float64(max(1, total))
 }
 
+// rejectAtRandom returns a script that rejects a fraction of the requests and answers the others.
+func rejectAtRandom(random *rand.Rand, fraction float64) func(*receivedRequest) {
+	var mutex sync.Mutex
+	return func(receivedRequest *receivedRequest) {
+		mutex.Lock()
+		rejects := random.Float64() < fraction
+		mutex.Unlock()
+		if rejects {
+			respondWith(0, http.StatusServiceUnavailable, "Not-Run: 1\r\n", "")(receivedRequest)
+			return
+		}
+		respondSigned(10*time.Millisecond, "x", "0123456789abcdef")(receivedRequest)
+	}
+}
+
 // newMixedFleet returns VMs that share ten shards. Shard s0 has the given replicas; the others have capacity to spare.
 func newMixedFleet(t *testing.T, vms int, s0 []func(*receivedRequest)) []*testHandler {
 	testHandlers := make([]*testHandler, vms)
@@ -80,6 +95,19 @@
 	}
 }
 
+// TestPlainRequestsAreServedBesideRandomRejections guards against taking replicas that reject at random for full ones, and refusing plain
+// requests without sending them.
+func TestPlainRequestsAreServedBesideRandomRejections(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed+1, 0))
+			script := rejectAtRandom(rand.New(rand.NewPCG(seed+1, 1)), 0.6)
+			s0 := func() []func(*receivedRequest) { return []func(*receivedRequest){script, script, script} }
+			checkPlainRequestsAreServed(t, random, s0, 140)
+		})
+	}
+}
+
 // checkPlainRequestsAreServed sends searches over all shards, and a few requests to s0 alone, to nine VMs. s0 returns the scripts of its
 // replicas.
 func checkPlainRequestsAreServed(t *testing.T, random *rand.Rand, s0 func() []func(*receivedRequest), searchesPerSecond float64) {
