Retry binding the port for other VMs

A VM whose port for other VMs could not be bound, at the start or after it had found another certificate authority, had no transport to other VMs until the store's next return from an older copy, or for good: it followed the store itself, relayed nothing and borrowed no tokens of rate limits. An operator saw one line, "cannot communicate with other VMs".

Cause: listen was tried once at the start and once per other authority; a failure left no transport, and nothing tried again.

The goroutine that maintains the authority now binds the port again with backoff, up to 5 s, until that succeeds or the VM stops, with the latest authority that it has read. It logs the failure once, and "the transport to other VMs is open again" once.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -367,11 +367,11 @@
 	services := peerServices{feed: components.Feed, relay: relayServer, limiter: components.Limiter}
 	authority, err := components.Peers.open(ctx, components.Config.Settings, components.Store, services)
 	if err != nil {
-		components.Log.Error().Err(err).Msg("cannot communicate with other VMs; following the platform's store")
+		components.Peers.logListenFailure(err)
 	}
 	if authority != nil {
 		components.Group.Go(func(ctx context.Context) {
-			components.Peers.maintainAuthority(ctx, components.Config.Settings, components.Store, authority, services)
+			components.Peers.maintain(ctx, components.Config.Settings, components.Store, authority, services)
 		})
 	}
 	if components.Fleet.Join(ctx, components.Store, components.Log) != nil {
--- a/internal/swapp/peers.go
+++ b/internal/swapp/peers.go
@@ -21,9 +21,14 @@
 	"github.com/sycamorewall/sycamorewall/internal/swtimer"
 )
 
-// restoreSpread is the time over which the VMs that do not lead a data centre check the certificate authority after the store came back
-// from an older copy.
-const restoreSpread = time.Second
+const (
+	// restoreSpread is the time over which the VMs that do not lead a data centre check the certificate authority after the store came
+	// back from an older copy.
+	restoreSpread = time.Second
+	// initialListenBackoff and maxListenBackoff bound the exponential backoff between attempts to bind the port for other VMs.
+	initialListenBackoff = 100 * time.Millisecond
+	maxListenBackoff     = 5 * time.Second
+)
 
 // peers is the transport to other VMs. It opens after the certificate authority was read from the platform's store, so that no
 // private key is ever written to a disk.
@@ -116,10 +121,14 @@
 	return nil
 }
 
-// maintainAuthority keeps one certificate authority for all VMs when the store comes back from an older copy: the authority is written
-// again if the store has lost it, and replaced here if another VM has created one meanwhile. It returns when the context ends.
-func (peers *peers) maintainAuthority(ctx context.Context, settings swsetting.Settings, store swauthority.Store, held *swauthority.Authority, services peerServices) {
+// maintain keeps the transport to other VMs open until the context ends. It binds the port again if that failed, and keeps one certificate
+// authority for all VMs when the store comes back from an older copy: the authority is written again if the store has lost it, and replaced
+// here if another VM has created one meanwhile.
+func (peers *peers) maintain(ctx context.Context, settings swsetting.Settings, store swauthority.Store, held *swauthority.Authority, services peerServices) {
 	for {
+		if peers.node.Load() == nil && peers.retryListen(ctx, settings, held, services) != nil {
+			return
+		}
 		select {
 		case <-peers.newEra:
 		case <-ctx.Done():
@@ -137,14 +146,32 @@
 			continue
 		}
 		peers.log.Warn().Msg("the platform's store holds another certificate authority; opening the transport to other VMs again")
-		if err := peers.listen(settings, stored, services); err != nil {
-			peers.log.Error().Err(err).Msg("cannot communicate with other VMs; following the platform's store")
-			continue
-		}
 		held = stored
+		if err := peers.listen(settings, held, services); err != nil {
+			peers.logListenFailure(err)
+		}
+	}
+}
+
+// retryListen listens with backoff until that succeeds. It returns an error if the context ends first.
+func (peers *peers) retryListen(ctx context.Context, settings swsetting.Settings, authority *swauthority.Authority, services peerServices) error {
+	started := time.Now()
+	backoff := swplatform.NewBackoff(swplatform.BackoffConfig{InitialDelay: initialListenBackoff, MaxDelay: maxListenBackoff})
+	for {
+		if err := backoff.Wait(ctx); err != nil {
+			return err
+		}
+		if peers.listen(settings, authority, services) == nil {
+			peers.log.Info().Dur("Took", time.Since(started)).Msg("the transport to other VMs is open again")
+			return nil
+		}
 	}
 }
 
+func (peers *peers) logListenFailure(err error) {
+	peers.log.Error().Err(err).Msg("cannot communicate with other VMs; following the platform's store")
+}
+
 // Close closes the connections to all peers.
 func (peers *peers) Close() error {
 	peers.mutex.Lock()
