--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -77,10 +77,16 @@
 
 // NewGateway builds every component and opens the listeners. Requests are served after Start.
 func NewGateway(config Config) (*Gateway, error) {
+	return buildGateway(config)
+}
+
+// buildGateway builds a Gateway; options replace components.
+func buildGateway(config Config, options ...fx.Option) (*Gateway, error) {
 	gateway := &Gateway{}
 	gateway.fx = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(config),
+		fx.Options(options...),
 		fx.Provide(
 			newLogger, newGroup, newRecorder, newMetricServer, newGracePeriod,
 			newPlatformClient, newActiveTable, newReplicaRegistry, newGatewayQuarantine, newServerMirror,
@@ -334,9 +340,7 @@
 }
 
 func (components *gatewayComponents) start(context.Context) error {
-	components.Group.Go(components.Servers.Run)
-	components.Group.Go(components.VMs.Run)
-	components.Group.Go(components.joinFleet)
+	components.startFollowing()
 	components.Group.Go(components.pruneStatistics)
 	components.Group.Go(func(ctx context.Context) { monitorClocks(ctx, components.Log) })
 	components.Server.Serve(components.Group)
@@ -346,6 +350,13 @@
 	return nil
 }
 
+// startFollowing starts what keeps this VM's copies of the store's objects up to date.
+func (components *gatewayComponents) startFollowing() {
+	components.Group.Go(components.Servers.Run)
+	components.Group.Go(components.VMs.Run)
+	components.Group.Go(components.joinFleet)
+}
+
 // pruneInterval is the time between two removals of statistics of routes and services that are no longer configured.
 const pruneInterval = time.Minute
 
@@ -367,11 +378,11 @@
 	services := peerServices{feed: components.Feed, relay: relayServer, limiter: components.Limiter}
 	authority, err := components.Peers.open(ctx, components.Config.Settings, components.Store, services)
 	if err != nil {
-		components.Log.Error().Err(err).Msg("cannot communicate with other VMs; following the platform's store")
+		components.Peers.logListenFailure(err)
 	}
 	if authority != nil {
 		components.Group.Go(func(ctx context.Context) {
-			components.Peers.maintainAuthority(ctx, components.Config.Settings, components.Store, authority, services)
+			components.Peers.maintain(ctx, components.Config.Settings, components.Store, authority, services)
 		})
 	}
 	if components.Fleet.Join(ctx, components.Store, components.Log) != nil {
