Let waits and refusals age, and resend a rejected request less and less often

The load shedder changes the admitted fraction only while it can measure, from about 7 searches a second and VM. TestSearchesAreAdmittedAfterOverloadOnQuietRoute. The fraction now rises with time while there is too little to measure. - Requests that wait one at a time were answered after they had left the queue, so that only their waits were counted, and these did not age: the next one behind another was expected to wait 1.32 s in place of 0.11 s. TestShortWaitsDoNotMakeAServiceSeemSlow. - A request of 5 s was sent 39 to 41 times to a replica that rejects everything, and used up the repeats of its service. The delay now doubles from 50 ms. TestRejectedRequestIsResentLessAndLessOften: 8 times at most. - Refusals came late: 28 to 40 of 381 after a quarter of the time.

--- a/internal/swgateway/handler.go
+++ b/internal/swgateway/handler.go
@@ -176,7 +176,7 @@
 		return nil, refusal
 	}
 	var last *call
-	for {
+	for requeued := 0; ; requeued++ {
 		releaseTurn := func() {}
 		if !request.route.Gathered() {
 			var refusal *Refusal
@@ -202,7 +202,7 @@
 		}
 		last = call
 		if call.sent {
-			if refusal := handler.waitToRequeue(ctx, request, services[0]); refusal != nil {
+			if refusal := handler.waitToRequeue(ctx, request, services[0], requeued); refusal != nil {
 				return last, refusal
 			}
 		}
--- a/internal/swgateway/queue.go
+++ b/internal/swgateway/queue.go
@@ -33,13 +33,13 @@
 
 	mutex   sync.Mutex
 	waiting int
-	// answers and busy are decaying sums of this VM's answers from the service while requests waited, and of that time in seconds, as
-	// of countedAt. Answers at other times say nothing about the rate at which slots are freed.
-	answers, busy float64
-	countedAt     time.Time
+	// answers and waited are decaying sums of this VM's answers from the service, and of the time in seconds during which requests waited,
+	// as of countedAt.
+	answers, waited float64
+	countedAt       time.Time
 }
 
-// rateHalfLife is the waiting time after which an answer counts half in the rate at which slots are freed.
+// rateHalfLife is the time after which an answer counts half in the rate at which slots are freed.
 const rateHalfLife = time.Second
 
 func newWaitQueue() *waitQueue {
@@ -68,21 +68,19 @@
 	waitQueue.mutex.Lock()
 	defer waitQueue.mutex.Unlock()
 	waitQueue.advance(now)
-	if waitQueue.waiting > 0 {
-		waitQueue.answers++
-	}
+	waitQueue.answers++
 }
 
-// advance adds the time since countedAt if requests waited. The caller holds the mutex.
+// advance lets the sums decay, and adds the time since countedAt if requests waited. The caller holds the mutex.
 func (waitQueue *waitQueue) advance(now time.Time) {
 	elapsed := now.Sub(waitQueue.countedAt)
 	waitQueue.countedAt = now
-	if waitQueue.waiting == 0 || elapsed <= 0 {
-		return
-	}
 	kept := math.Exp2(-float64(elapsed) / float64(rateHalfLife))
 	waitQueue.answers *= kept
-	waitQueue.busy = kept*waitQueue.busy + elapsed.Seconds()
+	waitQueue.waited *= kept
+	if waitQueue.waiting > 0 {
+		waitQueue.waited += elapsed.Seconds()
+	}
 }
 
 // length returns the number of waiting requests.
@@ -92,13 +90,13 @@
 	return waitQueue.waiting
 }
 
-// expectedWait estimates how long a new request waits for those that wait already. Until answers have been observed while requests
-// wait, one is expected in each interval.
+// expectedWait estimates how long a new request waits for those that wait already: as many answers at the rate at which they arrived while
+// requests waited. Before any is observed, one is expected in each interval.
 func (waitQueue *waitQueue) expectedWait(now time.Time, interval time.Duration) time.Duration {
 	waitQueue.mutex.Lock()
 	defer waitQueue.mutex.Unlock()
 	waitQueue.advance(now)
-	perAnswer := (waitQueue.busy + interval.Seconds()) / (waitQueue.answers + 1)
+	perAnswer := (waitQueue.waited + interval.Seconds()) / (waitQueue.answers + 1)
 	return time.Duration(float64(waitQueue.waiting) * perAnswer * float64(time.Second))
 }
 
@@ -191,16 +189,22 @@
 }
 
 // requeueDelay is how long a request that all replicas of its service have rejected waits before it is sent again, and up to half of it
-// longer at random. A queue of a dozen requests of ten milliseconds is shorter by then.
-const requeueDelay = 100 * time.Millisecond
-
-// waitToRequeue waits until a rejected request may be sent again. A request whose time does not allow for that is refused at once.
-func (handler *Handler) waitToRequeue(ctx context.Context, request *request, service string) *Refusal {
-	delay := requeueDelay + time.Duration(rand.Float64()*float64(requeueDelay)/2)
+// longer at random. A replica has done several requests of ten milliseconds by then. The delay doubles each time, so that a request
+// with much time does not use up the repeats of the service.
+const requeueDelay = 50 * time.Millisecond
+
+// waitToRequeue waits until a request that was requeued some times before may be sent again. A request whose time does not allow for that
+// is refused at once.
+func (handler *Handler) waitToRequeue(ctx context.Context, request *request, service string, requeued int) *Refusal {
+	delay := requeueDelay << requeued
+	delay += time.Duration(rand.Float64() * float64(delay) / 2)
 	reserve := time.Duration(latencyReserveFactor * float64(handler.latencies.serviceLatency(service)))
 	if time.Now().Add(delay + reserve).After(request.deadline) {
 		return refuseQueueFull(delay)
 	}
+	waitQueue := handler.waitQueues.GetOrPut(service, newWaitQueue)
+	waitQueue.enter(time.Now())
+	defer func() { waitQueue.leave(time.Now()) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(handler.stop.passed, cancel)()
--- a/internal/swgateway/queue_test.go
+++ b/internal/swgateway/queue_test.go
@@ -113,6 +113,7 @@
 
 func TestRequestsBeyondDeadlineCapacityAreRefusedAtOnce(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
+		const timeout = time.Second
 		testHandler := newTestHandler(t, 0.2)
 		defer testHandler.close()
 		testHandler.setRoute(nonIdempotentRoute())
@@ -120,14 +121,17 @@
 		var clients sync.WaitGroup
 		var mutex sync.Mutex
 		slowest := time.Duration(0)
-		refused := 0
+		refused, refusedLate := 0, 0
 		for range 400 {
 			clients.Go(func() {
-				got := testHandler.sendWithTimeout(t.Context(), http.MethodPost, "/x", "work", time.Second)
+				got := testHandler.sendWithTimeout(t.Context(), http.MethodPost, "/x", "work", timeout)
 				mutex.Lock()
 				defer mutex.Unlock()
 				if got.Code == http.StatusServiceUnavailable {
 					refused++
+					if got.took > timeout/4 {
+						refusedLate++
+					}
 					if got.Header().Get("Retry-After") == "" {
 						t.Error("the refusal has no Retry-After")
 					}
@@ -140,8 +144,53 @@
 		if refused < 300 {
 			t.Errorf("%d of 400 refused, where 20 a second can be served", refused)
 		}
-		if diff := cmp.Diff(true, slowest <= time.Second); diff != "" {
+		if refusedLate > refused/10 {
+			t.Errorf("%d of %d refusals after a quarter of the time, want most of them at once", refusedLate, refused)
+		}
+		if diff := cmp.Diff(true, slowest <= timeout); diff != "" {
 			t.Errorf("the slowest answer took %s", slowest)
 		}
 	})
 }
+
+// TestShortWaitsDoNotMakeAServiceSeemSlow guards against refusing requests that wait behind another one, because earlier ones waited one at a
+// time and were answered once they had left the queue.
+func TestShortWaitsDoNotMakeAServiceSeemSlow(t *testing.T) {
+	const wait, latency = 100 * time.Millisecond, 10 * time.Millisecond
+	for name, idle := range map[string]time.Duration{"in a row": 0, "an hour ago": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			queue, now := newWaitQueue(), time.Unix(0, 0)
+			for range 30 {
+				queue.enter(now)
+				now = now.Add(wait)
+				queue.leave(now)
+				now = now.Add(latency)
+				queue.recordAnswer(now)
+			}
+			now = now.Add(idle)
+			queue.enter(now)
+			if got := queue.expectedWait(now, latency); got > wait+latency {
+				t.Errorf("expected wait behind one request %s, want at most the %s of each earlier one", got, wait+latency)
+			}
+		})
+	}
+}
+
+// TestRejectedRequestIsResentLessAndLessOften guards against a request with much time that uses up the repeats of a service which rejects
+// everything.
+func TestRejectedRequestIsResentLessAndLessOften(t *testing.T) {
+	const maxSent = 8
+	inVirtualTime(t, func(t *testing.T) {
+		testHandler := newTestHandler(t, 1)
+		defer testHandler.close()
+		testHandler.setRoute(nonIdempotentRoute())
+		replica := testHandler.addReplica("s", "a", respondWith(time.Millisecond, http.StatusServiceUnavailable, "Not-Run: 1\r\n", ""))
+		got := testHandler.sendWithTimeout(t.Context(), http.MethodPost, "/x", "work", 5*time.Second)
+		if diff := cmp.Diff(http.StatusServiceUnavailable, got.Code); diff != "" {
+			t.Error("status (-want +got):\n" + diff)
+		}
+		if count := replica.count(); count > maxSent {
+			t.Errorf("sent %d times, want at most %d", count, maxSent)
+		}
+	})
+}
--- a/internal/swgateway/shedder.go
+++ b/internal/swgateway/shedder.go
@@ -14,7 +14,7 @@
 	// overloadHalfLife is the time after which a search counts half in the fraction of overloaded ones. It covers a few dozen
 	// searches of one VM.
 	overloadHalfLife = 500 * time.Millisecond
-	// minSearches is the number of searches below which the fraction is ignored.
+	// minSearches is the number of searches below which the fraction is ignored, and more searches are admitted as time passes.
 	minSearches = 5
 	// overloadHigh and overloadLow are the fractions of overloaded searches above which fewer searches are admitted and below
 	// which more are.
@@ -60,10 +60,8 @@
 func (loadShedder *loadShedder) record(now time.Time, overloaded bool) {
 	loadShedder.mutex.Lock()
 	defer loadShedder.mutex.Unlock()
-	kept := math.Exp2(-float64(now.Sub(loadShedder.countedAt)) / float64(overloadHalfLife))
-	loadShedder.countedAt = now
-	loadShedder.searches = kept*loadShedder.searches + 1
-	loadShedder.overloaded *= kept
+	loadShedder.advance(now)
+	loadShedder.searches++
 	if overloaded {
 		loadShedder.overloaded++
 	}
@@ -81,10 +79,24 @@
 	loadShedder.adjustedAt = now
 }
 
+// advance lets the counts decay, and raises the admitted fraction while there are too few searches to measure an overload. The caller holds
+// the mutex.
+func (loadShedder *loadShedder) advance(now time.Time) {
+	kept := math.Exp2(-float64(now.Sub(loadShedder.countedAt)) / float64(overloadHalfLife))
+	loadShedder.countedAt = now
+	loadShedder.searches *= kept
+	loadShedder.overloaded *= kept
+	if passed := now.Sub(loadShedder.adjustedAt); loadShedder.searches < minSearches && passed >= admittedInterval {
+		loadShedder.admitted = min(1, loadShedder.admitted+admittedIncrease*float64(passed/admittedInterval))
+		loadShedder.adjustedAt = now
+	}
+}
+
 // admits reports whether a search may start. draw is a uniform random number from 0 to 1.
-func (loadShedder *loadShedder) admits(draw float64, clientRetry bool) bool {
+func (loadShedder *loadShedder) admits(now time.Time, draw float64, clientRetry bool) bool {
 	loadShedder.mutex.Lock()
 	defer loadShedder.mutex.Unlock()
+	loadShedder.advance(now)
 	admitted := loadShedder.admitted
 	if clientRetry {
 		admitted += retryBonus
@@ -97,7 +109,7 @@
 	if !request.route.Gathered() || request.route.Priority == 0 {
 		return nil
 	}
-	if handler.loadShedders.GetOrPut(request.route.Name, newLoadShedder).admits(rand.Float64(), request.clientRetry) {
+	if handler.loadShedders.GetOrPut(request.route.Name, newLoadShedder).admits(time.Now(), rand.Float64(), request.clientRetry) {
 		return nil
 	}
 	return &Refusal{
--- a/internal/swgateway/shedder_test.go
+++ b/internal/swgateway/shedder_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // fakeShard processes a fixed number of searches per second. A search beyond that is queued and ends overloaded.
@@ -39,7 +43,7 @@
 		for range int(lasting / step) {
 			now = now.Add(step)
 			tally.offered++
-			if !loadShedder.admits(random.Float64(), false) {
+			if !loadShedder.admits(now, random.Float64(), false) {
 				tally.refused++
 				continue
 			}
@@ -75,10 +79,10 @@
 	first, retries := 0, 0
 	for i := range 100 {
 		draw := float64(i) / 100
-		if loadShedder.admits(draw, false) {
+		if loadShedder.admits(now, draw, false) {
 			first++
 		}
-		if loadShedder.admits(draw, true) {
+		if loadShedder.admits(now, draw, true) {
 			retries++
 		}
 	}
@@ -86,3 +90,34 @@
 		t.Errorf("%d of 100 first requests and %d retries are admitted", first, retries)
 	}
 }
+
+// TestSearchesAreAdmittedAfterOverloadOnQuietRoute guards against refusing searches long after an overload has ended, on a route of
+// which this VM gets a few searches a second.
+func TestSearchesAreAdmittedAfterOverloadOnQuietRoute(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		testHandler := newTestHandler(t, 0.2)
+		defer testHandler.close()
+		testHandler.maxConnections = 100
+		route := gatheredRoute(2, 1)
+		route.Priority = 1
+		testHandler.setRoute(route)
+		// The only replica of s0 takes 50 requests a second.
+		testHandler.addReplica("s0", "a", limitedCapacity(1, 12, 20*time.Millisecond))
+		testHandler.addReplica("s1", "b", respondSigned(work, "x", "done"))
+		send := func(perSecond int, lasting time.Duration) map[int]int {
+			var counts statusCounts
+			var clients sync.WaitGroup
+			for range perSecond * int(lasting/time.Second) {
+				clients.Go(func() { counts.add(testHandler.send(t.Context(), http.MethodGet, "/search", "").Code) })
+				time.Sleep(time.Second / time.Duration(perSecond))
+			}
+			clients.Wait()
+			return counts.statuses
+		}
+		send(200, 3*time.Second)
+		time.Sleep(time.Minute)
+		if diff := cmp.Diff(map[int]int{http.StatusOK: 300}, send(5, time.Minute)); diff != "" {
+			t.Error("statuses a minute after the overload (-want +got):\n" + diff)
+		}
+	})
+}
