Hold off only relayed attempts when a relay has used up its share of a replica's rate

Cause: the relay's reply held the replica off for all traffic of the sender. A state that other traffic had met was taken for the replica's.

--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -121,9 +121,17 @@
 	return plan
 }
 
-// mayAsk reports whether a replica may get the request now. The rate of a replica that is asked through a relay is the relay's matter.
+// mayAsk reports whether a replica may get the request now.
 func (call *call) mayAsk(now time.Time, replica *swreplica.Replica) bool {
-	return replica.Available() && (replica.ReadyIn(now) == 0 || call.relayFor(replica).Valid())
+	return replica.Available() && call.readyIn(now, replica) == 0
+}
+
+// readyIn returns how long it takes until a replica may get the request. The rate of one that is asked through a relay is the relay's matter.
+func (call *call) readyIn(now time.Time, replica *swreplica.Replica) time.Duration {
+	if call.relayFor(replica).Valid() {
+		return replica.RelaysReadyIn(now)
+	}
+	return replica.ReadyIn(now)
 }
 
 // retryAfter returns when a request that lacks services may be served: as soon as one replica of each may get it, if that is known.
@@ -135,7 +143,7 @@
 		}
 		soonest := time.Duration(math.MaxInt64)
 		for _, replica := range call.handler.config.Replicas.ServiceReplicas(call.shards[i].service) {
-			if wait := replica.ReadyIn(now); wait > 0 && replica.InUse() {
+			if wait := call.readyIn(now, replica); wait > 0 && replica.InUse() {
 				soonest = min(soonest, wait)
 			}
 		}
--- a/internal/swrelay/client.go
+++ b/internal/swrelay/client.go
@@ -104,7 +104,7 @@
 		inFlightRequest.End()
 		client.observeReport(replica, result.Response)
 		if result.RetryAfter > 0 {
-			replica.HoldOff(time.Now(), min(maxRelayHoldOff, result.RetryAfter))
+			replica.HoldOffRelays(time.Now(), min(maxRelayHoldOff, result.RetryAfter))
 		}
 		if ctx.Err() != nil && result.Response != nil {
 			now := time.Now()
--- a/internal/swreplica/report.go
+++ b/internal/swreplica/report.go
@@ -45,8 +45,10 @@
 	// rateLimiter limits the requests of this VM to its share of what the process takes.
 	rateLimiter rateLimiter
 	mutex       sync.Mutex
-	// heldUntil is until when the process wants no requests from this VM.
-	heldUntil time.Time
+	// heldUntil is until when the process wants no requests from this VM, and relaysHeldUntil until when relays have used up their share of
+	// its rate.
+	heldUntil       time.Time
+	relaysHeldUntil time.Time
 }
 
 // holdOff sets the time for which the process wants no requests, unless a longer one is set.
@@ -137,6 +139,20 @@
 	replica.reports.holdOff(now, wait)
 }
 
+// HoldOffRelays sends the replica nothing through relays for a time. Requests that are sent directly use this VM's own share of its rate.
+func (replica *Replica) HoldOffRelays(now time.Time, wait time.Duration) {
+	replica.reports.mutex.Lock()
+	defer replica.reports.mutex.Unlock()
+	replica.reports.relaysHeldUntil = now.Add(wait)
+}
+
+// RelaysReadyIn returns how long it takes until an attempt may be sent through a relay; zero if it may be sent now.
+func (replica *Replica) RelaysReadyIn(now time.Time) time.Duration {
+	replica.reports.mutex.Lock()
+	defer replica.reports.mutex.Unlock()
+	return max(0, replica.reports.relaysHeldUntil.Sub(now))
+}
+
 // observeLeaving takes a replica out of use that said that it leaves, whatever the platform's list says: a VM may be cut off from
 // the platform while it reaches the replica. This can't be withdrawn; the next incarnation of the replica is another Replica.
 func (replica *Replica) observeLeaving(report Report) {
