Count only resent requests against the delay, and clients that leave meanwhile as gone

Found by reading the diff: a request that was not sent, as a replica's rate was used up, lengthened the delay of later ones; and a client that left while its request waited to be sent again was logged and counted as refused.

--- a/internal/swgateway/handler.go
+++ b/internal/swgateway/handler.go
@@ -176,7 +176,8 @@
 		return nil, refusal
 	}
 	var last *call
-	for requeued := 0; ; requeued++ {
+	requeued := 0
+	for {
 		releaseTurn := func() {}
 		if !request.route.Gathered() {
 			var refusal *Refusal
@@ -203,8 +204,10 @@
 		last = call
 		if call.sent {
 			if refusal := handler.waitToRequeue(ctx, request, services[0], requeued); refusal != nil {
+				last.clientGone = ctx.Err() != nil
 				return last, refusal
 			}
+			requeued++
 		}
 	}
 }
