--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -37,7 +37,8 @@
 
 // cases holds the function of each case by its name. It returns the violations of the rule.
 var cases = map[string]func(run *run) ([]string, error){
-	"late-rejection": lateRejection,
+	"late-rejection":  lateRejection,
+	"stray-rejection": strayRejection,
 }
 
 func main() {
--- a/review/_stand/replica.go
+++ b/review/_stand/replica.go
@@ -39,9 +39,11 @@
 	mutex sync.Mutex
 	// lateShare is the share of the answers that are sent once more when the next response is expected on their connection.
 	lateShare float64
-	sequence  int
-	state     string
-	lateSent  int
+	// stray replaces the copy of the answer by bytes that answer no request; nil sends the copy.
+	stray    []byte
+	sequence int
+	state    string
+	lateSent int
 }
 
 func startReplica(run *run, config replicaConfig) (*replica, error) {
@@ -154,7 +156,10 @@
 		}
 		if replica.sendsLate() {
 			late = response
-			replica.run.journal.note("%s will send its answer to %s once more", replica.config.id, request.Header.Get(wire.RequestID))
+			if replica.stray != nil {
+				late = replica.stray
+			}
+			replica.run.journal.note("%s will send extra bytes after its answer to %s", replica.config.id, request.Header.Get(wire.RequestID))
 		}
 		<-peeked
 		cancel()
