Review case 3: a client that half-closes its connection reads a success that no replica gave

A client that leaves by ending its sending side and still reads gets the empty 200 that net/http sends for a handler that wrote nothing.

--- a/review/_stand/client.go
+++ b/review/_stand/client.go
@@ -86,6 +86,17 @@
 		client.disconnect()
 		return 0, 0
 	}
+	leaves := client.run.leaves()
+	if leaves {
+		// The client ends its sending side and reads what still comes until the gateway closes the connection.
+		conn, delay := client.conn.(*net.TCPConn), time.Duration(rand.Float64()*float64(leaveWithin))
+		timer := time.AfterFunc(delay, func() {
+			journal.update(id, func(entry *entry) { entry.leftAt = journal.now() })
+			_ = conn.CloseWrite()
+		})
+		defer timer.Stop()
+		defer client.disconnect()
+	}
 	response, err := http.ReadResponse(client.reader, &http.Request{Method: call.method})
 	if err != nil {
 		end(0, " no answer")
@@ -98,7 +109,11 @@
 		client.disconnect()
 		return 0, 0
 	}
-	end(response.StatusCode, "")
+	note := ""
+	if response.StatusCode < http.StatusMultipleChoices && response.Header.Get(wire.Stamp) == "" {
+		note = " without a stamp"
+	}
+	end(response.StatusCode, note)
 	if response.Close {
 		client.disconnect()
 	}
--- a/review/_stand/journal.go
+++ b/review/_stand/journal.go
@@ -23,6 +23,8 @@
 	status     int
 	note       string
 	answeredAt time.Duration
+	// leftAt is when the client ended its sending side; zero if it did not.
+	leftAt     time.Duration
 	arrivals   []execution
 	runs       []execution
 	rejections []execution
@@ -104,6 +106,9 @@
 	for _, entry := range journal.all() {
 		fmt.Fprintf(writer, "%8.3f %s %s answered %d%s at %.3f", entry.sentAt.Seconds(), entry.id, entry.route, entry.status, entry.note,
 			entry.answeredAt.Seconds())
+		if entry.leftAt > 0 {
+			fmt.Fprintf(writer, " client-left@%.3f", entry.leftAt.Seconds())
+		}
 		for _, rejection := range entry.rejections {
 			fmt.Fprintf(writer, " rejected-by %s@%.3f", rejection.replica, rejection.at.Seconds())
 		}
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -39,6 +39,7 @@
 var cases = map[string]func(run *run) ([]string, error){
 	"late-rejection":  lateRejection,
 	"stray-rejection": strayRejection,
+	"half-close":      halfClose,
 }
 
 func main() {
--- a/review/_stand/run.go
+++ b/review/_stand/run.go
@@ -34,6 +34,8 @@
 	gateways []*gateway
 	// names holds the names of fields in the store.
 	names map[string]string
+	// leaveShare is the share of the requests whose clients leave before they are answered.
+	leaveShare float64
 	// network is the beginning of the loopback addresses of this run.
 	network string
 
@@ -47,6 +49,19 @@
 	return run
 }
 
+// leaves draws whether the client of the next request leaves.
+func (run *run) leaves() bool {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+	return rand.Float64() < run.leaveShare
+}
+
+func (run *run) setLeaveShare(share float64) {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+	run.leaveShare = share
+}
+
 func (run *run) goroutine(job func()) {
 	run.group.Go(func(context.Context) { job() })
 }
