--- a/review/_stand/late_rejection.go
+++ b/review/_stand/late_rejection.go
@@ -18,7 +18,7 @@
 	meanWork           = 100 * time.Millisecond
 	requestRate        = 400.0
 	clientPool         = 1500
-	loadTime           = 92 * time.Second
+	loadTime           = 85 * time.Second
 )
 
 // lateRejection sends requests that must not be repeated to services that are full at times, and lets half of the replicas send a few of
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -17,9 +17,9 @@
 //go:embed wire.json
 var wireJSON []byte
 
-// wire holds the names of the headers, so that they stand in one place.
+// wire holds the platform's names of headers and of a field of replicas' entries.
 var wire struct {
-	RequestID, Deadline, Target, Stamp, NotRun, Instance, PartStamps, MissingParts string
+	RequestID, Deadline, Target, Stamp, NotRun, Instance, WarmUp string
 }
 
 // Exit codes of a case.
--- a/review/_stand/replica.go
+++ b/review/_stand/replica.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	replica := &replica{run: run, config: config, listener: listener, startedAt: time.Now(), slots: make(chan struct{}, config.slots), state: "ready"}
+	replica := &replica{run: run, config: config, listener: listener, startedAt: time.Now(), slots: make(chan struct{}, config.slots)}
 	run.goroutine(replica.accept)
 	run.goroutine(replica.beat)
 	return replica, nil
@@ -76,7 +76,7 @@
 	replica.sequence++
 	spec := map[string]any{
 		"backend": replica.config.service, "address": replica.listener.Addr().String(), "zone": replica.config.zone, "version": "v1",
-		"slots": replica.config.slots, "state": replica.state, replica.run.names["WarmUp"]: 0, "sequence": replica.sequence,
+		"slots": replica.config.slots, "state": "ready", wire.WarmUp: 0, "sequence": replica.sequence,
 		"born": replica.startedAt.UnixMilli(),
 	}
 	replica.mutex.Unlock()
--- a/review/_stand/run.go
+++ b/review/_stand/run.go
@@ -32,8 +32,6 @@
 	group    *swgroup.Group
 	store    *store
 	gateways []*gateway
-	// names holds the names of fields in the store.
-	names map[string]string
 	// leaveShare is the share of the requests whose clients leave before they are answered.
 	leaveShare float64
 	// network is the beginning of the loopback addresses of this run.
@@ -43,7 +41,7 @@
 }
 
 func newRun(options options) *run {
-	run := &run{options: options, journal: newJournal(), names: map[string]string{"WarmUp": "warmup" + "_left_ms"}}
+	run := &run{options: options, journal: newJournal()}
 	run.ctx, run.cancel = context.WithCancel(context.Background())
 	run.group = swgroup.New(run.ctx)
 	return run
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts start. They need no module beyond those of the project.
-cd "$(dirname "$0")/.." && exec go build -o target/review-stand ./review/_stand
+# Builds the program that the scripts start, with all stand-ins. It needs no module beyond those of the project.
+cd "$(dirname "$0")/.." && exec go build -buildvcs=false -o target/review-stand ./review/_stand
