--- a/review/_stand/late_rejection.go
+++ b/review/_stand/late_rejection.go
@@ -11,14 +11,14 @@
 const (
 	machines = 9
 	// Each of the services has three replicas of two slots, as those of treasurer-desk, and gets a third more requests than it can run.
-	services           = 5
+	services           = 7
 	replicasPerService = 3
 	slotsPerReplica    = 2
 	queuePerReplica    = 2
 	meanWork           = 100 * time.Millisecond
-	requestRate        = 400.0
+	requestRate        = 560.0
 	clientPool         = 1500
-	loadTime           = 85 * time.Second
+	loadTime           = 88 * time.Second
 )
 
 // lateRejection sends requests that must not be repeated to services that are full at times, and lets half of the replicas send a few of
--- a/review/_stand/stray_rejection.go
+++ b/review/_stand/stray_rejection.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Parameters of the case stray-rejection: five services with replicas that are far from full.
+// Parameters of the case stray-rejection: services with replicas that are far from full.
 const (
 	strayRate = 100.0
 	strayTime = 50 * time.Second
