Log the connection of each attempt, and count connections and dropped responses

Attempts now read "Near#31" with the number of the connection, and earlier ones come first. Counters: replica_connections_opened and responses_dropped.

--- a/internal/swconn/connection.go
+++ b/internal/swconn/connection.go
@@ -77,6 +77,8 @@
 	keepAliveTimeout atomic.Int64
 	// IdleSince is the time at which the owner last returned the connection to its idle connections. Only the owner uses it.
 	IdleSince time.Time
+	// Number tells the connections of an owner apart in its log; zero if the owner does not number them.
+	Number uint64
 }
 
 // New returns a Connection over an open network connection. The owner must run ReadLoop in a separate goroutine.
--- a/internal/swgateway/attempt.go
+++ b/internal/swgateway/attempt.go
@@ -72,6 +72,7 @@
 	for i := range call.attempts {
 		if call.attempts[i].id == result.command.Attempt {
 			call.attempts[i].endedAt, call.attempts[i].outcome = result.endedAt, answer.Outcome.String()
+			call.attempts[i].connection = result.replicaResult.Connection
 		}
 	}
 	if result.replicaResult.Response != nil && !shard.answered {
--- a/internal/swgateway/handler.go
+++ b/internal/swgateway/handler.go
@@ -208,6 +208,7 @@
 				return last, refusal
 			}
 			requeued++
+			request.earlierAttempts = append(request.earlierAttempts, call.attempts...)
 		}
 	}
 }
--- a/internal/swgateway/log.go
+++ b/internal/swgateway/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -136,30 +137,42 @@
 	replica *swreplica.Replica
 	// relay is the VM that relayed the attempt; empty if it went directly to the replica.
 	relay string
+	// connection is the number of this VM's connection that carried the attempt; zero if none did or the attempt is open.
+	connection uint64
 	// startedAt is when the attempt was started, endedAt when its outcome arrived; the zero time until then.
 	startedAt time.Time
 	endedAt   time.Time
 	outcome   string
 }
 
-// describeAttempts returns one entry per attempt; with failedOnly it skips those that were answered.
+// describe describes an attempt of a request that arrived at the given time.
+func (attemptRecord *attemptRecord) describe(arrivedAt time.Time) string {
+	took := "open"
+	if !attemptRecord.endedAt.IsZero() {
+		took = attemptRecord.endedAt.Sub(attemptRecord.startedAt).Round(100 * time.Microsecond).String()
+	}
+	path := attemptRecord.replica.Distance().String()
+	if attemptRecord.relay != "" {
+		path += "/" + attemptRecord.relay
+	}
+	if attemptRecord.connection != 0 {
+		path += "#" + strconv.FormatUint(attemptRecord.connection, 10)
+	}
+	return fmt.Sprintf("%s %s %s +%s %s %s", attemptRecord.service, attemptRecord.replica.ID(), path,
+		attemptRecord.startedAt.Sub(arrivedAt).Round(100*time.Microsecond), took, attemptRecord.outcome)
+}
+
+// describeAttempts returns one entry per attempt, from before the request was requeued as well; with failedOnly it skips those that were
+// answered.
 func (call *call) describeAttempts(failedOnly bool) []string {
 	lines := []string{}
-	for i := range call.attempts {
-		attempt := &call.attempts[i]
-		if failedOnly && attempt.outcome == "Answered" {
-			continue
-		}
-		took := "open"
-		if !attempt.endedAt.IsZero() {
-			took = attempt.endedAt.Sub(attempt.startedAt).Round(100 * time.Microsecond).String()
-		}
-		path := attempt.replica.Distance().String()
-		if attempt.relay != "" {
-			path += "/" + attempt.relay
+	for _, attempts := range [][]attemptRecord{call.request.earlierAttempts, call.attempts} {
+		for i := range attempts {
+			if failedOnly && attempts[i].outcome == "Answered" {
+				continue
+			}
+			lines = append(lines, attempts[i].describe(call.request.arrivedAt))
 		}
-		lines = append(lines, fmt.Sprintf("%s %s %s +%s %s %s", attempt.service, attempt.replica.ID(), path,
-			attempt.startedAt.Sub(call.request.arrivedAt).Round(100*time.Microsecond), took, attempt.outcome))
 	}
 	return lines
 }
--- a/internal/swgateway/request.go
+++ b/internal/swgateway/request.go
@@ -46,6 +46,8 @@
 	clientRetry bool
 	// unreachableServices lists the services of a refused request that have no available replica.
 	unreachableServices []string
+	// earlierAttempts are those that were sent before the request was requeued.
+	earlierAttempts []attemptRecord
 	// answerBy is when the answer must be sent to meet the route's target latency; the zero time if the route has none.
 	answerBy time.Time
 }
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -48,8 +48,10 @@
 	Outcome  Outcome
 	Response *swconn.Response
 	Err      error
-	// SentAt is when the request was sent; the zero time if it was not.
-	SentAt time.Time
+	// SentAt is when the request was sent; the zero time if it was not. Connection is the number of the connection that carried it; zero if
+	// it was not sent by this VM.
+	SentAt     time.Time
+	Connection uint64
 	// RetryAfter is when an attempt that was not sent may be, for one that the replica's rate limit prevented; else zero.
 	RetryAfter time.Duration
 }
@@ -72,6 +74,15 @@
 	if err != nil {
 		return Result{Outcome: NotSent, Err: err}
 	}
+	result := replica.send(ctx, connection, request)
+	if result.Outcome != NotSent {
+		result.Connection = connection.Number
+	}
+	return result
+}
+
+// send sends a request on a connection and waits for the result.
+func (replica *Replica) send(ctx context.Context, connection *swconn.Connection, request *Request) Result {
 	now := time.Now()
 	data, ok := request.Encode(now)
 	if !ok || ctx.Err() != nil {
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,6 +62,8 @@
 // connections are held by each Replica.
 type Pool struct {
 	config PoolConfig
+	// opened is the number of connections that were opened.
+	opened atomic.Uint64
 }
 
 // NewPool returns a pool; nil functions in config get defaults.
@@ -197,7 +200,11 @@
 		replica.mutex.Unlock()
 		return nil, errors.Wrap(err, "dial")
 	}
-	connection := swconn.New(conn, replica.pool.config.Limits, swconn.Hooks{OnClose: replica.connectionEnded, OnHeader: replica.readReport})
+	connection := swconn.New(conn, replica.pool.config.Limits, swconn.Hooks{
+		OnClose: replica.connectionEnded, OnHeader: replica.readReport, OnMismatch: replica.countMismatch,
+	})
+	connection.Number = replica.pool.opened.Add(1)
+	replica.pool.config.CountEvent("replica_connections_opened", 1)
 	replica.mutex.Lock()
 	replica.dialing--
 	retired := replica.retired
@@ -242,6 +249,11 @@
 	}
 }
 
+// countMismatch counts a response that answers no request that is outstanding, such as the second copy of an earlier one.
+func (replica *Replica) countMismatch(*swconn.Connection) {
+	replica.pool.config.CountEvent("responses_dropped", 1)
+}
+
 // recordLimitExceeded records a response that was not read to its end because it is too large.
 func (replica *Replica) recordLimitExceeded(limitError *swconn.LimitError) {
 	replica.pool.config.Log.Warn().Str("Replica", replica.ID()).Str("Exceeded", limitError.Exceeded).Int("Limit", limitError.Limit).
