Send no request twice on one connection to a replica

Cause: a response is matched to a request by the client's ID, which all sendings of the request share. A rejected request is sent again after 50 ms or more, mostly on the same connection, since the one used last is taken first. The replica's late copy of its rejection then arrives where the response to the second sending is expected and is taken for it, while the second sending waits in the replica's queue.

Fix: swreplica.Sendings records the connections that carried the request, and acquireConnection takes none of them. At the limit of connections the idle one is closed for a new one. It works because copies come on the connection of the original.

--- /dev/null
+++ b/internal/swgateway/copy_test.go
@@ -0,0 +1,198 @@
+package swgateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// lateCopies makes replicas send a fraction of their responses once more, each where the next response is expected on its connection.
+type lateCopies struct {
+	mutex    sync.Mutex
+	random   *rand.Rand
+	fraction float64
+	// pending holds the copy that is due on a connection.
+	pending map[net.Conn]string
+	copied  int
+}
+
+func newLateCopies(seed uint64, fraction float64) *lateCopies {
+	return &lateCopies{random: rand.New(rand.NewPCG(seed, 0)), fraction: fraction, pending: make(map[net.Conn]string)}
+}
+
+// replay writes the copy that is due on the request's connection, if any.
+func (lateCopies *lateCopies) replay(receivedRequest *receivedRequest) {
+	lateCopies.mutex.Lock()
+	text := lateCopies.pending[receivedRequest.conn]
+	delete(lateCopies.pending, receivedRequest.conn)
+	lateCopies.mutex.Unlock()
+	_, _ = receivedRequest.conn.Write([]byte(text))
+}
+
+// respond writes a response, and may keep a copy of it for the next request on the connection.
+func (lateCopies *lateCopies) respond(receivedRequest *receivedRequest, status int, headers, body string) {
+	text := receivedRequest.answerText(status, headers, body)
+	lateCopies.mutex.Lock()
+	if lateCopies.random.Float64() < lateCopies.fraction {
+		lateCopies.pending[receivedRequest.conn] = text
+		lateCopies.copied++
+	}
+	lateCopies.mutex.Unlock()
+	_, _ = receivedRequest.conn.Write([]byte(text))
+}
+
+// runCounter counts the runs of each request by its ID.
+type runCounter struct {
+	mutex sync.Mutex
+	runs  map[string]int
+}
+
+func (runCounter *runCounter) add(receivedRequest *receivedRequest) {
+	runCounter.mutex.Lock()
+	defer runCounter.mutex.Unlock()
+	if runCounter.runs == nil {
+		runCounter.runs = make(map[string]int)
+	}
+	runCounter.runs[receivedRequest.Header.Get("Id")]++
+}
+
+func (runCounter *runCounter) count(id string) int {
+	runCounter.mutex.Lock()
+	defer runCounter.mutex.Unlock()
+	return runCounter.runs[id]
+}
+
+// limitedCapacityWithCopies is limitedCapacity of a replica whose responses come with late copies.
+func limitedCapacityWithCopies(lateCopies *lateCopies, runs *runCounter, slots, queue int, work func() time.Duration) func(*receivedRequest) {
+	places, free := make(chan struct{}, slots+queue), make(chan struct{}, slots)
+	return func(receivedRequest *receivedRequest) {
+		lateCopies.replay(receivedRequest)
+		select {
+		case places <- struct{}{}:
+		default:
+			lateCopies.respond(receivedRequest, http.StatusServiceUnavailable, "Not-Run: 1\r\n", "")
+			return
+		}
+		free <- struct{}{}
+		runs.add(receivedRequest)
+		time.Sleep(work())
+		<-free
+		<-places
+		lateCopies.respond(receivedRequest, http.StatusOK, "Signature: x\r\n", "done")
+	}
+}
+
+// TestCopyOfARejectionDoesNotAnswerTheNextSending guards against taking the late copy of a replica's rejection for its answer to the same
+// request's second sending, which then runs although the request is sent a third time or refused as not run.
+func TestCopyOfARejectionDoesNotAnswerTheNextSending(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		testHandler := newTestHandler(t, 1)
+		defer testHandler.close()
+		testHandler.setRoute(nonIdempotentRoute())
+		lateCopies, runs := newLateCopies(1, 1), &runCounter{}
+		sendings := 0
+		replica := testHandler.addReplica("s", "a", func(receivedRequest *receivedRequest) {
+			lateCopies.replay(receivedRequest)
+			if sendings++; sendings == 1 {
+				lateCopies.respond(receivedRequest, http.StatusServiceUnavailable, "Not-Run: 1\r\n", "")
+				return
+			}
+			runs.add(receivedRequest)
+			respondSigned(100*time.Millisecond, "a", "done")(receivedRequest)
+		})
+		got := testHandler.send(t.Context(), http.MethodPost, "/x", "work")
+		if diff := cmp.Diff("200 done", statusAndBody(got)); diff != "" {
+			t.Error("answer (-want +got):\n" + diff)
+		}
+		if diff := cmp.Diff(1, runs.count(replica.first().Header.Get("Id"))); diff != "" {
+			t.Error("runs (-want +got):\n" + diff)
+		}
+	})
+}
+
+// TestLateCopiesUnderOverloadCauseNoSecondRun replays the load of review case 1: clients send a third more requests than three replicas can
+// run, and two of these send some of their responses once more. No request runs twice, or after it was refused as not run.
+func TestLateCopiesUnderOverloadCauseNoSecondRun(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) { checkLateCopies(t, seed+1) })
+		})
+	}
+}
+
+func checkLateCopies(t *testing.T, seed uint64) {
+	t.Helper()
+	const (
+		vms                 = 9
+		requests, perSecond = 4000, 80.0
+		slots, queue        = 2, 2
+		meanWork            = 100 * time.Millisecond
+		clientTimeout       = 4 * time.Second
+	)
+	runs, random := &runCounter{}, rand.New(rand.NewPCG(seed, 1))
+	var mutex sync.Mutex
+	work := func() time.Duration {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return time.Duration((0.5 + random.Float64()) * float64(meanWork))
+	}
+	copies := []*lateCopies{newLateCopies(seed, 0.2), newLateCopies(seed+100, 0.2), newLateCopies(seed, 0)}
+	scripts := make([]func(*receivedRequest), len(copies))
+	for i, lateCopies := range copies {
+		scripts[i] = limitedCapacityWithCopies(lateCopies, runs, slots, queue, work)
+	}
+	testHandlers := newMixedFleet(t, vms, scripts)
+	route := nonIdempotentRoute()
+	route.WeightedServices[0].Service = "s0"
+	for _, testHandler := range testHandlers {
+		defer testHandler.close()
+		testHandler.setRoute(route)
+	}
+	arrivals := rand.New(rand.NewPCG(seed, 2))
+	var clients sync.WaitGroup
+	var violations []string
+	served := 0
+	for range requests {
+		time.Sleep(time.Duration(arrivals.ExpFloat64() / perSecond * float64(time.Second)))
+		testHandler := testHandlers[arrivals.IntN(vms)]
+		clients.Go(func() {
+			id, got := testHandler.sendIdentified(t.Context(), http.MethodPost, "/x", "work", clientTimeout)
+			mutex.Lock()
+			defer mutex.Unlock()
+			// A request that runs after its refusal does so within the time of its client.
+			time.AfterFunc(clientTimeout, func() {
+				mutex.Lock()
+				defer mutex.Unlock()
+				if count := runs.count(id); count > 1 || got.Code == http.StatusServiceUnavailable && count > 0 {
+					violations = append(violations, fmt.Sprintf("%s was answered %d and ran %d times", id, got.Code, count))
+				}
+			})
+			if got.Code == http.StatusOK {
+				served++
+			}
+		})
+	}
+	clients.Wait()
+	time.Sleep(2 * clientTimeout)
+	synctest.Wait()
+	mutex.Lock()
+	defer mutex.Unlock()
+	if copies[0].copied+copies[1].copied == 0 {
+		t.Fatal("no response was copied")
+	}
+	if diff := cmp.Diff("", strings.Join(violations, "\n")); diff != "" {
+		t.Error("violations (-want +got):\n" + diff)
+	}
+	// The replicas can run 60 requests a second.
+	if diff := cmp.Diff(true, served >= requests*6/10); diff != "" {
+		t.Errorf("served %d of %d, want as many as the replicas can run but for a tenth", served, requests)
+	}
+}
--- a/internal/swgateway/harness_test.go
+++ b/internal/swgateway/harness_test.go
@@ -288,18 +288,25 @@
 
 // sendWithTimeout sends one request for a client with the given timeout.
 func (testHandler *testHandler) sendWithTimeout(ctx context.Context, method, path, body string, timeout time.Duration) response {
+	_, response := testHandler.sendIdentified(ctx, method, path, body, timeout)
+	return response
+}
+
+// sendIdentified sends one request and returns its ID with the response.
+func (testHandler *testHandler) sendIdentified(ctx context.Context, method, path, body string, timeout time.Duration) (id string, got response) {
 	var reader io.Reader
 	if body != "" {
 		reader = strings.NewReader(body)
 	}
 	httpRequest := httptest.NewRequestWithContext(ctx, method, path, reader)
 	httpRequest.Host = "h"
-	httpRequest.Header.Set("Id", strconv.FormatInt(lastID.Add(1), 10))
+	id = strconv.FormatInt(lastID.Add(1), 10)
+	httpRequest.Header.Set("Id", id)
 	httpRequest.Header.Set("Left", timeout.String())
 	startedAt := time.Now()
 	recorder := httptest.NewRecorder()
 	testHandler.ServeHTTP(deadlineRecorder{recorder}, httpRequest)
-	return response{recorder, time.Since(startedAt)}
+	return id, response{recorder, time.Since(startedAt)}
 }
 
 // inVirtualTime runs a test in virtual time.
--- a/internal/swgateway/request.go
+++ b/internal/swgateway/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 	"github.com/sycamorewall/sycamorewall/pkg/swrule"
@@ -46,6 +47,8 @@
 	clientRetry bool
 	// unreachableServices lists the services of a refused request that have no available replica.
 	unreachableServices []string
+	// sendings records on which connections the request was sent, by shard.
+	sendings []swreplica.Sendings
 	// earlierAttempts are those that were sent before the request was requeued.
 	earlierAttempts []attemptRecord
 	// answerBy is when the answer must be sent to meet the route's target latency; the zero time if the route has none.
--- a/internal/swrelay/server.go
+++ b/internal/swrelay/server.go
@@ -61,7 +61,7 @@
 	}
 	deadline := now.Add(attempt.Left)
 	replica.Reserve()
-	result := replica.Exchange(ctx, NewRequest(&attempt, replica, server.config.Codec, deadline, 0))
+	result := replica.Exchange(ctx, NewRequest(&attempt, replica, server.config.Codec, deadline))
 	return newReply(&result), nil
 }
 
@@ -72,7 +72,7 @@
 
 // NewRequest returns a request that sends the attempt directly to its replica, with the time that is left until the deadline when
 // it is sent. Nothing is sent if the replica is leaving or too little time is left.
-func NewRequest(attempt *Attempt, replica *swreplica.Replica, codec Codec, deadline time.Time, cancelGrace time.Duration) *swreplica.Request {
+func NewRequest(attempt *Attempt, replica *swreplica.Replica, codec Codec, deadline time.Time) *swreplica.Request {
 	return &swreplica.Request{
 		Method: attempt.Method,
 		Encode: func(now time.Time) ([]byte, bool) {
@@ -82,8 +82,7 @@
 			}
 			return codec.Encode(attempt, timeLeft), true
 		},
-		Accept:      func(response *swconn.Response) bool { return codec.IsResponseTo(response, attempt.RequestID) },
-		Deadline:    deadline,
-		CancelGrace: cancelGrace,
+		Accept:   func(response *swconn.Response) bool { return codec.IsResponseTo(response, attempt.RequestID) },
+		Deadline: deadline,
 	}
 }
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -19,6 +19,8 @@
 	Accept func(response *swconn.Response) bool
 	// Deadline is when the attempt fails if it has no response.
 	Deadline time.Time
+	// Sendings are the earlier sendings of the client's request; nil if it is sent only once.
+	Sendings *Sendings
 	// CancelGrace is how long a cancelled attempt may still be answered before its connection is closed. An answer within that
 	// time keeps the connection usable and does not interrupt the replica's work.
 	CancelGrace time.Duration
@@ -69,7 +71,7 @@
 
 // Exchange sends a reserved request to the replica and waits for the response, for the end of ctx, or for the deadline.
 func (replica *Replica) Exchange(ctx context.Context, request *Request) Result {
-	connection, err := replica.acquireConnection(ctx)
+	connection, err := replica.acquireConnection(ctx, request.Sendings)
 	replica.addReserved(-1)
 	if err != nil {
 		return Result{Outcome: NotSent, Err: err}
@@ -89,6 +91,7 @@
 		replica.releaseConnection(connection)
 		return Result{Outcome: NotSent, Err: errNotSent}
 	}
+	request.Sendings.record(connection)
 	inFlightRequest := replica.AddInFlight(now)
 	results, sent, err := connection.Send(&swconn.Request{
 		Method: request.Method, Data: data, WriteBy: request.Deadline, ReadBy: request.Deadline.Add(request.CancelGrace + readMargin), Accept: request.Accept,
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -101,11 +102,11 @@
 	return replica
 }
 
-// acquireConnection returns an idle connection, a new one, or the next one that is released.
-func (replica *Replica) acquireConnection(ctx context.Context) (*swconn.Connection, error) {
+// acquireConnection returns an idle connection, a new one, or the next one that is released; none that the request was sent on before.
+func (replica *Replica) acquireConnection(ctx context.Context, sendings *Sendings) (*swconn.Connection, error) {
 	base := replica.baseLimit()
 	for {
-		connection, freed, err := replica.tryAcquireConnection(time.Now(), base)
+		connection, freed, err := replica.tryAcquireConnection(time.Now(), base, sendings)
 		switch {
 		case err != nil:
 			return nil, err
@@ -131,19 +132,19 @@
 
 // tryAcquireConnection returns an idle connection, or a channel that is closed when one may have been released. It returns
 // neither when the caller must dial.
-func (replica *Replica) tryAcquireConnection(now time.Time, base int) (*swconn.Connection, <-chan struct{}, error) {
+func (replica *Replica) tryAcquireConnection(now time.Time, base int, sendings *Sendings) (*swconn.Connection, <-chan struct{}, error) {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	if replica.retired {
 		return nil, nil, errRetired
 	}
-	if connection := replica.popIdle(now); connection != nil {
+	if connection := replica.popIdle(now, sendings); connection != nil {
 		return connection, nil, nil
 	}
 	if replica.down {
 		return nil, nil, errDown
 	}
-	if len(replica.openConnections)+replica.dialing < replica.limit.current(base) {
+	if len(replica.openConnections)+replica.dialing < replica.limit.current(base) || replica.dropIdle() {
 		replica.dialing++
 		return nil, nil, nil
 	}
@@ -154,13 +155,17 @@
 	return nil, replica.freed, nil
 }
 
-// popIdle returns the most recently used idle connection, and closes those that the replica may be about to close.
-func (replica *Replica) popIdle(now time.Time) *swconn.Connection {
-	for len(replica.idleConnections) > 0 {
-		last := len(replica.idleConnections) - 1
-		connection := replica.idleConnections[last]
-		replica.idleConnections = replica.idleConnections[:last]
-		if connection.Usable() && now.Sub(connection.IdleSince) < idleTimeout(connection) {
+// popIdle returns the most recently used idle connection that the request was not sent on, and closes those that the replica may be about
+// to close. The caller holds the mutex.
+func (replica *Replica) popIdle(now time.Time, sendings *Sendings) *swconn.Connection {
+	for i := len(replica.idleConnections) - 1; i >= 0; i-- {
+		connection := replica.idleConnections[i]
+		usable := connection.Usable() && now.Sub(connection.IdleSince) < idleTimeout(connection)
+		if usable && sendings.used(connection) {
+			continue
+		}
+		replica.idleConnections = slices.Delete(replica.idleConnections, i, i+1)
+		if usable {
 			return connection
 		}
 		connection.Close()
@@ -168,6 +173,19 @@
 	return nil
 }
 
+// dropIdle closes the idle connection that was used least recently to make room for another one, and reports whether there was one. The
+// caller holds the mutex.
+func (replica *Replica) dropIdle() bool {
+	if len(replica.idleConnections) == 0 {
+		return false
+	}
+	connection := replica.idleConnections[0]
+	replica.idleConnections = slices.Delete(replica.idleConnections, 0, 1)
+	delete(replica.openConnections, connection)
+	connection.Close()
+	return true
+}
+
 // idleTimeout returns how long this VM keeps the connection unused.
 func idleTimeout(connection *swconn.Connection) time.Duration {
 	replicaTimeout := connection.KeepAliveTimeout()
--- a/internal/swreplica/replica_test.go
+++ b/internal/swreplica/replica_test.go
@@ -1,10 +1,13 @@
 package swreplica
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"testing"
@@ -14,6 +17,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/sycamorewall/sycamorewall/internal/swconn"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 )
 
@@ -143,6 +147,113 @@
 	})
 }
 
+// respondingReplica accepts connections over pipes and answers every request at once.
+type respondingReplica struct {
+	group *swgroup.Group
+
+	mutex sync.Mutex
+	// conns holds the server's side of each connection in the order of opening, and open the number of those that are open.
+	conns []net.Conn
+	open  int
+	// carriers holds, by request ID, the connections on which the request arrived.
+	carriers map[string][]net.Conn
+}
+
+func (replica *respondingReplica) dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	client, server := net.Pipe()
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	replica.conns = append(replica.conns, server)
+	replica.open++
+	replica.group.Go(func(context.Context) { replica.serve(server) })
+	return client, nil
+}
+
+func (replica *respondingReplica) serve(conn net.Conn) {
+	defer func() {
+		replica.mutex.Lock()
+		defer replica.mutex.Unlock()
+		replica.open--
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		id := request.Header.Get("Id")
+		replica.mutex.Lock()
+		replica.carriers[id] = append(replica.carriers[id], conn)
+		replica.mutex.Unlock()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+	}
+}
+
+// TestSendingsOfARequestUseDifferentConnections guards against sending a request twice on one connection, where the late copy of the first
+// response would be taken for the second. Other requests share the connections, whose number stays within the limit.
+func TestSendingsOfARequestUseDifferentConnections(t *testing.T) {
+	for name, test := range map[string]struct {
+		maxConnections int
+		limit          int
+	}{
+		"one connection":  {1, 1},
+		"few connections": {12, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				group := swgroup.New(context.Background())
+				responding := &respondingReplica{group: group, carriers: make(map[string][]net.Conn)}
+				pool := NewPool(PoolConfig{Group: group, Dial: responding.dial, Log: zerolog.Nop(), MaxConnections: func(string) int { return test.maxConnections }})
+				registry := NewRegistry(RegistryConfig{DataCentre: "dc", Pool: pool})
+				// A VM of another region has the lowest limit.
+				registry.Update([]Entry{{ID: "a", Service: "s", DataCentre: "far", Slots: 2}}, nil)
+				replica := registry.Find("a")
+				send := func(id string, sendings *Sendings) {
+					replica.Reserve()
+					result := replica.Exchange(t.Context(), &Request{
+						Method: http.MethodGet,
+						Encode: func(time.Time) ([]byte, bool) {
+							return []byte("GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"), true
+						},
+						Accept:   func(response *swconn.Response) bool { return response.Header.Get("Id") == id },
+						Deadline: time.Now().Add(time.Minute), Sendings: sendings,
+					})
+					if result.Outcome != Answered {
+						t.Fatalf("outcome %d, %v", result.Outcome, result.Err)
+					}
+					synctest.Wait()
+					if responding.open > test.limit {
+						t.Errorf("%d connections are open, want at most %d", responding.open, test.limit)
+					}
+				}
+				const repeated = 6
+				sendings := &Sendings{}
+				for i := range repeated {
+					send("repeated", sendings)
+					send(fmt.Sprint("other-", i), &Sendings{})
+					send(fmt.Sprint("single-", i), nil)
+				}
+				seen := make(map[net.Conn]int)
+				for _, conn := range responding.carriers["repeated"] {
+					seen[conn]++
+				}
+				if diff := cmp.Diff(repeated, len(seen)); diff != "" {
+					t.Error("connections of the repeated request (-want +got):\n" + diff)
+				}
+				// Requests that are sent once open no connection while one is idle.
+				if diff := cmp.Diff(repeated, len(responding.conns)); diff != "" {
+					t.Error("connections opened (-want +got):\n" + diff)
+				}
+				replica.Retire()
+				for _, conn := range responding.conns {
+					conn.Close()
+				}
+				group.Stop()
+			})
+		})
+	}
+}
+
 // TestRetiredReplicaIsNotReportedAsBack removes a replica while it is probed.
 func TestRetiredReplicaIsNotReportedAsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
