Take a backend server's refusal of work only if it names the attempt

Work that must not run twice was then reported as not run (Ran: No) while it ran, and sent again. Work that was shed was also sent again with the ID of its first sending.

Error responses now echo query and attempt, as successes do. One with other IDs closes its connection and leaves the outcome unknown; one without IDs, from servers of the older protocol, counts as a refusal of idempotent work alone. Work that is sent again has another attempt ID.

Test: TestRefusalOfAnotherSendingIsNoProof failed before: Shed, Ran No, in place of Broken, Unknown, both for a copy and without IDs.

--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -107,17 +107,28 @@
 	return string(text[:])
 }
 
-// matches reports whether the response echoes the identity of the sub-request.
+// matches reports whether the response echoes the identity of the sub-request with its snapshot and shard.
 func (searchResponse *searchResponse) matches(subRequest *SubRequest) bool {
+	return searchResponse.answers(subRequest) && searchResponse.Snapshot == subRequest.Snapshot && searchResponse.Shard == subRequest.Shard
+}
+
+// answers reports whether the response echoes the query and the attempt of the sub-request.
+func (searchResponse *searchResponse) answers(subRequest *SubRequest) bool {
 	queryID, err := strconv.ParseUint(searchResponse.QueryID, 16, 64)
 	if err != nil || queryID != subRequest.QueryID {
 		return false
 	}
 	attempt, err := strconv.ParseUint(searchResponse.Attempt, 16, 64)
-	if err != nil || attempt != subRequest.Attempt {
-		return false
+	return err == nil && attempt == subRequest.Attempt
+}
+
+// mayAnswer reports whether an error response may be the one to the sub-request. One without any identity may come from a server of an
+// older protocol. It is accepted for idempotent work alone, where a wrong "not run" costs no more than a repeat.
+func (searchResponse *searchResponse) mayAnswer(subRequest *SubRequest) bool {
+	if searchResponse.QueryID == "" && searchResponse.Attempt == "" {
+		return subRequest.Idempotent()
 	}
-	return searchResponse.Snapshot == subRequest.Snapshot && searchResponse.Shard == subRequest.Shard
+	return searchResponse.answers(subRequest)
 }
 
 // execute sends a sub-request that holds a slot and returns its answer.
@@ -299,12 +310,12 @@
 	if err := json.Unmarshal(response.Body, &body); err != nil {
 		return server.failureAnswer(subRequest, Failed, "decode answer: "+err.Error()), false
 	}
+	if response.Status == http.StatusOK && !body.matches(subRequest) || response.Status != http.StatusOK && !body.mayAnswer(subRequest) {
+		server.observe(ResponseMismatched)
+		return server.failureAnswer(subRequest, Broken, "response to another request"), false
+	}
 	switch response.Status {
 	case http.StatusOK:
-		if !body.matches(subRequest) {
-			server.observe(ResponseMismatched)
-			return server.failureAnswer(subRequest, Broken, "response to another request"), false
-		}
 		for i := range body.Hits {
 			body.Hits[i].Shard = subRequest.Shard
 		}
--- a/internal/swbackend/fake_test.go
+++ b/internal/swbackend/fake_test.go
@@ -50,6 +50,8 @@
 	closeConnection bool
 	// extraCopies is how many more times the answer is sent.
 	extraCopies int
+	// anonymous leaves the request's identity out of an error response, as servers of the older protocol do.
+	anonymous bool
 }
 
 func newFakeServer(t *testing.T) *fakeServer {
@@ -171,6 +173,10 @@
 	if reply.closeConnection {
 		return false
 	}
+	if body, ok := reply.body.(searchResponse); ok && reply.status != http.StatusOK && body.QueryID == "" && !reply.anonymous {
+		body.QueryID, body.Attempt = request.QueryID, request.Attempt
+		reply.body = body
+	}
 	for range reply.extraCopies + 1 {
 		if !write(conn, reply) {
 			return false
--- a/internal/swbackend/pool.go
+++ b/internal/swbackend/pool.go
@@ -223,11 +223,16 @@
 	}
 	answer, shed := server.attempt(ctx, &subRequest)
 	if shed {
+		subRequest.Attempt |= resentBit
 		answer, _ = server.attempt(ctx, &subRequest)
 	}
 	return answer
 }
 
+// resentBit is set in the attempt ID of a sub-request that is sent once more after the server shed it. With the same ID, a late copy of the
+// first response could not be told from the second one.
+const resentBit = 1 << 63
+
 // attempt queues the sub-request and sends it to the server once. shed reports whether the server refused it for lack of
 // capacity.
 func (server *server) attempt(ctx context.Context, subRequest *SubRequest) (answer Answer, shed bool) {
--- a/internal/swbackend/pool_test.go
+++ b/internal/swbackend/pool_test.go
@@ -166,6 +166,48 @@
 	})
 }
 
+// TestRefusalOfAnotherSendingIsNoProof guards against taking the late copy of a server's refusal, or a refusal of nobody's request, for the
+// answer to work that must not run twice, which is then reported as not run while it runs.
+func TestRefusalOfAnotherSendingIsNoProof(t *testing.T) {
+	shed := func(request searchRequest, anonymous bool) *fakeAnswer {
+		return &fakeAnswer{status: http.StatusServiceUnavailable, body: searchResponse{QueryID: request.QueryID, Attempt: request.Attempt, Code: "Shed"}, anonymous: anonymous}
+	}
+	for name, test := range map[string]struct {
+		// answer returns the answer to the request with the given number, and first is the first request.
+		answer   func(number int, request, first searchRequest) *fakeAnswer
+		requests int
+	}{
+		"copy of the first refusal": {func(_ int, _, first searchRequest) *fakeAnswer { return shed(first, false) }, 2},
+		"refusal without IDs":       {func(int, searchRequest, searchRequest) *fakeAnswer { return shed(searchRequest{}, true) }, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := startFakeServer()
+				defer fake.close()
+				pool := startFakePool(fake, Config{})
+				defer pool.Close()
+				number, first := 0, searchRequest{}
+				fake.setAnswer(func(_ int, _ string, request searchRequest) *fakeAnswer {
+					if number++; number == 1 {
+						first = request
+					}
+					return test.answer(number, request, first)
+				})
+				subRequest := newSubRequest(time.Second)
+				subRequest.RunKey = "k"
+				answer := pool.Execute(t.Context(), subRequest)
+				want := answerSummary{Broken, swcode.RanUnknown, swcode.OutcomeUnknown}
+				if diff := cmp.Diff(want, answerSummary{answer.Outcome, answer.Ran, answer.Code}); diff != "" {
+					t.Error("answer (-want +got):\n" + diff)
+				}
+				if diff := cmp.Diff(test.requests, fake.count("/run")); diff != "" {
+					t.Error("requests (-want +got):\n" + diff)
+				}
+			})
+		})
+	}
+}
+
 func TestLeavingNoticeStopsNewWork(t *testing.T) {
 	notices := map[string]func(request searchRequest) *fakeAnswer{
 		"header": func(request searchRequest) *fakeAnswer {
--- a/internal/swbackend/request.go
+++ b/internal/swbackend/request.go
@@ -14,6 +14,7 @@
 	// Server is the name of the backend server. Its address and limits come from the server list.
 	Server      string
 	QueryID     uint64
+	// Attempt identifies the attempt within the query. Its highest bit is kept free for resentBit.
 	Attempt     uint64
 	Caller      string
 	Kind        string
--- a/lab/internal/swlabbackend/handler.go
+++ b/lab/internal/swlabbackend/handler.go
@@ -46,6 +46,9 @@
 
 // errorResponse is the body of every response with an error status.
 type errorResponse struct {
+	// QueryID and Attempt are those of the request; empty if it could not be read.
+	QueryID string `json:",omitempty"`
+	Attempt string `json:",omitempty"`
 	Code    string
 	Message string   `json:",omitempty"`
 	Held    []string `json:",omitempty"`
@@ -105,8 +108,9 @@
 	_, _ = writer.Write(data)
 }
 
-// refuse writes an error response and counts it in the journal.
-func (server *Server) refuse(writer http.ResponseWriter, status int, body errorResponse) {
+// refuse writes the error response to an attempt and counts it in the journal.
+func (server *Server) refuse(writer http.ResponseWriter, status int, id attemptID, body errorResponse) {
+	body.QueryID, body.Attempt = id.queryID, id.attempt
 	server.config.Journal.countRefusal(body.Code)
 	server.write(writer, status, body)
 }
@@ -115,32 +119,33 @@
 	var search Request
 	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxRequestSize))
 	if err := decoder.Decode(&search); err != nil {
-		server.refuse(writer, http.StatusBadRequest, errorResponse{Code: "BadRequest", Message: err.Error()})
+		server.refuse(writer, http.StatusBadRequest, attemptID{}, errorResponse{Code: "BadRequest", Message: err.Error()})
 		return
 	}
 	timeout, err := time.ParseDuration(search.Timeout)
+	id := attemptID{search.QueryID, search.Attempt}
 	if err != nil {
-		server.refuse(writer, http.StatusBadRequest, errorResponse{Code: "BadRequest", Message: err.Error()})
+		server.refuse(writer, http.StatusBadRequest, id, errorResponse{Code: "BadRequest", Message: err.Error()})
 		return
 	}
 	if since := server.sinceLeaving(); since > 0 {
 		server.config.Journal.addArrival(Arrival{Server: server.config.Name, SinceLeaving: since})
 		writer.Header().Set("Connection", "close")
-		server.refuse(writer, http.StatusServiceUnavailable, errorResponse{Code: "Leaving"})
+		server.refuse(writer, http.StatusServiceUnavailable, id, errorResponse{Code: "Leaving"})
 		return
 	}
 	snapshot, heldIDs := server.findSnapshot(search.Index, search.Snapshot, search.Shard)
 	if snapshot == nil {
-		server.refuse(writer, http.StatusConflict, errorResponse{Code: "SnapshotNotHeld", Held: heldIDs})
+		server.refuse(writer, http.StatusConflict, id, errorResponse{Code: "SnapshotNotHeld", Held: heldIDs})
 		return
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), timeout)
 	defer cancel()
 	started := &attempt{cancel: cancel}
-	server.register(attemptID{search.QueryID, search.Attempt}, started)
-	defer server.unregister(attemptID{search.QueryID, search.Attempt}, started)
+	server.register(id, started)
+	defer server.unregister(id, started)
 	if !server.acquire(ctx) {
-		server.refuseWithoutSlot(ctx, writer, started)
+		server.refuseWithoutSlot(ctx, writer, id, started)
 		return
 	}
 	defer func() { <-server.slots }()
@@ -197,24 +202,24 @@
 }
 
 // refuseWithoutSlot responds to a request for which acquire returned false.
-func (server *Server) refuseWithoutSlot(ctx context.Context, writer http.ResponseWriter, attempt *attempt) {
+func (server *Server) refuseWithoutSlot(ctx context.Context, writer http.ResponseWriter, id attemptID, attempt *attempt) {
 	if ctx.Err() == nil {
 		writer.Header().Set("Retry-After", "1")
-		server.refuse(writer, http.StatusServiceUnavailable, errorResponse{Code: "Shed"})
+		server.refuse(writer, http.StatusServiceUnavailable, id, errorResponse{Code: "Shed"})
 		return
 	}
-	server.refuseEnded(writer, attempt.outcome(Late))
+	server.refuseEnded(writer, id, attempt.outcome(Late))
 }
 
 // refuseEnded responds to a request that ended before its run finished. After a crash it aborts the connection.
-func (server *Server) refuseEnded(writer http.ResponseWriter, outcome Outcome) {
+func (server *Server) refuseEnded(writer http.ResponseWriter, id attemptID, outcome Outcome) {
 	switch outcome {
 	case Cancelled:
-		server.refuse(writer, statusCancelled, errorResponse{Code: "Cancelled"})
+		server.refuse(writer, statusCancelled, id, errorResponse{Code: "Cancelled"})
 	case Crashed:
 		panic(http.ErrAbortHandler)
 	default:
-		server.refuse(writer, http.StatusGatewayTimeout, errorResponse{Code: "Late"})
+		server.refuse(writer, http.StatusGatewayTimeout, id, errorResponse{Code: "Late"})
 	}
 }
 
@@ -241,7 +246,7 @@
 	record.Ended = time.Now()
 	server.config.Journal.addRecord(record)
 	if record.Outcome != Finished {
-		server.refuseEnded(writer, record.Outcome)
+		server.refuseEnded(writer, attemptID{search.QueryID, search.Attempt}, record.Outcome)
 		return
 	}
 	server.reply(writer, search, snapshot)
@@ -325,7 +330,7 @@
 func (server *Server) serveCancel(writer http.ResponseWriter, request *http.Request) {
 	var cancellation struct{ QueryID, Attempt string }
 	if err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxRequestSize)).Decode(&cancellation); err != nil {
-		server.refuse(writer, http.StatusBadRequest, errorResponse{Code: "BadRequest", Message: err.Error()})
+		server.refuse(writer, http.StatusBadRequest, attemptID{}, errorResponse{Code: "BadRequest", Message: err.Error()})
 		return
 	}
 	server.mutex.Lock()
