Do not believe a replica's limits in responses that answer no request

A late copy of a 503 with Retry-After held a sound replica off once more, and a late copy of an answer without a limit lifted the limit that the replica had named since. Now swconn matches a response when its header is read, and a response that does not answer the outstanding request says nothing but that its replica leaves: that is never withdrawn, so a copy of it is as true as the original (TestReplicaThatSaysItLeavesGetsNoMoreRequests, "answer to another request", stays as it is).

Test: TestLateCopyOfAReportIsNotBelieved failed before, for the hold-off and for the limit.

--- a/internal/swconn/connection.go
+++ b/internal/swconn/connection.go
@@ -49,8 +49,9 @@
 type Hooks struct {
 	// OnClose is called once, when ReadLoop returns. err is ErrAnnouncedClose if the server announced the close.
 	OnClose func(connection *Connection, err error)
-	// OnHeader is called with the status and the header of each response, before its body is read. It may be nil.
-	OnHeader func(connection *Connection, status int, header http.Header)
+	// OnHeader is called with the status and the header of each response, before its body is read. matched is false for a response that
+	// does not answer the outstanding request, such as a late copy of an earlier one. It may be nil.
+	OnHeader func(connection *Connection, status int, header http.Header, matched bool)
 	// OnMismatch is called for each response that does not answer the outstanding request. It may be nil.
 	OnMismatch func(connection *Connection)
 }
@@ -65,8 +66,10 @@
 	results chan Result
 	mutex   sync.Mutex
 	// accept reports whether a response answers the outstanding request. It is nil while no request is outstanding.
-	accept func(*Response) bool
+	accept Accept
 	method string
+	// matched is set if the response that is being read answers the outstanding request. Only ReadLoop uses it.
+	matched bool
 
 	// hasResponded is set after the first response.
 	hasResponded atomic.Bool
@@ -90,9 +93,7 @@
 		results:   make(chan Result, 1),
 		IdleSince: time.Now(),
 	}
-	if hooks.OnHeader != nil {
-		connection.reader.onHeader = func(status int, header http.Header) { hooks.OnHeader(connection, status, header) }
-	}
+	connection.reader.onHeader = connection.matchHeader
 	return connection
 }
 
@@ -136,12 +137,21 @@
 }
 
 // pendingRequest returns the accept function and the method of the outstanding request. accept is nil if there is none.
-func (connection *Connection) pendingRequest() (accept func(*Response) bool, method string) {
+func (connection *Connection) pendingRequest() (accept Accept, method string) {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	return connection.accept, connection.method
 }
 
+// matchHeader determines whether the response that begins answers the outstanding request.
+func (connection *Connection) matchHeader(status int, header http.Header) {
+	accept, _ := connection.pendingRequest()
+	connection.matched = accept != nil && accept(status, header)
+	if connection.hooks.OnHeader != nil {
+		connection.hooks.OnHeader(connection, status, header, connection.matched)
+	}
+}
+
 func (connection *Connection) readResponses() error {
 	mismatches := 0
 	for {
@@ -158,7 +168,7 @@
 		}
 		connection.recordKeepAliveTimeout(response.Header.Get("Keep-Alive"))
 		connection.hasResponded.Store(true)
-		if !accept(response) {
+		if !connection.matched {
 			if connection.hooks.OnMismatch != nil {
 				connection.hooks.OnMismatch(connection)
 			}
@@ -200,6 +210,9 @@
 	}
 }
 
+// Accept reports whether the response with a status and a header answers a request.
+type Accept func(status int, header http.Header) bool
+
 // Request is a request in its encoded form.
 type Request struct {
 	Method string
@@ -208,7 +221,7 @@
 	// connection ends when one of them passes.
 	WriteBy, ReadBy time.Time
 	// Accept reports whether a response answers the request; other responses are dropped.
-	Accept func(*Response) bool
+	Accept Accept
 }
 
 // Send writes a request and returns the channel that receives its Result. sent reports whether any byte may have been sent.
--- a/internal/swconn/connection_test.go
+++ b/internal/swconn/connection_test.go
@@ -62,7 +62,7 @@
 		Data:    []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
 		WriteBy: time.Now().Add(time.Minute),
 		ReadBy:  time.Now().Add(time.Minute),
-		Accept:  func(response *Response) bool { return response.Header.Get("Id") == id },
+		Accept:  func(_ int, header http.Header) bool { return header.Get("Id") == id },
 	})
 	if err != nil || !sent {
 		t.Fatalf("sent is %t, error %v", sent, err)
--- a/internal/swconn/reader_test.go
+++ b/internal/swconn/reader_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -148,7 +149,7 @@
 		start := time.Now()
 		_, _, err := connection.Send(&Request{
 			Method: "GET", Data: []byte("GET / HTTP/1.1\r\n\r\n"), WriteBy: start.Add(time.Second), ReadBy: start.Add(readTime),
-			Accept: func(*Response) bool { return true },
+			Accept: func(int, http.Header) bool { return true },
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/swgateway/codec.go
+++ b/internal/swgateway/codec.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/sycamorewall/sycamorewall/internal/swconn"
 	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 )
 
@@ -26,7 +25,7 @@
 
 // IsResponseTo reports whether a response belongs to the client's request with that ID. A response without an ID is accepted if
 // it is a rejection or an error, which servers may send before they have read the request.
-func (codec Codec) IsResponseTo(response *swconn.Response, requestID string) bool {
-	responseInfo := codec.Protocol.ReadResponseInfo(response.Status, response.Header)
-	return responseInfo.RequestID == requestID || responseInfo.RequestID == "" && (responseInfo.NotRun || responseInfo.WrongReplica || response.Status >= http.StatusBadRequest)
+func (codec Codec) IsResponseTo(status int, header http.Header, requestID string) bool {
+	responseInfo := codec.Protocol.ReadResponseInfo(status, header)
+	return responseInfo.RequestID == requestID || responseInfo.RequestID == "" && (responseInfo.NotRun || responseInfo.WrongReplica || status >= http.StatusBadRequest)
 }
--- a/internal/swgateway/copy_test.go
+++ b/internal/swgateway/copy_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 )
 
 // lateCopies makes replicas send a fraction of their responses once more, each where the next response is expected on its connection.
@@ -196,3 +198,51 @@
 		t.Errorf("served %d of %d, want as many as the replicas can run but for a tenth", served, requests)
 	}
 }
+
+// TestLateCopyOfAReportIsNotBelieved guards against holding a replica off once more because of the late copy of a rejection, and against
+// lifting a limit that a replica has named because of the late copy of an answer from before.
+func TestLateCopyOfAReportIsNotBelieved(t *testing.T) {
+	const retryIn = 2 * time.Second
+	for name, test := range map[string]struct {
+		// first is the header of the first response, of which a copy arrives before the third one, and second that of the second one.
+		first  string
+		status int
+		second string
+		want   swreplica.State
+	}{
+		"hold-off": {"Not-Run: 1\r\nRetry-In: " + retryIn.String() + "\r\n", http.StatusServiceUnavailable, "", swreplica.StateReady},
+		"limit":    {"", http.StatusOK, "Limit: 20\r\n", swreplica.StateRateLimited},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				testHandler := newTestHandler(t, 0)
+				defer testHandler.close()
+				testHandler.setRoute(idempotentRoute())
+				responses, copied := 0, ""
+				testHandler.addReplica("s", "a", func(receivedRequest *receivedRequest) {
+					switch responses++; responses {
+					case 1:
+						copied = receivedRequest.answerText(test.status, "Signature: a\r\n"+test.first, "")
+						_, _ = receivedRequest.conn.Write([]byte(copied))
+					case 2:
+						respondSigned(0, "a\r\n"+test.second+"X: x", "new")(receivedRequest)
+					default:
+						_, _ = receivedRequest.conn.Write([]byte(copied))
+						time.Sleep(time.Second)
+					}
+				})
+				for range 2 {
+					testHandler.send(t.Context(), http.MethodGet, "/", "")
+					time.Sleep(2 * retryIn)
+				}
+				testHandler.sendWithTimeout(t.Context(), http.MethodGet, "/", "", 100*time.Millisecond)
+				if diff := cmp.Diff(3, responses); diff != "" {
+					t.Error("requests (-want +got):\n" + diff)
+				}
+				if diff := cmp.Diff(1, testHandler.registry.CountByState(time.Now())[test.want]); diff != "" {
+					t.Errorf("replicas in state %s (-want +got):\n%s", test.want, diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/swrelay/relay_test.go
+++ b/internal/swrelay/relay_test.go
@@ -17,7 +17,6 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
-	"github.com/sycamorewall/sycamorewall/internal/swconn"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
@@ -30,8 +29,8 @@
 	return fmt.Appendf(attempt.Head, "Left: %s\r\n\r\n", left)
 }
 
-func (fakeCodec) IsResponseTo(response *swconn.Response, requestID string) bool {
-	return response.Header.Get("Id") == requestID
+func (fakeCodec) IsResponseTo(_ int, header http.Header, requestID string) bool {
+	return header.Get("Id") == requestID
 }
 
 // fakeReplica answers requests over pipes.
--- a/internal/swrelay/server.go
+++ b/internal/swrelay/server.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
-	"github.com/sycamorewall/sycamorewall/internal/swconn"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 )
 
@@ -21,7 +21,7 @@
 	// Encode returns the bytes of an attempt with the given time left.
 	Encode(attempt *Attempt, timeLeft time.Duration) []byte
 	// IsResponseTo reports whether a response belongs to the client's request with that ID.
-	IsResponseTo(response *swconn.Response, requestID string) bool
+	IsResponseTo(status int, header http.Header, requestID string) bool
 }
 
 // ServerConfig holds the parameters of a Server.
@@ -82,7 +82,9 @@
 			}
 			return codec.Encode(attempt, timeLeft), true
 		},
-		Accept:   func(response *swconn.Response) bool { return codec.IsResponseTo(response, attempt.RequestID) },
+		Accept: func(status int, header http.Header) bool {
+			return codec.IsResponseTo(status, header, attempt.RequestID)
+		},
 		Deadline: deadline,
 	}
 }
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -16,7 +16,7 @@
 	// deadline.
 	Encode func(now time.Time) (data []byte, ok bool)
 	// Accept reports whether a response belongs to the request.
-	Accept func(response *swconn.Response) bool
+	Accept swconn.Accept
 	// Deadline is when the attempt fails if it has no response.
 	Deadline time.Time
 	// Sendings are the earlier sendings of the client's request; nil if it is sent only once.
--- a/internal/swreplica/replica_test.go
+++ b/internal/swreplica/replica_test.go
@@ -17,7 +17,6 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
-	"github.com/sycamorewall/sycamorewall/internal/swconn"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 )
 
@@ -215,7 +214,7 @@
 						Encode: func(time.Time) ([]byte, bool) {
 							return []byte("GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"), true
 						},
-						Accept:   func(response *swconn.Response) bool { return response.Header.Get("Id") == id },
+						Accept:   func(_ int, header http.Header) bool { return header.Get("Id") == id },
 						Deadline: time.Now().Add(time.Minute), Sendings: sendings,
 					})
 					if result.Outcome != Answered {
--- a/internal/swreplica/report.go
+++ b/internal/swreplica/report.go
@@ -72,13 +72,19 @@
 type ReadReport func(status int, header http.Header) (report Report, ok bool)
 
 // readReport reads the report in the header of a response on one of the replica's connections. It sees every response: those of
-// attempts for which nobody waits any more, those whose body breaks off, and those that answer no request.
-func (replica *Replica) readReport(_ *swconn.Connection, status int, header http.Header) {
+// attempts for which nobody waits any more, those whose body breaks off, and those that answer no request. The latter may be late copies,
+// which are no news of what the replica takes; but a replica that once said that it leaves still does.
+func (replica *Replica) readReport(_ *swconn.Connection, status int, header http.Header, matched bool) {
 	if replica.pool.config.ReadReport == nil {
 		return
 	}
-	if report, ok := replica.pool.config.ReadReport(status, header); ok {
+	report, ok := replica.pool.config.ReadReport(status, header)
+	switch {
+	case !ok:
+	case matched:
 		replica.ObserveReport(time.Now(), report)
+	case report.Leaving:
+		replica.observeLeaving(report)
 	}
 }
 
