Bound the framing of a body, so that tiny chunks cost little work

A body may now have 64 KB that are not content, and half of its content on top: chunks of 16 bytes, the size of a record, are still read to the end.

Test: TestSmallChunksEndAtABoundOfFraming failed before, for chunks of one and of four bytes: they ended at the bound of the body.

--- a/internal/swconn/memory_test.go
+++ b/internal/swconn/memory_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 )
@@ -137,3 +138,37 @@
 		runtime.Gosched()
 	}
 }
+
+// TestSmallChunksEndAtABoundOfFraming replays a server that sends a body in chunks of a byte, each of which costs as much work as one of
+// kilobytes.
+func TestSmallChunksEndAtABoundOfFraming(t *testing.T) {
+	for name, test := range map[string]struct {
+		chunk    string
+		exceeded bool
+	}{
+		"chunks of a byte":       {"1\r\nx\r\n", true},
+		"chunks of four bytes":   {"4\r\nxxxx\r\n", true},
+		"chunks of 64 bytes":     {"40\r\n" + strings.Repeat("x", 64) + "\r\n", false},
+		"few chunks of one byte": {"1\r\nx\r\n" + "1000\r\n" + strings.Repeat("x", 4096) + "\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := newEndlessReader(okHeader+"Transfer-Encoding: chunked\r\n\r\n", test.chunk)
+			_, err := NewReader(source, Limits{}).ReadResponse("GET")
+			var limitError *LimitError
+			if !errors.As(err, &limitError) {
+				t.Fatalf("ended with %v, want a LimitError", err)
+			}
+			want := "the body"
+			if test.exceeded {
+				want = "the framing of the body"
+			}
+			if diff := cmp.Diff(want, limitError.Exceeded); diff != "" {
+				t.Error("exceeded (-want +got):\n" + diff)
+			}
+			// The content may be a fraction of the framing.
+			if most := 4 * maxFraming; test.exceeded && source.read > most {
+				t.Errorf("%d bytes were read, want at most %d", source.read, most)
+			}
+		})
+	}
+}
--- a/internal/swconn/reader.go
+++ b/internal/swconn/reader.go
@@ -14,6 +14,10 @@
 	readBufferSize = 2 << 10
 	// minBodyBuffer is the size of the first buffer of a body that may be larger, in bytes. It doubles until the body fits.
 	minBodyBuffer = 4 << 10
+	// maxFraming bounds the bytes of a body that are not content, such as the sizes of chunks: it is what any body may have, and
+	// content/framingRatio may come on top. Many tiny chunks would cost much work for little content.
+	maxFraming   = 64 << 10
+	framingRatio = 2
 )
 
 // Defaults of Limits.
@@ -153,6 +157,7 @@
 // readBody reads a complete body. It doesn't close the body, because Close would read on to its end, which may never come.
 func (reader *Reader) readBody(message *http.Response) ([]byte, error) {
 	reader.source.left, reader.source.holding = unlimited, nil
+	start := reader.position()
 	most := reader.limits.MaxBody + 1
 	if length := message.ContentLength; length >= 0 && length < int64(most) {
 		most = int(length) + 1
@@ -169,9 +174,12 @@
 		}
 		read, err := message.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+read]
+		framing := reader.position() - start - len(body)
 		switch {
 		case len(body) > reader.limits.MaxBody:
 			return nil, &LimitError{Exceeded: "the body", Limit: reader.limits.MaxBody}
+		case framing > maxFraming+len(body)/framingRatio:
+			return nil, &LimitError{Exceeded: "the framing of the body", Limit: maxFraming}
 		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
@@ -180,6 +188,11 @@
 	}
 }
 
+// position returns the number of bytes that were consumed on the connection.
+func (reader *Reader) position() int {
+	return reader.source.total - reader.buffer.Buffered()
+}
+
 // unlimited is the allowance of an allowanceReader without a bound.
 const unlimited = -1
 
@@ -189,6 +202,8 @@
 type allowanceReader struct {
 	reader io.Reader
 	left   int
+	// total is the number of bytes that were read.
+	total int
 	// holding counts what is read as a part of a header; nil while a body is read. outOfMemory is set once it does not fit.
 	holding     *holding
 	outOfMemory bool
@@ -203,6 +218,7 @@
 		data = data[:min(len(data), allowanceReader.left)]
 	}
 	read, err := allowanceReader.reader.Read(data)
+	allowanceReader.total += read
 	if allowanceReader.left != unlimited {
 		allowanceReader.left -= read
 	}
