Do not blame a relay for a response that no message can hold

A replica's complete response of more than 4 MB made the stream between the VMs fail, so that the sender took the relay for failed and passed it over for three seconds, and the next one after it: attempts for that region then went directly. The relay now says that the response is too large, which counts against the replica.

Test: TestLargeResponseIsNoFaultOfItsRelay failed before: RelayFailed twice, then no relay. The tests' network now has the size limit of a message.

--- a/internal/swrelay/message.go
+++ b/internal/swrelay/message.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swconn"
+	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 )
 
@@ -48,12 +49,33 @@
 // droppedHeaders are response headers that the sender does not need.
 var droppedHeaders = []string{"Connection", "Keep-Alive", "Content-Length", "Content-Type", "Date"}
 
+const (
+	// maxReplySize is the size in bytes up to which a relay passes on a response, so that it fits a message with its framing.
+	maxReplySize = swpeer.MaxFrame - 64<<10
+	// fieldFraming bounds the bytes by which the framing of a header field may exceed the field.
+	fieldFraming = 16
+)
+
+// replySize bounds the encoded size of a response.
+func replySize(response *swconn.Response) int {
+	size := len(response.Body)
+	for name, values := range response.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + fieldFraming
+		}
+	}
+	return size
+}
+
 // newReply encodes the result of an attempt.
 func newReply(result *swreplica.Result) Reply {
 	reply := Reply{Outcome: result.Outcome}
 	if result.Err != nil {
 		reply.Reason = result.Err.Error()
 	}
+	if result.Response != nil && replySize(result.Response) > maxReplySize {
+		return Reply{Outcome: swreplica.Overlong, Reason: "the response is larger than a relay passes on"}
+	}
 	if result.Response != nil {
 		reply.Status, reply.Header, reply.Body = result.Response.Status, result.Response.Header, result.Response.Body
 		for _, name := range droppedHeaders {
--- a/internal/swrelay/relay_test.go
+++ b/internal/swrelay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/sycamorewall/sycamorewall/internal/swconn"
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
@@ -127,6 +129,9 @@
 	if err != nil {
 		return err
 	}
+	if data, err := swpeer.Marshal(answer); err != nil || len(data) > swpeer.MaxFrame {
+		return errBroken
+	}
 	time.Sleep(fakeNetwork.roundTrip / 2)
 	*reply.(*Reply) = answer
 	return ctx.Err()
@@ -181,7 +186,7 @@
 	relayHarness.client = NewClient(ClientConfig{
 		Group: group, Transport: relayHarness.network, Log: zerolog.Nop(),
 		Relays:     func(string, string) []Relay { return relayHarness.relays },
-		ReadReport: readReport,
+		ReadReport: readReport, Memory: swconn.NewMemory(relayMemory),
 	})
 	return relayHarness
 }
@@ -273,6 +278,40 @@
 	}
 }
 
+// relayMemory is what relayed responses may take at the sender, in bytes.
+const relayMemory = 2 << 20
+
+// TestLargeResponseIsNoFaultOfItsRelay guards against passing over a relay because a replica sent a response that a message between VMs can't
+// hold, and against holding more relayed responses than fit.
+func TestLargeResponseIsNoFaultOfItsRelay(t *testing.T) {
+	for name, test := range map[string]struct {
+		size int
+		want swreplica.Outcome
+	}{
+		"too large for a message":    {swpeer.MaxFrame + 1, swreplica.Overlong},
+		"too large for the sender":   {relayMemory + 1<<17, swreplica.Overlong},
+		"as large as fits":           {relayMemory - 1<<17, swreplica.Answered},
+		"as large as a message fits": {maxReplySize - 1<<10, swreplica.Overlong},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRelayHarness(t, func(relayHarness *relayHarness) {
+				relayHarness.replica.answer = respondAfter(0, strings.Repeat("x", test.size))
+				first := relayHarness.client.RelayFor(relayHarness.sender)
+				for range 4 {
+					result, _, _ := relayHarness.send(time.Second)
+					if diff := cmp.Diff(test.want, result.Outcome); diff != "" {
+						t.Errorf("outcome (-want +got):\n%s%v", diff, result.Err)
+					}
+					result.Response.Release()
+				}
+				if diff := cmp.Diff(first.Name, relayHarness.client.RelayFor(relayHarness.sender).Name); diff != "" {
+					t.Error("relay (-want +got):\n" + diff)
+				}
+			})
+		})
+	}
+}
+
 func TestLeavingRelaysAreNotUsed(t *testing.T) {
 	withRelayHarness(t, func(relayHarness *relayHarness) {
 		relayHarness.leaving = true
