Make the collector work harder as a gateway nears its memory

Without a limit the heap grows to twice what is in use before the collector runs, whatever the VM has.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -79,6 +80,21 @@
 	return swapp.New(config)
 }
 
+const (
+	// heapFraction is the fraction of the process's memory from which on the garbage collector runs as often as is needed to stay below it.
+	heapFraction = 0.75
+	// bytesPerMB is the number of bytes in a megabyte of the settings.
+	bytesPerMB = 1e6
+)
+
+// limitMemory makes the garbage collector work harder as the process nears the memory that its VM gives to it. Without this, the heap may grow
+// to twice what is in use, whatever the VM has.
+func limitMemory(settings swsetting.Settings) {
+	if settings.Gateway.Enabled() {
+		debug.SetMemoryLimit(int64(heapFraction * bytesPerMB * settings.Gateway.MemoryMB))
+	}
+}
+
 func (serve *serveCommand) run(ctx context.Context, logOut io.Writer) error {
 	// This comes first because a SIGHUP that arrives before Notify ends the process.
 	hangups := make(chan os.Signal, 1)
@@ -91,6 +107,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(settings)
 	asyncLogOut := swlog.NewNonBlockingWriter(logOut)
 	defer asyncLogOut.Close()
 	app, err := newProgram(settings, asyncLogOut)
