--- a/lab/internal/swlabsoak/fleet.go
+++ b/lab/internal/swlabsoak/fleet.go
@@ -43,6 +43,8 @@
 	// entryRefreshInterval is how often the replicas' entries in the store are updated. It is also the delay before an exited
 	// VM is restarted.
 	entryRefreshInterval = 300 * time.Millisecond
+	// memoryMB is the memory that a VM gives to its process, in megabytes.
+	memoryMB = 184
 	// slotsPerReplica is the number of requests that a replica runs concurrently.
 	slotsPerReplica = 4
 )
@@ -272,6 +274,7 @@
 	settings.Gateway.Listen, settings.Gateway.Ready = ports[0], ports[1]
 	settings.Gateway.Regions = regions
 	settings.Gateway.Grace, settings.Gateway.ApplyWithin = stopGrace, applyTimeout
+	settings.Gateway.MemoryMB = memoryMB
 	settings.Gateway.RepeatRatio, settings.Gateway.RepeatSlack = 0.3, 50
 	settings.Peer.Listen, settings.Peer.Advertise = ports[2], created.peerProxy.Address()
 	settings.Platform.URL = "http://" + created.storeProxy.Address().String()
--- a/lab/internal/swlabsoak/soak.go
+++ b/lab/internal/swlabsoak/soak.go
@@ -107,6 +107,7 @@
 	_ = swtimer.Wait(ctx, recoveryPeriod)
 	clients.Stop()
 	_ = swtimer.Wait(ctx, lateRunPeriod)
+	fleet.checkMemory(results)
 	fleet.checkRequests(results, &report)
 	if !config.SafetyOnly {
 		results.checkRecovery(recoveredAt)
--- a/lab/internal/swlabusers/replica.go
+++ b/lab/internal/swlabusers/replica.go
@@ -101,6 +101,8 @@
 	LoseAnswers bool
 	// DuplicateAnswers sends the response to every third request twice.
 	DuplicateAnswers bool
+	// LateCopies sends the response to every third request once more, where the next response on its connection is expected.
+	LateCopies bool
 	// Endless sends bytes without end in place of the response to every second request.
 	Endless Endless
 	// CrashPathSuffix, if not empty, crashes the replica when it starts to run a request whose path ends in it.
@@ -222,36 +224,43 @@
 // serve handles the requests of one connection one after another.
 func (replica *Replica) serve(conn net.Conn) {
 	reader := bufio.NewReader(conn)
-	caller := &caller{}
+	caller := &caller{conn: conn}
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		body, err := io.ReadAll(request.Body)
-		if err != nil || !replica.handle(conn, caller, request, body) {
+		if err != nil || !caller.sendLateCopy() {
 			return
 		}
+		replica.mutex.Lock()
+		fault := replica.fault
+		replica.mutex.Unlock()
+		requestNumber := replica.received.Add(1)
+		if !replica.handle(caller, &fault, requestNumber, request, body) {
+			return
+		}
+		if fault.LateCopies && requestNumber%3 == 0 {
+			caller.late = caller.latest
+		}
 	}
 }
 
 // handle responds to one request and reports whether the connection stays open.
-func (replica *Replica) handle(conn net.Conn, caller *caller, request *http.Request, body []byte) bool {
-	replica.mutex.Lock()
-	fault := replica.fault
-	replica.mutex.Unlock()
-	requestNumber := replica.received.Add(1)
+func (replica *Replica) handle(caller *caller, fault *ReplicaFault, requestNumber int64, request *http.Request, body []byte) bool {
 	id := request.Header.Get("X-Request-Id")
-	replica.checkArrival(caller, &fault, id)
+	idLine := "X-Request-Id: " + id + "\r\n"
+	replica.checkArrival(caller, fault, id)
 	switch {
 	case id == "":
-		return writeResponse(conn, http.StatusBadRequest, "X-Not-Executed: 1\r\n", nil)
+		return caller.respond(http.StatusBadRequest, "X-Not-Executed: 1\r\n", nil)
 	case request.Header.Get("X-Target-Instance") != replica.config.ID:
-		return writeResponse(conn, http.StatusMisdirectedRequest, "X-Instance-Id: "+replica.config.ID+"\r\n", nil)
+		return caller.respond(http.StatusMisdirectedRequest, idLine+"X-Instance-Id: "+replica.config.ID+"\r\n", nil)
 	case fault.RetryAfter > 0 && requestNumber%2 == 0:
-		return writeResponse(conn, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\n"+replica.header(caller, &fault, true), nil)
+		return caller.respond(http.StatusServiceUnavailable, idLine+"X-Not-Executed: 1\r\n"+replica.header(caller, fault, true), nil)
 	case fault.Shed && requestNumber%2 == 0 || replica.queued.Load() >= maxQueued:
-		return writeResponse(conn, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\n"+replica.header(caller, &fault, false), nil)
+		return caller.respond(http.StatusServiceUnavailable, idLine+"X-Not-Executed: 1\r\n"+replica.header(caller, fault, false), nil)
 	}
 	replica.queued.Add(1)
 	replica.slots <- struct{}{}
@@ -266,28 +275,37 @@
 	if fault.LoseAnswers && requestNumber%3 == 0 {
 		return false
 	}
-	header := fmt.Sprintf("X-Request-Id: %s\r\nX-Server-Stamp: %s\r\nKeep-Alive: timeout=10\r\n", id, Stamp(replica.config.Service, id))
-	header += replica.header(caller, &fault, false)
+	header := idLine + fmt.Sprintf("X-Server-Stamp: %s\r\nKeep-Alive: timeout=10\r\n", Stamp(replica.config.Service, id))
+	header += replica.header(caller, fault, false)
 	answer := PartRecords(replica.config.Service, request.RequestURI)
 	if request.Method != http.MethodGet {
 		answer = EchoDigest(replica.config.Service, request.Method, request.RequestURI, body)
 	}
 	if fault.Endless != NotEndless && requestNumber%2 == 0 {
-		writeEndless(conn, fault.Endless, header, answer)
+		writeEndless(caller.conn, fault.Endless, header, answer)
 		return false
 	}
-	ok := writeResponse(conn, http.StatusOK, header, answer)
+	ok := caller.respond(http.StatusOK, header, answer)
 	if ok && fault.DuplicateAnswers && requestNumber%3 == 0 {
-		ok = writeResponse(conn, http.StatusOK, header, answer)
+		ok = caller.respond(http.StatusOK, header, answer)
 	}
 	return ok
 }
 
-func writeResponse(conn net.Conn, status int, header string, body []byte) bool {
+// respond writes a response and reports whether the connection stays open.
+func (caller *caller) respond(status int, header string, body []byte) bool {
 	var buffer bytes.Buffer
 	fmt.Fprintf(&buffer, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n", status, http.StatusText(status), header, len(body))
 	buffer.Write(body)
-	_, err := conn.Write(buffer.Bytes())
+	caller.latest = buffer.Bytes()
+	_, err := caller.conn.Write(caller.latest)
+	return err == nil
+}
+
+// sendLateCopy writes the copy of an earlier response that is due, if any.
+func (caller *caller) sendLateCopy() bool {
+	_, err := caller.conn.Write(caller.late)
+	caller.late = nil
 	return err == nil
 }
 
--- a/lab/internal/swlabusers/report.go
+++ b/lab/internal/swlabusers/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"time"
 )
 
@@ -20,7 +21,10 @@
 
 // caller is what a replica has said on one connection, which belongs to one process of a VM.
 type caller struct {
-	toldLeaving bool
+	conn net.Conn
+	// latest is the latest response on the connection, and late the copy of one that is due where the next response is expected.
+	latest, late []byte
+	toldLeaving  bool
 	// limitedSince is when the current limit was first named on the connection; the zero time if none is named.
 	limitedSince time.Time
 	// heldFrom and heldUntil bound the time in which the caller must send nothing. sentWhileHeld counts what it sent.
