--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -82,7 +82,7 @@
 
 const (
 	// heapFraction is the fraction of the process's memory from which on the garbage collector runs as often as is needed to stay below it.
-	heapFraction = 0.75
+	heapFraction = 0.65
 	// bytesPerMB is the number of bytes in a megabyte of the settings.
 	bytesPerMB = 1e6
 )
--- a/cmd/serve_test.go
+++ b/cmd/serve_test.go
@@ -22,7 +22,7 @@
 	}
 	settings.Gateway.Listen = netip.MustParseAddrPort("127.0.0.1:1")
 	limitMemory(settings)
-	if diff := cmp.Diff(int64(138_000_000), debug.SetMemoryLimit(-1)); diff != "" {
+	if diff := cmp.Diff(int64(119_600_000), debug.SetMemoryLimit(-1)); diff != "" {
 		t.Error("limit of the gateway (-want +got):\n" + diff)
 	}
 }
