Take no response without the request's ID for its answer

Cause: a rejection or an error without an ID was taken for the answer to whatever request was outstanding on the connection, and the request was sent to another replica as not run.

Fix: such a response is dropped like one with another ID, and the response goes on being awaited. A 421 without an ID no longer takes a replica out of use.

Test: TestResponseWithoutAnIDAnswersNothing failed before in all four cases.

--- a/internal/swgateway/codec.go
+++ b/internal/swgateway/codec.go
@@ -23,9 +23,8 @@
 	return append(data, attempt.Body...)
 }
 
-// IsResponseTo reports whether a response belongs to the client's request with that ID. A response without an ID is accepted if
-// it is a rejection or an error, which servers may send before they have read the request.
+// IsResponseTo reports whether a response belongs to the client's request with that ID. One without an ID may be bytes that answer no request,
+// and proves nothing: not that the request has not run, nor that another replica has the address.
 func (codec Codec) IsResponseTo(status int, header http.Header, requestID string) bool {
-	responseInfo := codec.Protocol.ReadResponseInfo(status, header)
-	return responseInfo.RequestID == requestID || responseInfo.RequestID == "" && (responseInfo.NotRun || responseInfo.WrongReplica || status >= http.StatusBadRequest)
+	return codec.Protocol.ReadResponseInfo(status, header).RequestID == requestID
 }
--- a/internal/swgateway/copy_test.go
+++ b/internal/swgateway/copy_test.go
@@ -246,3 +246,36 @@
 		})
 	}
 }
+
+// TestResponseWithoutAnIDAnswersNothing guards against taking bytes that no request asked for, such as the rejection of a request without an
+// ID, for the answer to the outstanding request, which then runs at a second replica, and against taking its replica for another one.
+func TestResponseWithoutAnIDAnswersNothing(t *testing.T) {
+	for name, stray := range map[string]string{
+		"rejection":     "HTTP/1.1 400 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"full":          "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"wrong replica": "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+		"failure":       "HTTP/1.1 500 X\r\nSignature: a\r\nContent-Length: 3\r\n\r\nbad",
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				testHandler := newTestHandler(t, 1)
+				defer testHandler.close()
+				testHandler.setRoute(nonIdempotentRoute())
+				script := func(receivedRequest *receivedRequest) {
+					_, _ = receivedRequest.conn.Write([]byte(stray))
+					respondSigned(10*time.Millisecond, "a", "done")(receivedRequest)
+				}
+				replicas := []*testReplica{testHandler.addReplica("s", "a", script), testHandler.addReplica("s", "b", script)}
+				const requests = 10
+				for range requests {
+					if diff := cmp.Diff("200 done", statusAndBody(testHandler.send(t.Context(), http.MethodPost, "/x", "work"))); diff != "" {
+						t.Error("answer (-want +got):\n" + diff)
+					}
+				}
+				if diff := cmp.Diff(requests, replicas[0].count()+replicas[1].count()); diff != "" {
+					t.Error("requests at the replicas (-want +got):\n" + diff)
+				}
+			})
+		})
+	}
+}
