Close the connection of a client that left, in place of an empty success

Cause: the end of the client's direction cancels the request, the handler returned without a response, and net/http then sends an implicit 200. Fix: the handler aborts the response. A closed connection promises nothing.

Test: TestClientThatLeavesGetsNoSuccess failed before in each case that it plays.

--- a/internal/swgateway/handler.go
+++ b/internal/swgateway/handler.go
@@ -122,7 +122,8 @@
 	if call.clientGone {
 		handler.config.Recorder.CountEvent("clients_gone", 1)
 		handler.log.logClientGone(call)
-		return
+		// A client that has ended only its sending side still reads. If the handler returned, net/http would send it an empty success.
+		panic(http.ErrAbortHandler)
 	}
 	if refusal == nil {
 		refusal = call.writeAnswer(writer)
--- a/internal/swgateway/harness_test.go
+++ b/internal/swgateway/harness_test.go
@@ -280,6 +280,8 @@
 type response struct {
 	*httptest.ResponseRecorder
 	took time.Duration
+	// aborted is set if the handler closed the connection without a response.
+	aborted bool
 }
 
 // deadlineRecorder accepts read deadlines, as the writer of a real connection does.
@@ -313,8 +315,16 @@
 	httpRequest.Header.Set("Left", timeout.String())
 	startedAt := time.Now()
 	recorder := httptest.NewRecorder()
+	defer func() {
+		got = response{recorder, time.Since(startedAt), false}
+		if recovered := recover(); recovered == http.ErrAbortHandler { //nolint:errorlint // Only this value aborts a response.
+			got.aborted = true
+		} else if recovered != nil {
+			panic(recovered)
+		}
+	}()
 	testHandler.ServeHTTP(deadlineRecorder{recorder}, httpRequest)
-	return id, response{recorder, time.Since(startedAt)}
+	return id, got
 }
 
 // inVirtualTime runs a test in virtual time.
--- a/internal/swgateway/single_test.go
+++ b/internal/swgateway/single_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/sycamorewall/sycamorewall/internal/swroute"
 )
 
 // failureScripts are the ways in which an attempt fails after its request was sent.
@@ -176,6 +178,32 @@
 	})
 }
 
+// TestClientThatLeavesGetsNoSuccess guards against an empty success, which no replica gave, for a client that ends only its sending side and
+// reads on.
+func TestClientThatLeavesGetsNoSuccess(t *testing.T) {
+	for name, script := range map[string]func(*receivedRequest){
+		"its request runs":  respondSigned(time.Second, "a", "late"),
+		"its request waits": respondWith(0, http.StatusServiceUnavailable, "Not-Run: 1\r\n", ""),
+	} {
+		for _, route := range []*swroute.Route{nonIdempotentRoute(), idempotentRoute(), gatheredRoute(1, 1)} {
+			t.Run(name+", "+route.Name, func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T) {
+					testHandler := newTestHandler(t, 1)
+					defer testHandler.close()
+					testHandler.setRoute(route)
+					testHandler.addReplica("s", "a", script)
+					testHandler.addReplica("s0", "b", script)
+					ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+					defer cancel()
+					if got := testHandler.send(ctx, http.MethodPost, "/x", "work"); !got.aborted && got.Code != http.StatusServiceUnavailable {
+						t.Errorf("got status %d and %q, want a closed connection or a refusal", got.Code, got.Body)
+					}
+				})
+			})
+		}
+	}
+}
+
 func TestAddressOfWrongReplicaIsNotReused(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		testHandler := newTestHandler(t, 1)
