Tidy the change: one conversion of megabytes, sendings of plain requests only

Settings convert Gateway.MemoryMB in one place. Searches, which ask each replica at most once, keep no record of their sendings: with 90 shards that was 90 small allocations a search for nothing.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -80,18 +80,15 @@
 	return swapp.New(config)
 }
 
-const (
-	// heapFraction is the fraction of the process's memory from which on the garbage collector runs as often as is needed to stay below it.
-	heapFraction = 0.65
-	// bytesPerMB is the number of bytes in a megabyte of the settings.
-	bytesPerMB = 1e6
-)
+// heapFraction is the fraction of the process's memory below which the garbage collector keeps the heap, by running as often as it takes. The
+// rest is for the program itself and for the heap's overshoot.
+const heapFraction = 0.65
 
 // limitMemory makes the garbage collector work harder as the process nears the memory that its VM gives to it. Without this, the heap may grow
 // to twice what is in use, whatever the VM has.
 func limitMemory(settings swsetting.Settings) {
 	if settings.Gateway.Enabled() {
-		debug.SetMemoryLimit(int64(heapFraction * bytesPerMB * settings.Gateway.MemoryMB))
+		debug.SetMemoryLimit(settings.Gateway.MemoryBytes(heapFraction))
 	}
 }
 
--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -129,11 +129,8 @@
 // responseMemoryFraction is the fraction of the process's memory that the responses of replicas may take together.
 const responseMemoryFraction = 1.0 / 8
 
-// bytesPerMB is the number of bytes in a megabyte of the settings.
-const bytesPerMB = 1e6
-
 func newResponseMemory(config Config) *swconn.Memory {
-	return swconn.NewMemory(int64(responseMemoryFraction * bytesPerMB * config.Settings.Gateway.MemoryMB))
+	return swconn.NewMemory(config.Settings.Gateway.MemoryBytes(responseMemoryFraction))
 }
 
 func newReplicaRegistry(config Config, group *swgroup.Group, fleet *swfleet.Fleet, routes *swroute.ActiveTable, memory *swconn.Memory,
--- a/internal/swconn/memory.go
+++ b/internal/swconn/memory.go
@@ -65,7 +65,7 @@
 	return true
 }
 
-// holding is what one response holds.
+// holding is what the response that is being read holds.
 type holding struct {
 	memory *Memory
 	// size is the number of bytes that the response holds, and counted the part of it that counts towards the Memory.
--- a/internal/swconn/reader.go
+++ b/internal/swconn/reader.go
@@ -116,6 +116,7 @@
 
 func (reader *Reader) readResponse(method string) (*Response, error) {
 	reader.source.left, reader.source.holding = reader.limits.MaxHeader, &reader.holding
+	// WaitForData may have read the beginning of the header.
 	buffered, _ := reader.buffer.Peek(reader.buffer.Buffered())
 	if !reader.holding.grow(headerCost(buffered)) {
 		return nil, reader.limits.Memory.limitError()
--- a/internal/swgateway/attempt.go
+++ b/internal/swgateway/attempt.go
@@ -50,7 +50,7 @@
 		attempt.Left = time.Until(request.deadline)
 		result.replicaResult = call.handler.config.Relays.Exchange(ctx, replica, relay, attempt)
 	} else {
-		result.replicaResult = call.sendDirectly(ctx, replica, attempt, &call.request.sendings[command.Shard])
+		result.replicaResult = call.sendDirectly(ctx, replica, attempt)
 	}
 	result.endedAt = time.Now()
 	if result.replicaResult.Response != nil {
@@ -60,9 +60,12 @@
 }
 
 // sendDirectly sends an attempt to its replica without a relay.
-func (call *call) sendDirectly(ctx context.Context, replica *swreplica.Replica, attempt *swrelay.Attempt, sendings *swreplica.Sendings) swreplica.Result {
+func (call *call) sendDirectly(ctx context.Context, replica *swreplica.Replica, attempt *swrelay.Attempt) swreplica.Result {
 	request := swrelay.NewRequest(attempt, replica, Codec{Protocol: call.handler.config.Protocol}, call.request.deadline)
-	request.Sendings, request.CancelGrace = sendings, swrelay.CancelGrace
+	request.CancelGrace = swrelay.CancelGrace
+	if !call.request.route.Gathered() {
+		request.Sendings = &call.request.sendings
+	}
 	return replica.Exchange(ctx, request)
 }
 
--- a/internal/swgateway/handler.go
+++ b/internal/swgateway/handler.go
@@ -165,7 +165,6 @@
 // capacity and is sent again, which takes one repeat from the budget. The call is nil if the request is refused without being sent.
 func (handler *Handler) serve(ctx context.Context, request *request) (*call, *Refusal) {
 	services := request.services()
-	request.sendings = make([]swreplica.Sendings, len(services))
 	now := time.Now()
 	for _, service := range services {
 		handler.config.Budget.CountRequest(now, service)
--- a/internal/swgateway/request.go
+++ b/internal/swgateway/request.go
@@ -47,8 +47,8 @@
 	clientRetry bool
 	// unreachableServices lists the services of a refused request that have no available replica.
 	unreachableServices []string
-	// sendings records on which connections the request was sent, by shard.
-	sendings []swreplica.Sendings
+	// sendings records on which connections the request was sent. A search does not need it, as it asks each replica at most once.
+	sendings swreplica.Sendings
 	// earlierAttempts are those that were sent before the request was requeued.
 	earlierAttempts []attemptRecord
 	// answerBy is when the answer must be sent to meet the route's target latency; the zero time if the route has none.
--- a/internal/swsetting/setting.go
+++ b/internal/swsetting/setting.go
@@ -70,6 +70,14 @@
 	return gateway.Listen.IsValid()
 }
 
+// bytesPerMB is the number of bytes in a megabyte of the settings.
+const bytesPerMB = 1e6
+
+// MemoryBytes returns a fraction of the process's memory, in bytes.
+func (gateway *Gateway) MemoryBytes(fraction float64) int64 {
+	return int64(fraction * bytesPerMB * gateway.MemoryMB)
+}
+
 // Caller configures the HTTP listener for callers.
 type Caller struct {
 	// Listen is the TCP address for callers.
--- a/lab/internal/swlabsoak/memory.go
+++ b/lab/internal/swlabsoak/memory.go
@@ -9,9 +9,6 @@
 	"strings"
 )
 
-// bytesPerMB is the number of bytes in a megabyte of the settings.
-const bytesPerMB = 1e6
-
 // checkMemory checks that no running process has ever taken more memory than its VM gives to it. Where the system does not report that,
 // nothing is checked.
 func (fleet *fleet) checkMemory(results *results) {
@@ -20,14 +17,14 @@
 		if process == nil || !process.runs() {
 			continue
 		}
-		if peak := peakMemory(process.command.Process.Pid); peak > memoryMB*bytesPerMB {
-			results.addViolation("MEMORY: %s took %.0f MB of %d", vm.name, peak/bytesPerMB, memoryMB)
+		if peak, most := peakMemory(process.command.Process.Pid), vm.settings.Gateway.MemoryBytes(1); peak > most {
+			results.addViolation("MEMORY: %s took %d bytes of %d", vm.name, peak, most)
 		}
 	}
 }
 
 // peakMemory returns the most resident memory that a process has had, in bytes, or zero if it is unknown.
-func peakMemory(pid int) float64 {
+func peakMemory(pid int) int64 {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
@@ -35,7 +32,7 @@
 	for lines := bufio.NewScanner(bytes.NewReader(status)); lines.Scan(); {
 		if value, found := strings.CutPrefix(lines.Text(), "VmHWM:"); found {
 			const bytesPerKB = 1024
-			size, _ := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 64)
+			size, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
 			return size * bytesPerKB
 		}
 	}
