Count a replica's requests under its lock in the test of late reports

The race was in the test alone. It now asks the replica for its count, and the script of TestCopyOfARejectionDoesNotAnswerTheNextSending, which serves two connections, counts atomically.

--- a/internal/swgateway/copy_test.go
+++ b/internal/swgateway/copy_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,10 +101,10 @@
 		defer testHandler.close()
 		testHandler.setRoute(nonIdempotentRoute())
 		lateCopies, runs := newLateCopies(1, 1), &runCounter{}
-		sendings := 0
+		var sendings atomic.Int64
 		replica := testHandler.addReplica("s", "a", func(receivedRequest *receivedRequest) {
 			lateCopies.replay(receivedRequest)
-			if sendings++; sendings == 1 {
+			if sendings.Add(1) == 1 {
 				lateCopies.respond(receivedRequest, http.StatusServiceUnavailable, "Not-Run: 1\r\n", "")
 				return
 			}
@@ -219,7 +220,7 @@
 				defer testHandler.close()
 				testHandler.setRoute(idempotentRoute())
 				responses, copied := 0, ""
-				testHandler.addReplica("s", "a", func(receivedRequest *receivedRequest) {
+				replica := testHandler.addReplica("s", "a", func(receivedRequest *receivedRequest) {
 					switch responses++; responses {
 					case 1:
 						copied = receivedRequest.answerText(test.status, "Signature: a\r\n"+test.first, "")
@@ -236,7 +237,7 @@
 					time.Sleep(2 * retryIn)
 				}
 				testHandler.sendWithTimeout(t.Context(), http.MethodGet, "/", "", 100*time.Millisecond)
-				if diff := cmp.Diff(3, responses); diff != "" {
+				if diff := cmp.Diff(3, replica.count()); diff != "" {
 					t.Error("requests (-want +got):\n" + diff)
 				}
 				if diff := cmp.Diff(1, testHandler.registry.CountByState(time.Now())[test.want]); diff != "" {
