--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -29,8 +29,7 @@
 type shardCall struct {
 	service  string
 	replicas map[string]*swreplica.Replica
-	// response is the latest response of a replica, and info its metadata. The response of a search's shard is kept only if its records
-	// don't fit otherwise.
+	// response is the latest response of a replica, and info its metadata. That of a search's shard is kept only while records is its body.
 	response *swconn.Response
 	info     ResponseInfo
 	// records is the answer of a search's shard.
