Review: changes of a large configuration exceed the memory of all machines (Fault)

The log of changes that a VM keeps for peers that lag holds up to 1,024 versions of the configuration in full. It is bounded by their number, not by their bytes.

--- a/review/_stand2/crowd.go
+++ b/review/_stand2/crowd.go
@@ -97,14 +97,19 @@
 	}
 	sending.Wait()
 	environment.printf("ordinary client beside the crowds: %s", ordinary)
+	return deployment.judgeMemory()
+}
+
+// judgeMemory reports the memory of the processes, and whether they were ended because of it so often that the day counts as a fault.
+func (deployment *deployment) judgeMemory() int {
 	for _, vm := range deployment.vms {
-		environment.printf("%s: at most %d MB resident of %d MB; ended %d times because it exceeded the memory of its machine", vm.name, vm.peakMB.Load(), vm.memoryMB, vm.exceeded.Load())
+		deployment.printf("%s: at most %d MB resident of %d MB; ended %d times because it exceeded the memory of its machine", vm.name, vm.peakMB.Load(), vm.memoryMB, vm.exceeded.Load())
 	}
 	if machines := deployment.faultyMachines(); machines >= faultMachines {
-		environment.printf("BROKEN: on %d machines, processes ended %d times or more", machines, faultEnds)
+		deployment.printf("BROKEN: on %d machines, processes ended %d times or more", machines, faultEnds)
 		return broken
 	}
-	environment.printf("held")
+	deployment.printf("held")
 	return held
 }
 
--- a/review/_stand2/deployment.go
+++ b/review/_stand2/deployment.go
@@ -122,3 +122,10 @@
 		replica.server.CloseClientConnections()
 	}
 }
+
+// configBytes returns the size of the configuration in the store.
+func (deployment *deployment) configBytes() int {
+	deployment.store.mutex.Lock()
+	defer deployment.store.mutex.Unlock()
+	return len(deployment.store.objects["config/main"].Spec)
+}
--- a/review/_stand2/store.go
+++ b/review/_stand2/store.go
@@ -15,6 +15,9 @@
 // objectsPath is the path of all objects of the platform's store.
 const objectsPath = "/v1/objects/"
 
+// historyTime is how long the store keeps its history.
+const historyTime = 20 * time.Second
+
 // objectMeta is the metadata of an object.
 type objectMeta struct {
 	Name       string   `json:"name"`
@@ -36,6 +39,7 @@
 	Object  object `json:"object"`
 	Deleted bool   `json:"deleted"`
 	kind    string
+	at      time.Time
 }
 
 // store is the platform's store in memory. Construct it with newStore.
@@ -46,6 +50,8 @@
 	revision uint64
 	objects  map[string]object
 	history  []event
+	// forgotten is the revision of the latest change that is no longer in history.
+	forgotten uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -94,7 +100,12 @@
 	} else {
 		store.objects[kind+"/"+changed.Meta.Name] = changed
 	}
-	store.history = append(store.history, event{Object: changed, Deleted: deleted, kind: kind})
+	now := time.Now()
+	store.history = append(store.history, event{Object: changed, Deleted: deleted, kind: kind, at: now})
+	for now.Sub(store.history[0].at) > historyTime {
+		store.forgotten = store.history[0].Object.Meta.Revision
+		store.history = store.history[1:]
+	}
 	close(store.changed)
 	store.changed = make(chan struct{})
 	return changed
@@ -108,7 +119,7 @@
 	case request.Method != http.MethodGet:
 		status, reply = store.write(request, kind, name)
 	case query.Has("watch"):
-		reply = store.watch(request.Context(), kind, query.Get("watch"), query.Get("wait_ms"))
+		status, reply = store.watch(request.Context(), kind, query.Get("watch"), query.Get("wait_ms"))
 	case name != "":
 		store.mutex.Lock()
 		stored, ok := store.objects[kind+"/"+name]
@@ -169,31 +180,35 @@
 }
 
 // watch returns the changes of a kind after a revision, for which it waits.
-func (store *store) watch(ctx context.Context, kind, after, waitMS string) any {
+func (store *store) watch(ctx context.Context, kind, after, waitMS string) (status int, reply any) {
 	since, _ := strconv.ParseUint(after, 10, 64)
 	wait, _ := strconv.Atoi(waitMS)
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for ended := false; ; {
 		store.mutex.Lock()
+		if since < store.forgotten {
+			store.mutex.Unlock()
+			return http.StatusGone, map[string]any{}
+		}
 		events := []event{}
 		for _, known := range store.history {
 			if known.kind == kind && known.Object.Meta.Revision > since {
 				events = append(events, known)
 			}
 		}
-		reply := map[string]any{"events": events, "at": store.revision}
+		reply = map[string]any{"events": events, "at": store.revision}
 		changed := store.changed
 		store.mutex.Unlock()
 		if len(events) > 0 || ended {
-			return reply
+			return http.StatusOK, reply
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			ended = true
 		case <-ctx.Done():
-			return reply
+			return http.StatusOK, reply
 		}
 	}
 }
--- a/review/_stand2/vm.go
+++ b/review/_stand2/vm.go
@@ -26,9 +26,9 @@
 	mutex                        sync.Mutex
 	command                      *exec.Cmd
 	exited                       chan struct{}
-	// peakMB is the highest resident memory seen, and exceeded counts the processes that the platform has ended because of it.
-	peakMB   atomic.Int64
-	exceeded atomic.Int64
+	// residentMB is the resident memory, peakMB the highest that was seen, and exceeded counts the processes that the platform has ended because of it.
+	peakMB, residentMB atomic.Int64
+	exceeded           atomic.Int64
 	// ended is set once no process is restarted any more.
 	ended  atomic.Bool
 	starts int
@@ -150,6 +150,7 @@
 		case <-ticker.C:
 		}
 		resident := residentMB(pid)
+		vm.residentMB.Store(resident)
 		if resident > vm.peakMB.Load() {
 			vm.peakMB.Store(resident)
 		}
