--- a/review/_stand2/rawreplica.go
+++ b/review/_stand2/rawreplica.go
@@ -16,7 +16,7 @@
 type rawReplica struct {
 	*replica
 	listener net.Listener
-	// strayShare is the share of the requests before whose response a copy of the connection's latest rejection is sent, cut short in its head.
+	// strayShare is the share of the requests before whose response a copy of the connection's latest rejection is sent, cut short at a random byte.
 	strayShare float64
 	strays     atomic.Int64
 }
@@ -42,14 +42,12 @@
 	return raw, nil
 }
 
-// rejectionHead is the head of a rejection up to the ID of its request.
-func rejectionHead() string {
-	return "HTTP/1.1 503 Service Unavailable\r\n" + names.NotRun + ": 1\r\nDate: " + time.Now().UTC().Format(http.TimeFormat) + "\r\n"
+// rejection returns the response to a request that the replica rejects because it is full. echo is the header line with the request's ID.
+func rejection(echo string) string {
+	date := time.Now().UTC().Format(http.TimeFormat)
+	return "HTTP/1.1 503 Service Unavailable\r\n" + names.NotRun + ": 1\r\nDate: " + date + "\r\n" + echo + "Content-Length: 0\r\n\r\n"
 }
 
-// cutBytes is the number of bytes that the cut copy of a rejection lacks of rejectionHead: the end of the date.
-const cutBytes = 6
-
 // serve answers the requests of a connection, one at a time.
 func (raw *rawReplica) serve(conn net.Conn) {
 	defer conn.Close()
@@ -73,13 +71,13 @@
 		select {
 		case raw.queue <- struct{}{}:
 		default:
-			latestRejection = rejectionHead()
-			fmt.Fprintf(conn, "%s%sContent-Length: 0\r\n\r\n", latestRejection, echo)
+			latestRejection = rejection(echo)
+			fmt.Fprint(conn, latestRejection)
 			continue
 		}
 		if latestRejection != "" && rand.Float64() < raw.strayShare {
 			raw.strays.Add(1)
-			fmt.Fprint(conn, latestRejection[:len(latestRejection)-cutBytes])
+			fmt.Fprint(conn, latestRejection[:1+rand.IntN(len(latestRejection)-1)])
 			latestRejection = ""
 		}
 		raw.slots <- struct{}{}
--- a/review/_stand2/stray.go
+++ b/review/_stand2/stray.go
@@ -29,7 +29,7 @@
 	deployment.services = append(deployment.services, "audit-export")
 	var raws []*rawReplica
 	for i := range 6 {
-		raw, err := startRawReplica(fmt.Sprintf("i-audit-%d", i), "audit-export", zones[i%len(zones)], 2, strayQueue, 20*time.Millisecond)
+		raw, err := startRawReplica(fmt.Sprintf("i-audit-%d", i), "audit-export", zones[i%len(zones)], 2, strayQueue, 10*time.Millisecond)
 		if err != nil {
 			return couldNot
 		}
