--- a/review/_stand2/promise.go
+++ b/review/_stand2/promise.go
@@ -18,7 +18,7 @@
 	failingShare = 0.45
 	failingTime  = 6 * time.Second
 	// promiseClients is the number of clients, each of which sends one request after the other.
-	promiseClients = 6
+	promiseClients = 24
 )
 
 // promises sends requests that must not run twice, while one of nine replicas runs part of them and then fails. Clients ask again after a
