--- a/review/_stand2/configs.go
+++ b/review/_stand2/configs.go
@@ -24,7 +24,7 @@
 
 // manyConfigs changes a large configuration many times.
 func manyConfigs(environment *environment) int {
-	deployment := newDeployment(environment, machineMB, nil)
+	deployment := newDeployment(environment, machineMB)
 	defer deployment.end()
 	deployment.addService("audit-export", 3, 20*time.Millisecond, zones...)
 	for i := range configRoutes {
--- a/review/_stand2/crowd.go
+++ b/review/_stand2/crowd.go
@@ -52,7 +52,7 @@
 
 // crowds sends searches with a body to two VMs, from many clients at once, or without the disruption from one after the other.
 func crowds(environment *environment, clients int, body string) int {
-	deployment := newDeployment(environment, machineMB, nil)
+	deployment := newDeployment(environment, machineMB)
 	defer deployment.end()
 	var gather []string
 	for i := range shards {
--- a/review/_stand2/deployment.go
+++ b/review/_stand2/deployment.go
@@ -28,10 +28,10 @@
 }
 
 // newDeployment returns a deployment whose processes are not started.
-func newDeployment(environment *environment, memoryMB int, extra map[string]any) *deployment {
+func newDeployment(environment *environment, memoryMB int) *deployment {
 	deployment := &deployment{environment: environment, store: newStore()}
 	for i, zone := range zones {
-		deployment.vms = append(deployment.vms, newVM(environment.directory, "front-"+zone+"-1", fmt.Sprintf("127.0.0.%d", 2+i), zone, memoryMB, deployment.store.address(), extra))
+		deployment.vms = append(deployment.vms, newVM(environment.directory, "front-"+zone+"-1", fmt.Sprintf("127.0.0.%d", 2+i), zone, memoryMB, deployment.store.address()))
 	}
 	deployments = append(deployments, deployment)
 	return deployment
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -36,7 +36,7 @@
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 	line := fmt.Sprintf("%8.3f s  ", time.Since(record.began).Seconds()) + fmt.Sprintf(format, arguments...) + "\n"
-	fmt.Print(line)
+	_, _ = os.Stdout.WriteString(line)
 	_, _ = record.file.WriteString(line)
 }
 
@@ -76,14 +76,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		return couldNot
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	directory, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldNot
 	}
 	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(directory)
+		defer func() { _ = os.RemoveAll(directory) }()
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- a/review/_stand2/promise.go
+++ b/review/_stand2/promise.go
@@ -24,7 +24,7 @@
 // promises sends requests that must not run twice, while one of nine replicas runs part of them and then fails. Clients ask again after a
 // promise that the request has not run.
 func promises(environment *environment) int {
-	deployment := newDeployment(environment, 284, nil)
+	deployment := newDeployment(environment, 284)
 	defer deployment.end()
 	replicas := deployment.addService("audit-export", 3, 20*time.Millisecond, zones...)
 	for _, suffix := range []string{"b", "c"} {
--- a/review/_stand2/store.go
+++ b/review/_stand2/store.go
@@ -79,15 +79,6 @@
 	store.change(kind, stored, false)
 }
 
-// remove deletes an object.
-func (store *store) remove(kind, name string) {
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	if stored, ok := store.objects[kind+"/"+name]; ok {
-		store.change(kind, stored, true)
-	}
-}
-
 // change records a change of an object. The caller holds the mutex.
 func (store *store) change(kind string, changed object, deleted bool) object {
 	store.revision++
--- a/review/_stand2/stray.go
+++ b/review/_stand2/stray.go
@@ -24,7 +24,7 @@
 // strayBytes sends requests that must not run twice to replicas that are full at times. Three of six send a second copy of a rejection late,
 // where the next response is expected, and cut it short.
 func strayBytes(environment *environment) int {
-	deployment := newDeployment(environment, 284, nil)
+	deployment := newDeployment(environment, 284)
 	defer deployment.end()
 	deployment.services = append(deployment.services, "audit-export")
 	var raws []*rawReplica
--- a/review/_stand2/vm.go
+++ b/review/_stand2/vm.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// newVM returns a VM that is not started. extra replaces fields of the settings.
-func newVM(directory, name, ip, zone string, memoryMB int, storeAddress string, extra map[string]any) *vm {
+// newVM returns a VM that is not started.
+func newVM(directory, name, ip, zone string, memoryMB int, storeAddress string) *vm {
 	vm := &vm{name: name, front: freePort(ip), ready: freePort(ip), directory: directory, memoryMB: memoryMB}
 	peer := freePort(ip)
 	_, peerPort, _ := net.SplitHostPort(peer)
@@ -95,9 +95,6 @@
 		"bounds.drain_timeout_ms": 3000, "heartbeat_ms": 1200, "limits.max_fds": 4100, "internal_port_range.0": peerPort,
 		"platform.address": storeAddress,
 	}
-	for field, value := range extra {
-		fields[field] = value
-	}
 	template, err := os.ReadFile("deploy/settings.yaml")
 	if err != nil {
 		panic(err)
@@ -120,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	command := exec.Command("target/sycamorewall", "serve")
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + vm.directory, "SYCAMOREWALL_SETTINGS=" + vm.settings}
 	command.Stdout, command.Stderr = log, log
@@ -193,19 +190,6 @@
 	}
 }
 
-// runs reports whether the process has not exited.
-func (vm *vm) runs() bool {
-	vm.mutex.Lock()
-	exited := vm.exited
-	vm.mutex.Unlock()
-	select {
-	case <-exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // awaitReady waits until the VM says that it is ready.
 func (vm *vm) awaitReady(patience time.Duration) bool {
 	client := &http.Client{Timeout: time.Second}
