Forward no response that implies "not run" unless its replica states it

Callers of routes whose requests must run once got a replica's own 503, 429 or 408 after the replica had run the request. These statuses promise that it has not run, so clients sent their work again and it ran twice.

Cause: two places decided what a replica's response means. canForwardFailure forwarded every signed status from 500 on without the header that states "not run", and isAnswer took every signed status below 500 for an answer.

Change: interpret is the one place that says what a response means, and forwarding, repeats, statistics and logs follow from it. Such a response is a failure that is never forwarded; the client gets 502 without a signature. Logs show the status of failed attempts, explain names the outcome, and events{unproven_rejections} counts it.

--- a/internal/swexplain/explain.go
+++ b/internal/swexplain/explain.go
@@ -275,6 +275,8 @@
 		return "attempts with a broken connection"
 	case "Failed":
 		return "attempts that failed at a replica"
+	case "UnprovenRejection":
+		return "attempts that failed at a replica with the status of a rejection, without its statement that the request has not run"
 	case "NotHome":
 		return "attempts not sent, as a new configuration took the replica's region from those that may serve the request"
 	case "Evacuated":
--- a/internal/swexplain/explain_test.go
+++ b/internal/swexplain/explain_test.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// TestExplainTellsFailuresFromRejections guards against an outcome that hides why the client got no rejection when a replica sent one.
+func TestExplainTellsFailuresFromRejections(t *testing.T) {
+	line := `{"Time":"2026-01-01T00:00:02Z","VM":"b","Request":"r","Message":"not answered","Status":502,"Code":"BackendFailed",` +
+		`"Ran":"Unknown","Attempts":["s a Near#3 +0s 12ms 503 Shed","s b Near#7 +12ms 30ms 503 UnprovenRejection"]}`
+	explanation, err := Explain("r", strings.NewReader(line))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := "1 attempts rejected by a replica, " +
+		"1 attempts that failed at a replica with the status of a rejection, without its statement that the request has not run"
+	if diff := cmp.Diff(want, explanation.Cause); diff != "" {
+		t.Errorf("cause (-want +got):\n%s", diff)
+	}
+}
+
 func TestLinesOfSeveralVMsAreSortedByTime(t *testing.T) {
 	first := `{"Time":"2026-01-01T00:00:02Z","VM":"b","Request":"r","Message":"refused","Code":"NotReady"}`
 	second := `12.5 a {"Time":"2026-01-01T00:00:01Z","VM":"a","Request":"r","Message":"refused","Code":"QueueFull"}`
--- a/internal/swgateway/answer.go
+++ b/internal/swgateway/answer.go
@@ -21,19 +21,13 @@
 		call.writeGathered(writer)
 		return nil
 	}
-	shard := &call.shards[0]
-	if shard.answered || shard.response != nil && canForwardFailure(shard) {
-		call.writeResponse(writer, shard.response)
+	if response := call.shards[0].response; response != nil {
+		call.writeResponse(writer, response)
 		return nil
 	}
 	return call.refusal()
 }
 
-// canForwardFailure reports whether a replica's failure may be forwarded unchanged.
-func canForwardFailure(shard *shardCall) bool {
-	return shard.response.Status >= http.StatusInternalServerError && shard.info.Signature != "" && !shard.info.NotRun && hasIdentityEncoding(shard.response.Header)
-}
-
 // refusal returns the response to a client for which there is no answer. Its code states whether the request may have run.
 func (call *call) refusal() *Refusal {
 	if call.gather.Ran() == swcode.RanNo {
--- a/internal/swgateway/attempt.go
+++ b/internal/swgateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swbackend"
@@ -25,7 +24,9 @@
 	replica       *swreplica.Replica
 	replicaResult swreplica.Result
 	info          ResponseInfo
-	endedAt       time.Time
+	// meaning is that of the response; meaningUnusable if there is none.
+	meaning meaning
+	endedAt time.Time
 	// relayed is set if another VM sent the attempt.
 	relayed bool
 }
@@ -54,8 +55,9 @@
 		result.replicaResult = call.sendDirectly(ctx, replica, attempt)
 	}
 	result.endedAt = time.Now()
-	if result.replicaResult.Response != nil {
-		result.info = call.handler.config.Protocol.ReadResponseInfo(result.replicaResult.Response.Status, result.replicaResult.Response.Header)
+	if response := result.replicaResult.Response; response != nil {
+		result.info = call.handler.config.Protocol.ReadResponseInfo(response.Status, response.Header)
+		result.meaning = interpret(response, result.info, request.route.Gathered())
 	}
 	call.results <- result
 }
@@ -91,7 +93,14 @@
 				call.attempts[i].outcome = reason
 				call.handler.config.Recorder.CountEvent(withheldEvents[reason], 1)
 			}
+			if result.meaning == meaningUnprovenRejection {
+				call.attempts[i].outcome = unprovenRejectionOutcome
+				call.handler.config.Recorder.CountEvent("unproven_rejections", 1)
+			}
 			call.attempts[i].connection = result.replicaResult.Connection
+			if response := result.replicaResult.Response; response != nil {
+				call.attempts[i].status = response.Status
+			}
 		}
 	}
 	response := result.replicaResult.Response
@@ -99,9 +108,9 @@
 	switch {
 	case response == nil || shard.answered:
 		response.Release()
-	case !call.request.route.Gathered():
+	case !call.request.route.Gathered() && result.meaning.forwardable():
 		shard.response.Release()
-		shard.response, shard.info = response, result.info
+		shard.response = response
 	case isFirst:
 		shard.info = result.info
 		shard.keepRecords(response, call.request.route.TopK)
@@ -153,38 +162,23 @@
 		call.brokenAttempts = append(call.brokenAttempts, brokenAttempt{replica: replica, brokenAt: result.endedAt})
 		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed, Crash: call.request.route.Gathered()}
 	}
-	response, responseInfo := result.replicaResult.Response, result.info
-	switch {
-	case responseInfo.WrongReplica:
+	switch result.meaning {
+	case meaningWrongReplica:
 		replica.Retire()
 		return swbackend.Answer{Outcome: swbackend.Shed, Ran: swcode.RanNo, Code: swcode.NoReplica}
-	case responseInfo.NotRun:
+	case meaningRejection:
 		replica.ObserveRejection(result.endedAt)
 		call.rejected = true
 		call.overloaded = call.overloaded || replica.HasQueue()
 		return swbackend.Answer{Outcome: swbackend.Shed, Ran: swcode.RanNo, Code: swcode.QueueFull}
-	case call.isAnswer(response, responseInfo):
+	case meaningAnswer:
 		call.handler.observe(call.request, call.shards[result.command.Shard].service, replica, result.endedAt, result.endedAt.Sub(result.replicaResult.SentAt))
 		return swbackend.Answer{Outcome: swbackend.Answered, Ran: swcode.RanYes, Code: swcode.OK}
+	case meaningFailure:
+		replica.ObserveFailure(result.endedAt)
+		return swbackend.Answer{Outcome: swbackend.Failed, Ran: swcode.RanYes, Code: swcode.BackendFailed}
+	case meaningUnprovenRejection, meaningUnusable:
 	}
 	replica.ObserveFailure(result.endedAt)
-	return swbackend.Answer{Outcome: swbackend.Failed, Ran: swcode.RanYes, Code: swcode.BackendFailed}
-}
-
-// isAnswer reports whether a response may be returned to the client as an answer. This includes a 4xx status on a route with a
-// single service, because another replica would return the same.
-func (call *call) isAnswer(response *swconn.Response, responseInfo ResponseInfo) bool {
-	if responseInfo.Signature == "" || !hasIdentityEncoding(response.Header) {
-		return false
-	}
-	if response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices {
-		return true
-	}
-	return !call.request.route.Gathered() && response.Status < http.StatusInternalServerError
-}
-
-// hasIdentityEncoding reports whether the body has no content encoding.
-func hasIdentityEncoding(header http.Header) bool {
-	encoding := header.Get("Content-Encoding")
-	return encoding == "" || encoding == "identity"
+	return swbackend.Answer{Outcome: swbackend.Failed, Ran: swcode.RanUnknown, Code: swcode.BackendFailed}
 }
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -28,7 +28,8 @@
 type shardCall struct {
 	service  string
 	replicas map[string]*swreplica.Replica
-	// response is the latest response of a replica, and info its metadata. That of a search's shard is kept only while records is its body.
+	// response is the latest response that the client may get. That of a search's shard is kept only while records is its body, and info is
+	// its metadata.
 	response *swconn.Response
 	info     ResponseInfo
 	// records is the answer of a search's shard.
--- a/internal/swgateway/harness_test.go
+++ b/internal/swgateway/harness_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -51,10 +52,16 @@
 	return fmt.Appendf(buffer, "Left: %s\r\nReplica: %s\r\n", attemptInfo.Timeout, attemptInfo.Replica)
 }
 
+// statusesThatImplyNotRun are those that clients take for a statement that their request has not run.
+var statusesThatImplyNotRun = []int{
+	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
+
 func (testProtocol) ReadResponseInfo(status int, header http.Header) ResponseInfo {
+	wrongReplica := status == http.StatusMisdirectedRequest && (header.Get("Not-Run") != "" || header.Get("Signature") == "")
 	return ResponseInfo{
-		RequestID: header.Get("Id"), Signature: header.Get("Signature"),
-		NotRun: header.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest, WrongReplica: status == http.StatusMisdirectedRequest,
+		RequestID: header.Get("Id"), Signature: header.Get("Signature"), NotRun: header.Get("Not-Run") != "" || wrongReplica,
+		WrongReplica: wrongReplica, ImpliesNotRun: slices.Contains(statusesThatImplyNotRun, status),
 	}
 }
 
--- a/internal/swgateway/log.go
+++ b/internal/swgateway/log.go
@@ -153,6 +153,9 @@
 		Dur("Took", time.Since(call.request.arrivedAt)).Strs("Attempts", call.describeAttempts(false)).Msg("the client left")
 }
 
+// unprovenRejectionOutcome is the outcome in the log of an attempt whose response is a meaningUnprovenRejection.
+const unprovenRejectionOutcome = "UnprovenRejection"
+
 // attemptRecord describes one attempt for the log.
 type attemptRecord struct {
 	id      uint64
@@ -165,7 +168,9 @@
 	// startedAt is when the attempt was started, endedAt when its outcome arrived; the zero time until then.
 	startedAt time.Time
 	endedAt   time.Time
-	outcome   string
+	// status is that of the replica's response; zero if there is none.
+	status  int
+	outcome string
 	// shared is what all VMs together knew about the replica, and left why the attempt left the data centre; empty if it did not.
 	shared swobservation.Estimate
 	left   leaveReason
@@ -190,8 +195,12 @@
 	if attemptRecord.connection != 0 {
 		path += "#" + strconv.FormatUint(attemptRecord.connection, 10)
 	}
+	outcome := attemptRecord.outcome
+	if attemptRecord.status >= http.StatusMultipleChoices {
+		outcome = strconv.Itoa(attemptRecord.status) + " " + outcome
+	}
 	return fmt.Sprintf("%s %s %s +%s %s %s", attemptRecord.service, attemptRecord.replica.ID(), path,
-		attemptRecord.startedAt.Sub(arrivedAt).Round(100*time.Microsecond), took, attemptRecord.outcome)
+		attemptRecord.startedAt.Sub(arrivedAt).Round(100*time.Microsecond), took, outcome)
 }
 
 // describeAttempts returns one entry per attempt, from before the request was requeued as well; with failedOnly it skips those that were
--- a/internal/swgateway/observations.go
+++ b/internal/swgateway/observations.go
@@ -68,7 +68,7 @@
 		}
 		outcome = swobservation.Lost
 	case swbackend.Shed:
-		if result.info.WrongReplica {
+		if result.meaning == meaningWrongReplica {
 			return
 		}
 		outcome = swobservation.Rejected
--- a/internal/swgateway/protocol.go
+++ b/internal/swgateway/protocol.go
@@ -23,6 +23,8 @@
 	Signature string
 	// NotRun is set if the replica has not run the request and will not run it.
 	NotRun bool
+	// ImpliesNotRun is set if clients conclude from the status alone that the request has not run.
+	ImpliesNotRun bool
 	// WrongReplica is set if the address now belongs to another replica.
 	WrongReplica bool
 }
