Take a backend server's response for "not run" only by status and code

A caller's work under a run key could run twice, or was answered QueueFull or SnapshotUnavailable with Ran No after it had run.

Cause: decodeResponse took each 503 without the code Leaving for Shed, and each 409 for SnapshotNotHeld, whatever the code, also without one. BACKEND-API.md names three pairs of status and code as not run, no others.

Evidence: six new rows of TestExecuteClassifiesAnswers (503 and 409 with another code or none) said Ran No before, and three cases of TestNonIdempotentWorkIsSentOnceUnlessTheServerSaysNotRun counted two sends. Ruled out: other statuses, and responses without the request's IDs.

Change: only the pairs state "not run"; any other response is a failure that may have run, so work under a key is not sent again.

--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -22,6 +22,14 @@
 // leavingHeader is set in responses of a server that accepts no new work.
 const leavingHeader = "Sw-Leaving"
 
+// The codes by which a server states that it has not run a request. A status alone does not state it: a failed request, or something
+// between this VM and the server, may cause it as well.
+const (
+	codeShed            = "Shed"
+	codeLeaving         = "Leaving"
+	codeSnapshotNotHeld = "SnapshotNotHeld"
+)
+
 // searchRequest is the body of POST /search and POST /run.
 type searchRequest struct {
 	QueryID  string
@@ -315,21 +323,20 @@
 		server.observe(ResponseMismatched)
 		return server.failureAnswer(subRequest, Broken, "response to another request"), false
 	}
-	switch response.Status {
-	case http.StatusOK:
+	switch {
+	case response.Status == http.StatusOK:
 		for i := range body.Hits {
 			body.Hits[i].Shard = subRequest.Shard
 		}
 		return Answer{Outcome: Answered, Ran: swcode.RanYes, Code: swcode.OK, Hits: body.Hits, Counts: body.Counts}, true
-	case http.StatusConflict:
+	case response.Status == http.StatusConflict && body.Code == codeSnapshotNotHeld:
 		return Answer{Outcome: SnapshotNotHeld, Code: swcode.SnapshotUnavailable, Message: server.name + " does not hold the snapshot"}, true
-	case http.StatusServiceUnavailable:
-		if body.Code == "Leaving" {
-			server.setLeaving()
-			return server.leavingAnswer(), true
-		}
+	case response.Status == http.StatusServiceUnavailable && body.Code == codeLeaving:
+		server.setLeaving()
+		return server.leavingAnswer(), true
+	case response.Status == http.StatusServiceUnavailable && body.Code == codeShed:
 		return Answer{Outcome: Shed, Code: swcode.QueueFull, Message: server.name + " sheds load"}, true
-	case http.StatusGatewayTimeout:
+	case response.Status == http.StatusGatewayTimeout:
 		answer = server.failureAnswer(subRequest, Late, "did not finish by the deadline")
 		if subRequest.Idempotent() {
 			answer.Code = swcode.DeadlineExceeded
--- a/internal/swbackend/pool_test.go
+++ b/internal/swbackend/pool_test.go
@@ -49,6 +49,13 @@
 		{"snapshot not held did not run", "", failed(http.StatusConflict, "SnapshotNotHeld"), answerSummary{SnapshotNotHeld, swcode.RanNo, swcode.SnapshotUnavailable}},
 		{"shed did not run", "k", failed(http.StatusServiceUnavailable, "Shed"), answerSummary{Shed, swcode.RanNo, swcode.QueueFull}},
 		{"leaving did not run", "k", failed(http.StatusServiceUnavailable, "Leaving"), answerSummary{ServerLeaving, swcode.RanNo, swcode.NoReplica}},
+		{"failure with the status of a shed request may have run", "", failed(http.StatusServiceUnavailable, "Internal"), answerSummary{Failed, swcode.RanUnknown, swcode.BackendFailed}},
+		{"status of a shed request without a code", "", failed(http.StatusServiceUnavailable, ""), answerSummary{Failed, swcode.RanUnknown, swcode.BackendFailed}},
+		{"status of a shed request with another code", "k", failed(http.StatusServiceUnavailable, "SnapshotNotHeld"), answerSummary{Failed, swcode.RanUnknown, swcode.OutcomeUnknown}},
+		{"failure with the status of a missing snapshot may have run", "", failed(http.StatusConflict, "Internal"), answerSummary{Failed, swcode.RanUnknown, swcode.BackendFailed}},
+		{"status of a missing snapshot without a code", "k", failed(http.StatusConflict, ""), answerSummary{Failed, swcode.RanUnknown, swcode.OutcomeUnknown}},
+		{"status of a missing snapshot with another code", "k", failed(http.StatusConflict, "Shed"), answerSummary{Failed, swcode.RanUnknown, swcode.OutcomeUnknown}},
+		{"code of a shed request with another status", "k", failed(http.StatusTooManyRequests, "Shed"), answerSummary{Failed, swcode.RanUnknown, swcode.OutcomeUnknown}},
 		{"late may have run", "", failed(http.StatusGatewayTimeout, "Late"), answerSummary{Late, swcode.RanUnknown, swcode.DeadlineExceeded}},
 		{"error may have run", "", failed(http.StatusInternalServerError, "Oops"), answerSummary{Failed, swcode.RanUnknown, swcode.BackendFailed}},
 		{"error of non-idempotent work leaves the outcome unknown", "k", failed(http.StatusInternalServerError, "Oops"), answerSummary{Failed, swcode.RanUnknown, swcode.OutcomeUnknown}},
@@ -76,6 +83,39 @@
 	}
 }
 
+// TestNonIdempotentWorkIsSentOnceUnlessTheServerSaysNotRun guards against sending work under a key again that a server ran and then failed
+// with the status of a rejection.
+func TestNonIdempotentWorkIsSentOnceUnlessTheServerSaysNotRun(t *testing.T) {
+	for _, test := range []struct {
+		status int
+		code   string
+		sends  int
+	}{
+		{http.StatusServiceUnavailable, "Shed", 2},
+		{http.StatusServiceUnavailable, "Internal", 1},
+		{http.StatusServiceUnavailable, "", 1},
+		{http.StatusConflict, "Internal", 1},
+		{http.StatusTooManyRequests, "Shed", 1},
+	} {
+		t.Run(http.StatusText(test.status)+" "+test.code, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sends := 0
+				fake := newFakeServer(t)
+				fake.answer = func(int, string, searchRequest) *fakeAnswer {
+					sends++
+					return &fakeAnswer{status: test.status, body: searchResponse{Code: test.code}}
+				}
+				subRequest := newSubRequest(time.Second)
+				subRequest.RunKey = "k"
+				answer := newFakePool(t, fake, Config{}).Execute(t.Context(), subRequest)
+				if diff := cmp.Diff([]any{test.sends, test.code == "Shed" && test.sends == 2}, []any{sends, answer.Ran == swcode.RanNo}); diff != "" {
+					t.Errorf("sends and whether it is known not to have run (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
 func TestExecuteWithoutConnectionDidNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fake := newFakeServer(t)
