Make "unknown" the zero value of Ran, so that only what is said counts

A reply between VMs without Ran, or with a value of a newer version, was passed on to callers as Ran No, and work under a run key could be sent to another backend server.

Cause: RanNo was the zero value. Answers of backend servers left it out of their messages (omitempty), literals left it out as well, and maxRan took each unknown value for No.

Ruled out: cut messages and arrays with fewer fields (they fail to decode), relays' replies, streams of owners that end.

Change: RanUnknown is zero, RanNo is set where it is known, and Ran is always sent between VMs, with the same numbers as before. Tests of refusals that left Ran out of what they expect name RanNo.

--- a/internal/swadmission/limiter.go
+++ b/internal/swadmission/limiter.go
@@ -119,7 +119,7 @@
 		if granted {
 			limit.release()
 		}
-		return nil, &swcode.Error{Code: swcode.CallerGone, Rule: decision.Line, Message: "cancelled while waiting for the rule's limit"}
+		return nil, &swcode.Error{Code: swcode.CallerGone, Ran: swcode.RanNo, Rule: decision.Line, Message: "cancelled while waiting for the rule's limit"}
 	}
 	if granted {
 		return limit.release, nil
@@ -131,6 +131,7 @@
 func newLimitError(decision *swrule.Decision, retryAfter time.Duration) *swcode.Error {
 	refusal := &swcode.Error{
 		Code:       swcode.RuleRateExceeded,
+		Ran:        swcode.RanNo,
 		Rule:       decision.Line,
 		Message:    "the limit of rule \"" + decision.Text + "\" is used up",
 		RetryAfter: time.Duration(float64(max(minRuleRetryDelay, retryAfter)) * (0.5 + rand.Float64())),
--- a/internal/swapp/runs.go
+++ b/internal/swapp/runs.go
@@ -136,6 +136,7 @@
 	}
 	return swclient.KeysReply{
 		Code:    swcode.OK,
+		Ran:     swcode.RanNo,
 		Keys:    batch.Keys,
 		Expires: swclient.Duration(batch.Expires),
 		Clock:   swclient.Duration(batch.Clock),
@@ -147,7 +148,7 @@
 	started := time.Now()
 	body, err := json.Marshal(request)
 	if err != nil {
-		return newRefusalReply(request.RequestID, &swcode.Error{Code: swcode.Internal, Message: err.Error()})
+		return newRefusalReply(request.RequestID, &swcode.Error{Code: swcode.Internal, Ran: swcode.RanNo, Message: err.Error()})
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.Timeout))
 	defer cancel()
@@ -174,7 +175,7 @@
 func (runService *runService) execute(ctx context.Context, runRequest swkey.RunRequest) swkey.Outcome {
 	var request swclient.RunRequest
 	if err := json.Unmarshal(runRequest.Body, &request); err != nil {
-		return swkey.OutcomeFromError(&swcode.Error{Code: swcode.BadRequest, Message: err.Error()})
+		return swkey.OutcomeFromError(&swcode.Error{Code: swcode.BadRequest, Ran: swcode.RanNo, Message: err.Error()})
 	}
 	query := swhttp.NewQuery(&request.SearchRequest)
 	query.RunKey = runRequest.Key
--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -196,7 +196,7 @@
 	if ctx.Err() == context.DeadlineExceeded {
 		code = swcode.CannotMeet
 	}
-	return &swcode.Error{Code: code, Message: "the request ended before it was sent"}
+	return &swcode.Error{Code: code, Ran: swcode.RanNo, Message: "the request ended before it was sent"}
 }
 
 // exchange sends the sub-request on the connection and waits for the answer. A responseTimeout other than zero bounds the
@@ -206,7 +206,7 @@
 	data, err := encodeRequest(subRequest, server.name, time.Until(subRequest.Deadline))
 	if err != nil {
 		server.putIdle(connection)
-		return Answer{Outcome: Failed, Code: swcode.Internal, Message: err.Error()}, false
+		return Answer{Outcome: Failed, Ran: swcode.RanNo, Code: swcode.Internal, Message: err.Error()}, false
 	}
 	server.setRequest(connection, subRequest)
 	sent, err := connection.send(data, subRequest.Deadline)
@@ -330,12 +330,12 @@
 		}
 		return Answer{Outcome: Answered, Ran: swcode.RanYes, Code: swcode.OK, Hits: body.Hits, Counts: body.Counts}, true
 	case response.Status == http.StatusConflict && body.Code == codeSnapshotNotHeld:
-		return Answer{Outcome: SnapshotNotHeld, Code: swcode.SnapshotUnavailable, Message: server.name + " does not hold the snapshot"}, true
+		return Answer{Outcome: SnapshotNotHeld, Ran: swcode.RanNo, Code: swcode.SnapshotUnavailable, Message: server.name + " does not hold the snapshot"}, true
 	case response.Status == http.StatusServiceUnavailable && body.Code == codeLeaving:
 		server.setLeaving()
 		return server.leavingAnswer(), true
 	case response.Status == http.StatusServiceUnavailable && body.Code == codeShed:
-		return Answer{Outcome: Shed, Code: swcode.QueueFull, Message: server.name + " sheds load"}, true
+		return Answer{Outcome: Shed, Ran: swcode.RanNo, Code: swcode.QueueFull, Message: server.name + " sheds load"}, true
 	case response.Status == http.StatusGatewayTimeout:
 		answer = server.failureAnswer(subRequest, Late, "did not finish by the deadline")
 		if subRequest.Idempotent() {
--- a/internal/swbackend/pool.go
+++ b/internal/swbackend/pool.go
@@ -211,7 +211,7 @@
 func (pool *Pool) Execute(ctx context.Context, subRequest SubRequest) Answer {
 	server := pool.server(subRequest.Server)
 	if server == nil {
-		return Answer{Outcome: UnknownServer, Code: swcode.NoReplica, Message: "no server list contains " + subRequest.Server}
+		return Answer{Outcome: UnknownServer, Ran: swcode.RanNo, Code: swcode.NoReplica, Message: "no server list contains " + subRequest.Server}
 	}
 	if server.isLeaving() {
 		return server.leavingAnswer()
--- a/internal/swbackend/request.go
+++ b/internal/swbackend/request.go
@@ -86,7 +86,7 @@
 type Answer struct {
 	Outcome Outcome `cbor:"1,keyasint,omitempty"`
 	// Ran is whether the backend server ran the request, where known.
-	Ran  swcode.Ran  `cbor:"2,keyasint,omitempty"`
+	Ran  swcode.Ran  `cbor:"2,keyasint"`
 	Code swcode.Code `cbor:"3,keyasint,omitempty"`
 	// Message describes the failure for logs and refusals.
 	Message string           `cbor:"4,keyasint,omitempty"`
--- a/internal/swbackend/server.go
+++ b/internal/swbackend/server.go
@@ -198,20 +198,20 @@
 }
 
 func (server *server) leavingAnswer() Answer {
-	return Answer{Outcome: ServerLeaving, Code: swcode.NoReplica, Message: server.name + " is leaving"}
+	return Answer{Outcome: ServerLeaving, Ran: swcode.RanNo, Code: swcode.NoReplica, Message: server.name + " is leaving"}
 }
 
 func (server *server) unreachableAnswer(err error) Answer {
-	return Answer{Outcome: Unreachable, Code: swcode.NoReplica, Message: server.name + ": " + err.Error()}
+	return Answer{Outcome: Unreachable, Ran: swcode.RanNo, Code: swcode.NoReplica, Message: server.name + ": " + err.Error()}
 }
 
 // refusalAnswer returns the answer to work that was refused before it was sent.
 func (server *server) refusalAnswer(err error) Answer {
 	var refusal *swcode.Error
 	if !errors.As(err, &refusal) {
-		return Answer{Outcome: Failed, Code: swcode.Internal, Message: err.Error()}
+		return Answer{Outcome: Failed, Ran: swcode.RanNo, Code: swcode.Internal, Message: err.Error()}
 	}
-	answer := Answer{Code: refusal.Code, Message: refusal.Message}
+	answer := Answer{Ran: swcode.RanNo, Code: refusal.Code, Message: refusal.Message}
 	switch refusal.Code {
 	case swcode.CannotMeet:
 		answer.Outcome = Late
--- a/internal/swhttp/handler.go
+++ b/internal/swhttp/handler.go
@@ -78,7 +78,7 @@
 		return
 	}
 	if keysRequest.Count < 1 || keysRequest.Count > maxKeysPerRequest {
-		server.writeError(writer, "", &swcode.Error{Code: swcode.BadField, Field: "Count", Message: "it is outside 1 to 1000", Fix: "ask for fewer keys, more often"})
+		server.writeError(writer, "", &swcode.Error{Code: swcode.BadField, Ran: swcode.RanNo, Field: "Count", Message: "it is outside 1 to 1000", Fix: "ask for fewer keys, more often"})
 		return
 	}
 	reply, err := server.config.Keys.Issue(request.Context(), keysRequest.Count)
@@ -100,7 +100,7 @@
 		run.Key = request.Header.Get(swclient.HeaderIdempotencyKey)
 	}
 	if run.Key == "" {
-		server.writeError(writer, run.RequestID, &swcode.Error{Code: swcode.BadField, Field: "Key", Message: "it is empty", Fix: "take a key from POST /v1/keys, or send an Idempotency-Key header"})
+		server.writeError(writer, run.RequestID, &swcode.Error{Code: swcode.BadField, Ran: swcode.RanNo, Field: "Key", Message: "it is empty", Fix: "take a key from POST /v1/keys, or send an Idempotency-Key header"})
 		return
 	}
 	if err := server.completeRequest(request, &run.SearchRequest); err != nil {
@@ -118,7 +118,7 @@
 		return err
 	}
 	if len(search.RequestID) > maxRequestIDBytes {
-		return &swcode.Error{Code: swcode.BadField, Field: "RequestID", Message: "it is longer than 128 bytes", Fix: "give a shorter ID"}
+		return &swcode.Error{Code: swcode.BadField, Ran: swcode.RanNo, Field: "RequestID", Message: "it is longer than 128 bytes", Fix: "give a shorter ID"}
 	}
 	if search.RequestID == "" {
 		search.RequestID = swquery.FormatID(rand.Uint64())
@@ -138,13 +138,13 @@
 	if request.TLS != nil && len(request.TLS.PeerCertificates) > 0 {
 		commonName := request.TLS.PeerCertificates[0].Subject.CommonName
 		if search.Caller != "" && search.Caller != commonName {
-			return &swcode.Error{Code: swcode.CallerNotProven, Field: "Caller", Message: "the certificate names " + commonName, Fix: "leave the field out"}
+			return &swcode.Error{Code: swcode.CallerNotProven, Ran: swcode.RanNo, Field: "Caller", Message: "the certificate names " + commonName, Fix: "leave the field out"}
 		}
 		search.Caller = commonName
 		return nil
 	}
 	if !server.config.TrustCallerField {
-		return &swcode.Error{Code: swcode.CallerNotProven, Field: "Caller", Message: "no client certificate proves it", Fix: "present a client certificate"}
+		return &swcode.Error{Code: swcode.CallerNotProven, Ran: swcode.RanNo, Field: "Caller", Message: "no client certificate proves it", Fix: "present a client certificate"}
 	}
 	return nil
 }
--- a/internal/swhttp/middleware.go
+++ b/internal/swhttp/middleware.go
@@ -35,6 +35,7 @@
 		if inFlight > int64(server.config.MaxRequests) {
 			writeRefusal(writer, "", &swcode.Error{
 				Code:       swcode.TooManyRequests,
+				Ran:        swcode.RanNo,
 				Message:    "this VM already has " + strconv.Itoa(server.config.MaxRequests) + " requests in flight",
 				RetryAfter: overloadRetryAfter,
 			})
@@ -61,11 +62,11 @@
 }
 
 func notFound(writer http.ResponseWriter, request *http.Request) {
-	writeRefusal(writer, "", &swcode.Error{Code: swcode.NotFound, Message: "no path " + request.URL.Path})
+	writeRefusal(writer, "", &swcode.Error{Code: swcode.NotFound, Ran: swcode.RanNo, Message: "no path " + request.URL.Path})
 }
 
 func methodNotAllowed(writer http.ResponseWriter, request *http.Request) {
-	writeRefusal(writer, "", &swcode.Error{Code: swcode.MethodNotAllowed, Message: "path " + request.URL.Path + " does not accept " + request.Method})
+	writeRefusal(writer, "", &swcode.Error{Code: swcode.MethodNotAllowed, Ran: swcode.RanNo, Message: "path " + request.URL.Path + " does not accept " + request.Method})
 }
 
 // writeRefusal writes a reply that holds only a refusal.
@@ -122,7 +123,7 @@
 		return newBodyError(err)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return &swcode.Error{Code: swcode.BadRequest, Message: "the body has more data after the JSON object", Fix: "send one object"}
+		return &swcode.Error{Code: swcode.BadRequest, Ran: swcode.RanNo, Message: "the body has more data after the JSON object", Fix: "send one object"}
 	}
 	return nil
 }
@@ -131,21 +132,21 @@
 func newBodyError(err error) error {
 	var tooLargeErr *http.MaxBytesError
 	if errors.As(err, &tooLargeErr) {
-		return &swcode.Error{Code: swcode.BodyTooLarge, Message: "the body exceeds " + strconv.FormatInt(tooLargeErr.Limit, 10) + " bytes", Fix: "send a smaller request"}
+		return &swcode.Error{Code: swcode.BodyTooLarge, Ran: swcode.RanNo, Message: "the body exceeds " + strconv.FormatInt(tooLargeErr.Limit, 10) + " bytes", Fix: "send a smaller request"}
 	}
 	if errors.Is(err, swlistener.ErrFull) {
-		return &swcode.Error{Code: swcode.TooManyClients, Message: "the callers of this VM hold all memory or connections that it gives them", RetryAfter: overloadRetryAfter}
+		return &swcode.Error{Code: swcode.TooManyClients, Ran: swcode.RanNo, Message: "the callers of this VM hold all memory or connections that it gives them", RetryAfter: overloadRetryAfter}
 	}
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) {
-		return &swcode.Error{Code: swcode.BadField, Field: typeErr.Field, Message: "a JSON " + typeErr.Value + " has the wrong type", Fix: "give a " + typeErr.Type.String()}
+		return &swcode.Error{Code: swcode.BadField, Ran: swcode.RanNo, Field: typeErr.Field, Message: "a JSON " + typeErr.Value + " has the wrong type", Fix: "give a " + typeErr.Type.String()}
 	}
 	var durationErr *swclient.DurationError
 	if errors.As(err, &durationErr) {
-		return &swcode.Error{Code: swcode.BadField, Field: "Timeout", Message: durationErr.Error(), Fix: "give a number and a unit"}
+		return &swcode.Error{Code: swcode.BadField, Ran: swcode.RanNo, Field: "Timeout", Message: durationErr.Error(), Fix: "give a number and a unit"}
 	}
 	if field, found := unknownField(err); found {
-		return &swcode.Error{Code: swcode.BadField, Field: field, Message: "the field is not known", Fix: "leave it out"}
+		return &swcode.Error{Code: swcode.BadField, Ran: swcode.RanNo, Field: field, Message: "the field is not known", Fix: "leave it out"}
 	}
-	return &swcode.Error{Code: swcode.BadRequest, Message: err.Error(), Fix: "send one JSON object"}
+	return &swcode.Error{Code: swcode.BadRequest, Ran: swcode.RanNo, Message: err.Error(), Fix: "send one JSON object"}
 }
--- a/internal/swkey/claim_test.go
+++ b/internal/swkey/claim_test.go
@@ -41,7 +41,7 @@
 		network := newFakeNetwork(t, "a", "b")
 		network.claims.down = true
 		outcome := network.send(network.vms["a"], "invoice 17", "match", testTimeout)
-		check(t, "outcome", codeAndRan{Code: swcode.ClaimUnavailable}, codeAndRanOf(outcome))
+		check(t, "outcome", codeAndRan{Code: swcode.ClaimUnavailable, Ran: swcode.RanNo}, codeAndRanOf(outcome))
 		check(t, "runs", 0, network.backend.count("match"))
 		network.claims.down = false
 		check(t, "resend", ranOK, codeAndRanOf(network.send(network.vms["b"], "invoice 17", "match", testTimeout)))
--- a/internal/swkey/failure_test.go
+++ b/internal/swkey/failure_test.go
@@ -58,7 +58,7 @@
 		outcome := vm.service.Run(t.Context(), request, func(ctx context.Context) Outcome {
 			return network.execute(ctx, vm, "match")
 		})
-		check(t, "outcome", codeAndRan{Code: swcode.DeadlineExceeded}, codeAndRanOf(outcome))
+		check(t, "outcome", codeAndRan{Code: swcode.DeadlineExceeded, Ran: swcode.RanNo}, codeAndRanOf(outcome))
 		check(t, "runs", 0, network.backend.count("match"))
 	})
 }
@@ -343,7 +343,7 @@
 		check(t, "clock not behind", true, adopted.clock.now() >= old.now())
 		time.Sleep(batch.Expires)
 		outcome := network.send(network.vms["b"], batch.Keys[0], "match", testTimeout)
-		check(t, "expired at the successor", codeAndRan{Code: swcode.KeyExpired}, codeAndRanOf(outcome))
+		check(t, "expired at the successor", codeAndRan{Code: swcode.KeyExpired, Ran: swcode.RanNo}, codeAndRanOf(outcome))
 	})
 }
 
--- a/internal/swkey/run_test.go
+++ b/internal/swkey/run_test.go
@@ -89,18 +89,18 @@
 		key  func(vm *fakeVM, key string) string
 		want codeAndRan
 	}{
-		{"altered", func(_ *fakeVM, key string) string { return alter(key) }, codeAndRan{Code: swcode.KeyInvalid}},
-		{"truncated", func(_ *fakeVM, key string) string { return key[:12] }, codeAndRan{Code: swcode.KeyInvalid}},
-		{"empty", func(*fakeVM, string) string { return "" }, codeAndRan{Code: swcode.KeyInvalid}},
-		{"too long", func(*fakeVM, string) string { return strings.Repeat("k", MaxKeySize+1) }, codeAndRan{Code: swcode.KeyInvalid}},
+		{"altered", func(_ *fakeVM, key string) string { return alter(key) }, codeAndRan{Code: swcode.KeyInvalid, Ran: swcode.RanNo}},
+		{"truncated", func(_ *fakeVM, key string) string { return key[:12] }, codeAndRan{Code: swcode.KeyInvalid, Ran: swcode.RanNo}},
+		{"empty", func(*fakeVM, string) string { return "" }, codeAndRan{Code: swcode.KeyInvalid, Ran: swcode.RanNo}},
+		{"too long", func(*fakeVM, string) string { return strings.Repeat("k", MaxKeySize+1) }, codeAndRan{Code: swcode.KeyInvalid, Ran: swcode.RanNo}},
 		{"forged", func(vm *fakeVM, _ string) string {
 			forged.Issuer = vm.service.self
 			return forged.Encode(newSecret())
-		}, codeAndRan{Code: swcode.KeyInvalid}},
+		}, codeAndRan{Code: swcode.KeyInvalid, Ran: swcode.RanNo}},
 		{"expired", func(_ *fakeVM, key string) string {
 			time.Sleep(defaultLifetime)
 			return key
-		}, codeAndRan{Code: swcode.KeyExpired}},
+		}, codeAndRan{Code: swcode.KeyExpired, Ran: swcode.RanNo}},
 		{"expired long ago", func(_ *fakeVM, key string) string {
 			time.Sleep(defaultLifetime + defaultRetention)
 			return key
@@ -126,7 +126,7 @@
 		key := network.key(network.vms["a"])
 		network.send(network.vms["a"], key, "match", testTimeout)
 		outcome := network.send(network.vms["b"], key, "other body", testTimeout)
-		check(t, "outcome", codeAndRan{Code: swcode.KeyReused}, codeAndRanOf(outcome))
+		check(t, "outcome", codeAndRan{Code: swcode.KeyReused, Ran: swcode.RanNo}, codeAndRanOf(outcome))
 		check(t, "runs", 0, network.backend.count("other body"))
 	})
 }
@@ -137,7 +137,7 @@
 		network.backend.refuse = true
 		key := network.key(network.vms["a"])
 		outcome := network.send(network.vms["b"], key, "match", testTimeout)
-		check(t, "refusal", codeAndRan{Code: swcode.ShedByPriority}, codeAndRanOf(outcome))
+		check(t, "refusal", codeAndRan{Code: swcode.ShedByPriority, Ran: swcode.RanNo}, codeAndRanOf(outcome))
 		check(t, "memory", int64(0), network.vms["a"].service.Bytes())
 		network.backend.refuse = false
 		check(t, "resend", ranOK, codeAndRanOf(network.send(network.vms["a"], key, "match", testTimeout)))
@@ -150,7 +150,7 @@
 		vm := network.vms["a"]
 		first := network.key(vm)
 		check(t, "first", ranOK, codeAndRanOf(network.send(vm, first, "match", testTimeout)))
-		full := codeAndRan{Code: swcode.KeyTableFull}
+		full := codeAndRan{Code: swcode.KeyTableFull, Ran: swcode.RanNo}
 		last := ranOK
 		for range vm.service.config.Limits.MaxBytes / entryOverhead {
 			last = codeAndRanOf(network.send(vm, network.key(vm), "filler", testTimeout))
--- a/internal/swkey/service.go
+++ b/internal/swkey/service.go
@@ -198,13 +198,14 @@
 	if count < 1 || count > service.config.Limits.MaxCount {
 		return Batch{}, &swcode.Error{
 			Code:    swcode.BadField,
+			Ran:     swcode.RanNo,
 			Field:   "Count",
 			Message: "the number of keys is out of bounds",
 			Fix:     "ask for 1 to 1000 keys",
 		}
 	}
 	if phase, _ := service.ownTable.phaseAndSuccessor(); phase != active {
-		return Batch{}, &swcode.Error{Code: swcode.Leaving, Message: "this VM issues no more keys"}
+		return Batch{}, &swcode.Error{Code: swcode.Leaving, Ran: swcode.RanNo, Message: "this VM issues no more keys"}
 	}
 	batch := Batch{
 		Keys:    make([]string, count),
@@ -229,6 +230,7 @@
 	if request.Key == "" || len(request.Key) > MaxKeySize {
 		return OutcomeFromError(&swcode.Error{
 			Code:    swcode.KeyInvalid,
+			Ran:     swcode.RanNo,
 			Field:   "Key",
 			Message: "the key is empty or too long",
 			Fix:     "take a key from POST /v1/keys, or use one of 1 to 255 bytes",
--- a/internal/swquery/engine.go
+++ b/internal/swquery/engine.go
@@ -154,7 +154,7 @@
 // Run answers or refuses a query. It cancels the work when ctx ends, as when the caller disconnects.
 func (engine *Engine) Run(ctx context.Context, query Query) Result {
 	started := time.Now()
-	execution := &execution{query: &query, started: started, deadline: started.Add(query.Timeout)}
+	execution := &execution{query: &query, started: started, deadline: started.Add(query.Timeout), earlierRan: swcode.RanNo}
 	ctx, cancel := context.WithDeadline(ctx, execution.deadline)
 	defer cancel()
 	defer execution.finish()
--- a/internal/swquery/gather.go
+++ b/internal/swquery/gather.go
@@ -154,6 +154,7 @@
 	backing := make([]attempt, 2*len(config.Shards))
 	for i := range gather.shards {
 		gather.shards[i].plan = config.Shards[i]
+		gather.shards[i].ran = swcode.RanNo
 		gather.totalDocuments += config.Shards[i].Documents
 		gather.shards[i].attempts = backing[2*i : 2*i : 2*i+2]
 	}
--- a/internal/swquery/gather_outcome.go
+++ b/internal/swquery/gather_outcome.go
@@ -66,13 +66,13 @@
 
 // maxRan returns the stronger of two values: Yes over Unknown over No.
 func maxRan(a, b swcode.Ran) swcode.Ran {
-	if a == swcode.RanYes || b == swcode.RanYes {
+	switch {
+	case a == swcode.RanYes || b == swcode.RanYes:
 		return swcode.RanYes
+	case a == swcode.RanNo && b == swcode.RanNo:
+		return swcode.RanNo
 	}
-	if a == swcode.RanUnknown || b == swcode.RanUnknown {
-		return swcode.RanUnknown
-	}
-	return swcode.RanNo
+	return swcode.RanUnknown
 }
 
 // MaxCoverage returns the highest coverage, as a fraction, that the query can still reach.
--- a/internal/swquery/gather_send.go
+++ b/internal/swquery/gather_send.go
@@ -189,6 +189,6 @@
 	if shard.state != shardRunning || shard.openAttempts > 0 {
 		return
 	}
-	shard.answer = swbackend.Answer{Outcome: swbackend.Unreachable, Code: swcode.NoReplica, Message: "no usable replica is left"}
+	shard.answer = swbackend.Answer{Outcome: swbackend.Unreachable, Ran: swcode.RanNo, Code: swcode.NoReplica, Message: "no usable replica is left"}
 	gather.failShard(position)
 }
--- a/internal/swquery/gather_test.go
+++ b/internal/swquery/gather_test.go
@@ -287,7 +287,7 @@
 func TestGatherReportsSnapshotHeldByNoReplica(t *testing.T) {
 	gather := NewGather(GatherConfig{Shards: testPlan(1, 2), Idempotent: true, Budget: grantNone{}})
 	now := time.Unix(0, 0)
-	notHeld := swbackend.Answer{Outcome: swbackend.SnapshotNotHeld}
+	notHeld := swbackend.Answer{Outcome: swbackend.SnapshotNotHeld, Ran: swcode.RanNo}
 	first := gather.Start(now, 0, 1).Send[0]
 	actions, _, _ := gather.HandleAnswer(now, first.Attempt, first.Target.Server, notHeld)
 	if gather.NotHeld {
--- a/internal/swquery/simulated_cluster_test.go
+++ b/internal/swquery/simulated_cluster_test.go
@@ -261,11 +261,11 @@
 	held := server.heldSnapshots[subRequest.Snapshot]
 	if server.down {
 		cluster.mutex.Unlock()
-		return swbackend.Answer{Outcome: swbackend.Unreachable, Message: subRequest.Server + " refuses connections"}
+		return swbackend.Answer{Outcome: swbackend.Unreachable, Ran: swcode.RanNo, Message: subRequest.Server + " refuses connections"}
 	}
 	if !held {
 		cluster.mutex.Unlock()
-		return swbackend.Answer{Outcome: swbackend.SnapshotNotHeld, Message: subRequest.Server + " does not hold the snapshot"}
+		return swbackend.Answer{Outcome: swbackend.SnapshotNotHeld, Ran: swcode.RanNo, Message: subRequest.Server + " does not hold the snapshot"}
 	}
 	cluster.runs[subRequest.Server]++
 	if cluster.losesRepliesOnceRunning {
--- a/pkg/swcode/code.go
+++ b/pkg/swcode/code.go
@@ -2,6 +2,7 @@
 package swcode
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -67,11 +68,11 @@
 // Ran says whether any backend server ran a request, as far as is known.
 type Ran int
 
-// The values of Ran.
+// The values of Ran. The zero value is RanUnknown, so that what lacks Ran does not say that nothing ran.
 const (
-	RanNo      Ran = 0
+	RanUnknown Ran = 0
 	RanYes     Ran = 1
-	RanUnknown Ran = 2
+	RanNo      Ran = 2
 )
 
 var ranNames = map[Ran]string{RanNo: "No", RanYes: "Yes", RanUnknown: "Unknown"}
@@ -97,6 +98,37 @@
 	return fmt.Errorf("ran %q is not one of No, Yes, Unknown", text)
 }
 
+// The encodings of Ran in CBOR: single bytes, each an unsigned integer. They do not follow the values, and must not change.
+const (
+	cborRanNo      = 0
+	cborRanYes     = 1
+	cborRanUnknown = 2
+)
+
+// MarshalCBOR encodes the value as an integer.
+func (ran Ran) MarshalCBOR() ([]byte, error) {
+	switch ran {
+	case RanNo:
+		return []byte{cborRanNo}, nil
+	case RanYes:
+		return []byte{cborRanYes}, nil
+	case RanUnknown:
+	}
+	return []byte{cborRanUnknown}, nil
+}
+
+// UnmarshalCBOR decodes an integer. Any other value is RanUnknown.
+func (ran *Ran) UnmarshalCBOR(data []byte) error {
+	*ran = RanUnknown
+	switch {
+	case bytes.Equal(data, []byte{cborRanNo}):
+		*ran = RanNo
+	case bytes.Equal(data, []byte{cborRanYes}):
+		*ran = RanYes
+	}
+	return nil
+}
+
 // Entry describes a code as the documentation lists it.
 type Entry struct {
 	Code Code
