Count only replies with a code and Ran as a VM's in the client library

Run returned Code 0 and Ran No at once when a balancer answered 502, 503 or 504 with JSON of its own, such as {}. With Ran No callers pass the work to Run again, under another key, and it may run twice. Search gave up.

Cause: post decoded any JSON into the reply and looked neither at the status nor at whether the fields were there. Field names match in any case, so {"code":503} became NoReplica with Ran No.

Evidence: all ten bodies of TestReplyOfAnotherServerSaysNothing failed before; with the zero value of Ran changed, {"Code":603} still led to a second key. Ruled out: replies that are not JSON, which were lost answers.

Change: a reply without a code or Ran is a lost answer. Run sends again under the same key and returns Unknown at the deadline, Search and the call for keys are repeated.

--- a/pkg/swclient/client.go
+++ b/pkg/swclient/client.go
@@ -79,7 +79,7 @@
 }
 
 // Search runs an idempotent query. It resends the query as long as that may succeed and the context's deadline allows it.
-// A refusal is returned as a *swcode.Error.
+// A refusal of a VM is returned as a *swcode.Error. The reply of another server, such as a balancer, is another error and counts as a lost answer.
 func (client *Client) Search(ctx context.Context, request SearchRequest) (SearchReply, error) {
 	ctx, cancel := client.withDeadline(ctx)
 	defer cancel()
@@ -149,7 +149,26 @@
 	return swtimer.Wait(ctx, pause) == nil
 }
 
-// post sends a request to the next endpoint and decodes the reply, whatever its status.
+// mandatoryFields are those that every reply of a VM has.
+type mandatoryFields struct {
+	Code swcode.Code
+	Ran  *swcode.Ran
+}
+
+// decodeReply decodes the reply of a VM. The reply of another server, such as a balancer that has lost the VM, is an error: it says nothing
+// about the request, whatever its status.
+func decodeReply(data []byte, reply any) error {
+	var mandatory mandatoryFields
+	if err := json.Unmarshal(data, &mandatory); err != nil {
+		return errors.Wrap(err, "decode reply")
+	}
+	if mandatory.Code == 0 || mandatory.Ran == nil {
+		return errors.New("the reply has no Code or no Ran, so that it is not of a VM")
+	}
+	return errors.Wrap(json.Unmarshal(data, reply), "decode reply")
+}
+
+// post sends a request to the next endpoint and decodes the reply of a VM, whatever its status.
 func (client *Client) post(ctx context.Context, path string, request, reply any) error {
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -171,8 +190,5 @@
 	if err != nil {
 		return errors.Wrap(err, "read reply")
 	}
-	if err := json.Unmarshal(data, reply); err != nil {
-		return errors.Wrapf(err, "decode reply of status %d", response.StatusCode)
-	}
-	return nil
+	return errors.Wrapf(decodeReply(data, reply), "status %d", response.StatusCode)
 }
--- a/pkg/swclient/client_test.go
+++ b/pkg/swclient/client_test.go
@@ -38,6 +38,8 @@
 	clock  time.Duration
 	calls  []call
 	last   RunRequest
+	// keysReplies are the bodies of the first replies to calls for keys; later calls are answered.
+	keysReplies []string
 }
 
 // step answers a call. If err is set, the answer is lost.
@@ -46,6 +48,8 @@
 	err   error
 	// unanswered leaves the call without an answer until the client cancels it.
 	unanswered bool
+	// body, unless it is empty, replaces the encoded reply.
+	body string
 }
 
 func (tier *fakeTier) RoundTrip(request *http.Request) (*http.Response, error) {
@@ -58,6 +62,11 @@
 	if request.URL.Path == PathKeys {
 		err = json.Unmarshal(data, &keys)
 		tier.calls = append(tier.calls, call{Host: request.URL.Host, Path: PathKeys})
+		if len(tier.keysReplies) > 0 {
+			reply := tier.keysReplies[0]
+			tier.keysReplies = tier.keysReplies[1:]
+			return respondWith(http.StatusBadGateway, []byte(reply)), err
+		}
 		return respond(tier.issue(keys.Count)), err
 	}
 	if err := json.Unmarshal(data, &body); err != nil {
@@ -77,6 +86,9 @@
 		<-request.Context().Done()
 		return nil, request.Context().Err()
 	}
+	if next.body != "" {
+		return respondWith(http.StatusBadGateway, []byte(next.body)), nil
+	}
 	return respond(next.reply), next.err
 }
 
@@ -94,7 +106,11 @@
 	if err != nil {
 		return nil
 	}
-	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(data))}
+	return respondWith(http.StatusOK, data)
+}
+
+func respondWith(status int, data []byte) *http.Response {
+	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(data))}
 }
 
 func newTestClient(t *testing.T, tier *fakeTier) *Client {
@@ -169,6 +185,49 @@
 	}
 }
 
+// TestReplyOfAnotherServerSaysNothing guards against taking the JSON of a balancer, which may follow a run, for a refusal of work that did not run.
+func TestReplyOfAnotherServerSaysNothing(t *testing.T) {
+	type outcome struct {
+		Code  swcode.Code
+		Ran   swcode.Ran
+		Calls int
+	}
+	outcomeOf := func(tier *fakeTier, reply SearchReply, err error) outcome {
+		var failed *swcode.Error
+		if errors.As(err, &failed) {
+			return outcome{failed.Code, failed.Ran, len(tier.calls)}
+		}
+		return outcome{reply.Code, reply.Ran, len(tier.calls)}
+	}
+	for _, body := range []string{
+		`{}`, `null`, `{"message":"upstream request timeout"}`, `{"code":503,"message":"no healthy upstream"}`, `{"Code":401}`, `{"Ran":"No"}`,
+		`{"Code":401,"Ran":null}`, `{"Code":0,"Ran":"No"}`, `{"Code":603}`, `{"Code":403,"Ran":""}`,
+	} {
+		t.Run(body, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				run := func(steps ...step) outcome {
+					tier := &fakeTier{runs: steps}
+					reply, err := newTestClient(t, tier).Run(t.Context(), RunRequest{})
+					if keys := tier.issued; keys != 1 {
+						t.Errorf("work was sent under %d keys", keys)
+					}
+					return outcomeOf(tier, reply, err)
+				}
+				check(t, "run that is sent again", outcome{swcode.OK, swcode.RanYes, 3}, run(step{body: body}, answered()))
+				check(t, "run that is then refused", outcome{swcode.RefusedByRule, swcode.RanUnknown, 3}, run(step{body: body}, refused(swcode.RefusedByRule, swcode.RanNo)))
+				lost := run(step{body: body})
+				check(t, "run without another reply", []any{swcode.OutcomeUnknown, swcode.RanUnknown}, []any{lost.Code, lost.Ran})
+				tier := &fakeTier{search: []step{{body: body}, answered()}}
+				reply, err := newTestClient(t, tier).Search(t.Context(), SearchRequest{})
+				check(t, "search", outcome{swcode.OK, swcode.RanYes, 2}, outcomeOf(tier, reply, err))
+				tier = &fakeTier{keysReplies: []string{body}, runs: []step{answered()}}
+				reply, err = newTestClient(t, tier).Run(t.Context(), RunRequest{})
+				check(t, "keys", outcome{swcode.OK, swcode.RanYes, 3}, outcomeOf(tier, reply, err))
+			})
+		})
+	}
+}
+
 func TestRunReturnsUnknownOutcomeOnlyWhenNothingCanStart(t *testing.T) {
 	tests := []struct {
 		name          string
--- a/pkg/swclient/run.go
+++ b/pkg/swclient/run.go
@@ -12,7 +12,8 @@
 // key until its outcome is known or the context's deadline passes.
 //
 // The error is a *swcode.Error whose Ran covers all sends together. With Ran No, nothing ran and nothing will, so the work may
-// be passed to Run again. With Ran Unknown, check first whether the work took effect.
+// be passed to Run again. With Ran Unknown, check first whether the work took effect. The reply of a server other than a VM, such as a
+// balancer, counts as a lost answer, whatever its status.
 //
 // Under a key that Run took, no run starts after Run has returned, unless the context was cancelled before its deadline.
 // To ensure this, a call with an unknown outcome may not return until the deadline.
@@ -161,11 +162,13 @@
 	return &combined
 }
 
-// errorWithoutKey returns the error of a call for which no key could be fetched.
+// errorWithoutKey returns the error of a call for which no key could be fetched, so that no work was sent.
 func errorWithoutKey(err error) error {
 	var refused *swcode.Error
 	if errors.As(err, &refused) {
-		return refused
+		notRun := *refused
+		notRun.Ran = swcode.RanNo
+		return &notRun
 	}
 	return &swcode.Error{Code: swcode.DeadlineExceeded, Ran: swcode.RanNo, Message: err.Error()}
 }
