Test the gateway's promises under random faults

While replicas answer, reject, fail in every way or drop connections, data centres are evacuated and the VM leaves, no request may run whose response implies that it has not, and none twice that may run once. Another test shows that a relay's reply that is empty or has an outcome of a newer version counts as a failure that may have run.

--- a/internal/swgateway/response_test.go
+++ b/internal/swgateway/response_test.go
@@ -2,14 +2,22 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/sycamorewall/sycamorewall/internal/swbackend"
+	"github.com/sycamorewall/sycamorewall/internal/swconn"
+	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
+	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
 // rejectionCase is a response of a replica whose status implies that the request has not run.
@@ -127,3 +135,123 @@
 		})
 	}
 }
+
+// TestPromisesHoldUnderRandomFaults guards against a status that implies "not run" for a request that ran or runs later, and against second runs,
+// while replicas fail in every way, data centres are evacuated and the VM leaves.
+func TestPromisesHoldUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) { checkPromises(t, rand.New(rand.NewPCG(seed+1, 0))) })
+		})
+	}
+}
+
+// failAtRandom returns a script that answers, rejects or fails each request, or drops its connection, before or after it has run it.
+func failAtRandom(runs *runCounter, draw func(int) int) func(*receivedRequest) {
+	unproven := slices.DeleteFunc(rejectionCases(), rejectionCase.notRun)
+	return func(receivedRequest *receivedRequest) {
+		work := time.Duration(5+draw(40)) * time.Millisecond
+		kind := draw(10)
+		if kind < 8 {
+			runs.add(receivedRequest)
+		}
+		switch kind {
+		case 0, 1, 2:
+			respondSigned(work, "x", "done")(receivedRequest)
+		case 3, 4:
+			rejection := unproven[draw(len(unproven))]
+			respondWith(work, rejection.status, rejection.header(), "failed")(receivedRequest)
+		case 5:
+			respondWith(work, http.StatusInternalServerError, "Signature: x\r\n", "failed")(receivedRequest)
+		case 6:
+			respondSigned(3*time.Second, "x", "late")(receivedRequest)
+		case 7, 8:
+			closeAfter(work)(receivedRequest)
+		case 9:
+			respondWith(time.Millisecond, http.StatusServiceUnavailable, "Not-Run: 1\r\n", "")(receivedRequest)
+		}
+	}
+}
+
+func checkPromises(t *testing.T, random *rand.Rand) {
+	t.Helper()
+	const (
+		requests      = 600
+		clientTimeout = 2 * time.Second
+	)
+	var mutex sync.Mutex
+	draw := func(bound int) int {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return random.IntN(bound)
+	}
+	testHandler, runs := newTestHandler(t, 1), &runCounter{}
+	defer testHandler.close()
+	for i := range 6 {
+		testHandler.addReplicaIn([]string{"dc", "dc2"}[i%2], "s", fmt.Sprint("r", i), failAtRandom(runs, draw))
+	}
+	once, repeatable := nonIdempotentRoute(), idempotentRoute()
+	once.Host, once.Prefix, repeatable.Host, repeatable.Prefix = "h", "/once/", "h", "/repeatable/"
+	testHandler.setRoutes([]*swroute.Route{once, repeatable})
+	var clients sync.WaitGroup
+	var violations []string
+	promises := 0
+	for number := range requests {
+		time.Sleep(time.Duration(draw(25)) * time.Millisecond)
+		switch {
+		case number == requests*9/10:
+			testHandler.AnswerBy(time.Now().Add(time.Second))
+		case number%30 == 0:
+			testHandler.registry.UpdateEvacuations([][]string{nil, {"dc"}, {"dc2"}, {"dc", "dc2"}}[draw(4)], nil)
+		}
+		path := []string{"/once/x", "/repeatable/x"}[draw(2)]
+		clients.Go(func() {
+			id, got := testHandler.sendIdentified(t.Context(), http.MethodPost, path, "work", clientTimeout)
+			implied := slices.Contains(statusesThatImplyNotRun, got.Code)
+			// A request that runs after its answer does so within the time of its client.
+			time.Sleep(clientTimeout)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if implied {
+				promises++
+			}
+			if count := runs.count(id); implied && count > 0 || path == "/once/x" && count > 1 {
+				violations = append(violations, fmt.Sprintf("%s %s was answered %d and ran %d times", path, id, got.Code, count))
+			}
+		})
+	}
+	clients.Wait()
+	synctest.Wait()
+	if promises == 0 {
+		t.Error("no response implied that its request had not run")
+	}
+	if diff := cmp.Diff("", strings.Join(violations, "\n")); diff != "" {
+		t.Error("violations (-want +got):\n" + diff)
+	}
+}
+
+// TestRelayReplyThatSaysNothingIsNoRejection guards against "not run" from a relay's reply that is empty or of a newer version.
+func TestRelayReplyThatSaysNothingIsNoRejection(t *testing.T) {
+	const unknownOutcome = swreplica.Outcome(99)
+	for name, replicaResult := range map[string]swreplica.Result{
+		"empty":              {Response: &swconn.Response{}},
+		"an unknown outcome": {Outcome: unknownOutcome},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				testHandler := newTestHandler(t, 1)
+				defer testHandler.close()
+				testHandler.addReplica("s0", "a", neverRespond())
+				call := testHandler.newCall(&request{route: gatheredRoute(1, 1)}, []string{"s0"})
+				result := attemptResult{replica: testHandler.registry.Find("a"), replicaResult: replicaResult, relayed: true}
+				if response := replicaResult.Response; response != nil {
+					result.meaning = interpret(response, testProtocol{}.ReadResponseInfo(response.Status, response.Header), true)
+				}
+				got := call.classify(result)
+				if diff := cmp.Diff([]any{swbackend.Failed, swcode.RanUnknown}, []any{got.Outcome, got.Ran}); diff != "" {
+					t.Error("outcome and Ran (-want +got):\n" + diff)
+				}
+			})
+		})
+	}
+}
