Make the lab's servers fail with the status of a rejection

Change: replicas of the soak's fault "replicas reject requests" also run every third request and fail it, signed, with 408, 421, 429 or 503. The soak's check of REFUSED holds for every request, no longer only for those that may run once.

--- a/lab/internal/swlabbackend/handler.go
+++ b/lab/internal/swlabbackend/handler.go
@@ -249,9 +249,25 @@
 		server.refuseEnded(writer, attemptID{search.QueryID, search.Attempt}, record.Outcome)
 		return
 	}
+	if server.chance(server.currentFault().FailAsRejectionChance) {
+		server.failAsRejection(writer, attemptID{search.QueryID, search.Attempt})
+		return
+	}
 	server.reply(writer, search, snapshot)
 }
 
+// failAsRejection writes one of the error responses that have the status of a refused request, but not its code.
+func (server *Server) failAsRejection(writer http.ResponseWriter, id attemptID) {
+	status, code := http.StatusServiceUnavailable, ""
+	if server.chance(0.5) {
+		status = http.StatusConflict
+	}
+	if server.chance(0.5) {
+		code = "Internal"
+	}
+	server.write(writer, status, errorResponse{QueryID: id.queryID, Attempt: id.attempt, Code: code})
+}
+
 // contextOutcome returns the outcome of a request whose context ended: Late after its deadline, and Cancelled when the
 // client closed the connection.
 func contextOutcome(ctx context.Context) Outcome {
--- a/lab/internal/swlabbackend/server.go
+++ b/lab/internal/swlabbackend/server.go
@@ -71,6 +71,8 @@
 	ReportsIdle bool
 	// ShedAll refuses every request with the code Shed.
 	ShedAll bool
+	// FailAsRejectionChance is the probability that a request runs and then fails with the status of a refused one, but not with its code.
+	FailAsRejectionChance float64
 }
 
 // heldSnapshot is a snapshot with those of its shards that the server holds.
--- a/lab/internal/swlabbackend/server_test.go
+++ b/lab/internal/swlabbackend/server_test.go
@@ -249,4 +249,11 @@
 	if _, body := fixture.post("/search", fixture.request("c")); !strings.Contains(body, `"Snapshot":"s2"`) {
 		t.Errorf("the response is not for the other snapshot: %s", body)
 	}
+	fixture.server.SetFault(swlabbackend.Fault{FailAsRejectionChance: 1})
+	status, body := fixture.post("/search", fixture.request("d"))
+	isRejection := status == http.StatusServiceUnavailable || status == http.StatusConflict
+	records := fixture.journal.Records()
+	if ran := len(records) == 4 && records[3].QueryID == "d"; !isRejection || !ran || !strings.Contains(body, `"QueryID":"d"`) || strings.Contains(body, "Shed") {
+		t.Errorf("status %d, ran %t, response %s; want a request that ran and failed like a refused one", status, ran, body)
+	}
 }
--- a/lab/internal/swlabscenario/fault.go
+++ b/lab/internal/swlabscenario/fault.go
@@ -54,11 +54,15 @@
 	}
 }
 
-// sendWrongAnswers makes all servers of the urgent index send each kind of wrong response with the given probability.
+// sendWrongAnswers makes all servers fail requests like refused ones with the given probability, and those of the urgent index also send each
+// kind of wrong response.
 func sendWrongAnswers(chance float64) action {
 	return func(_ context.Context, harness *Harness) error {
+		harness.forEachServer("", func(server *swlabbackend.Server) {
+			server.SetFault(swlabbackend.Fault{FailAsRejectionChance: chance})
+		})
 		harness.forEachServer(harness.urgentIndex(), func(server *swlabbackend.Server) {
-			server.SetFault(swlabbackend.Fault{MismatchChance: chance, WrongSnapshotChance: chance, DuplicateChance: chance})
+			server.SetFault(swlabbackend.Fault{MismatchChance: chance, WrongSnapshotChance: chance, DuplicateChance: chance, FailAsRejectionChance: chance})
 		})
 		return nil
 	}
--- a/lab/internal/swlabscenario/scenario.go
+++ b/lab/internal/swlabscenario/scenario.go
@@ -42,7 +42,7 @@
 			Duration: shortDuration, Events: []Event{
 				{0.30, publishSnapshot("s2", repartitionedShards)}, {0.50, retireSnapshot("s1")}, {0.60, dropSnapshot("s1")},
 			}},
-		{Name: "crossed", Description: "backend servers answer with the response to another request, from another snapshot, or twice",
+		{Name: "crossed", Description: "backend servers answer with the response to another request, from another snapshot, or twice, or fail requests like refused ones",
 			Duration: shortDuration, Events: []Event{
 				{0.10, publishSnapshot("s2", 0)}, {0.20, sendWrongAnswers(wrongAnswerChance)}, {0.80, sendWrongAnswers(0)},
 			}},
--- a/lab/internal/swlabsoak/fault.go
+++ b/lab/internal/swlabsoak/fault.go
@@ -55,7 +55,7 @@
 		{"the network to replicas is slow", (*injector).delayReplicaLink},
 		{"a replica crashes", (*injector).crashReplica},
 		{"a replica leaves", (*injector).drainReplica},
-		{"replicas reject requests", replicaFault(swlabusers.ReplicaFault{Shed: true})},
+		{"replicas reject requests, or fail them as if they did", replicaFault(swlabusers.ReplicaFault{Shed: true, FailAsRejection: true})},
 		{"replicas lose responses", replicaFault(swlabusers.ReplicaFault{LoseAnswers: true})},
 		{"replicas respond twice", replicaFault(swlabusers.ReplicaFault{DuplicateAnswers: true})},
 		{"replicas respond twice, late", replicaFault(swlabusers.ReplicaFault{LateCopies: true})},
--- a/lab/internal/swlabsoak/soak.go
+++ b/lab/internal/swlabsoak/soak.go
@@ -270,7 +270,7 @@
 		if request.runsAtMostOnce && len(runs) > 1 {
 			results.violations = append(results.violations, fmt.Sprintf("TWICE: %s ran %d times: %v", request.id, len(runs), runs))
 		}
-		if request.runsAtMostOnce && impliesNotRun(request.status) && len(runs) > 0 {
+		if impliesNotRun(request.status) && len(runs) > 0 {
 			results.violations = append(results.violations,
 				fmt.Sprintf("REFUSED: %s ran despite the response %d: %v", request.id, request.status, runs))
 		}
--- a/lab/internal/swlabusers/replica.go
+++ b/lab/internal/swlabusers/replica.go
@@ -100,6 +100,8 @@
 	RetryAfter time.Duration
 	// RateLimit, if not zero, is the number of requests per second that the replica says that it takes from all VMs.
 	RateLimit float64
+	// FailAsRejection runs every third request, but fails it with the status of a rejection, without stating that it has not run.
+	FailAsRejection bool
 	// LoseAnswers runs every third request, but closes its connection without a response.
 	LoseAnswers bool
 	// DuplicateAnswers sends the response to every third request twice.
@@ -112,6 +114,11 @@
 	CrashPathSuffix string
 }
 
+// rejectionStatuses are the statuses by which clients conclude that their request has not run.
+var rejectionStatuses = []int{
+	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
+
 // ReplicaConfig holds the parameters of a Replica.
 type ReplicaConfig struct {
 	ID          string
@@ -296,13 +303,10 @@
 	}
 	header := idLine + fmt.Sprintf("X-Server-Stamp: %s\r\nKeep-Alive: timeout=10\r\n", Stamp(replica.config.Service, id))
 	header += replica.header(caller, fault, false)
-	answer := PartRecords(replica.config.Service, request.RequestURI)
-	if request.Method != http.MethodGet {
-		answer = EchoDigest(replica.config.Service, request.Method, request.RequestURI, body)
-	}
-	if missing := replica.config.MinAnswer - len(answer); missing > 0 {
-		answer = append(answer, make([]byte, missing)...)
+	if fault.FailAsRejection && requestNumber%3 == 0 {
+		return caller.respond(rejectionStatuses[requestNumber/6%int64(len(rejectionStatuses))], header, nil)
 	}
+	answer := replica.answerTo(request, body)
 	if fault.Endless != NotEndless && requestNumber%2 == 0 {
 		writeEndless(caller.conn, fault.Endless, header, answer)
 		return false
@@ -314,6 +318,18 @@
 	return ok
 }
 
+// answerTo returns the body of the answer to a request.
+func (replica *Replica) answerTo(request *http.Request, body []byte) []byte {
+	answer := PartRecords(replica.config.Service, request.RequestURI)
+	if request.Method != http.MethodGet {
+		answer = EchoDigest(replica.config.Service, request.Method, request.RequestURI, body)
+	}
+	if missing := replica.config.MinAnswer - len(answer); missing > 0 {
+		answer = append(answer, make([]byte, missing)...)
+	}
+	return answer
+}
+
 // respond writes a response and reports whether the connection stays open.
 func (caller *caller) respond(status int, header string, body []byte) bool {
 	var buffer bytes.Buffer
