Refuse a response that is made of the beginning of one and of the next one

A request that must run once ran at two replicas after a replica had sent the beginning of an earlier rejection in front of its answer.

Cause: net/http accepts a status line in the middle of a header line, so that both were read as one head, with the status and "not run" of the first response and the ID of the second one, by which it was accepted.

Ruled out: the match by ID, cuts at the end of a line, bytes while nothing is outstanding.

Change: swconn.Reader, which reads for the gateway and the search API, refuses a head or trailer with a status line in a reason phrase or a value, and a body where the rest of another response follows. The connection ends and the request may have run. events{responses_joined} counts them.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 fuzz:
 	go test ./pkg/swrule -run '^$$' -fuzz FuzzParse -fuzztime 60s
 	go test ./internal/swhttp -run '^$$' -fuzz FuzzSearchBody -fuzztime 60s
+	go test ./internal/swconn -run '^$$' -fuzz FuzzJoinedHeads -fuzztime 60s
 
 docs:
 	go test ./internal/swsetting ./pkg/swcode -update
--- a/internal/swconn/reader.go
+++ b/internal/swconn/reader.go
@@ -136,6 +136,9 @@
 		default:
 			return nil, errors.Wrap(err, "read response")
 		}
+		if containsStatusLine(message.Status) || fieldsContainStatusLine(message.Header) {
+			return nil, ErrJoined
+		}
 		if isInterim(message.StatusCode) {
 			continue
 		}
@@ -146,6 +149,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if fieldsContainStatusLine(message.Trailer) || reader.bodyIsJoined(body) {
+			return nil, ErrJoined
+		}
 		return &Response{Status: message.StatusCode, Header: message.Header, Body: body, Closes: message.Close}, nil
 	}
 }
--- a/internal/swgateway/copy_test.go
+++ b/internal/swgateway/copy_test.go
@@ -121,6 +121,31 @@
 	})
 }
 
+// TestCutCopyOfARejectionCausesNoSecondRun guards against taking the beginning of a rejection and the answer behind it for a rejection of a
+// request that has run (review case 6).
+func TestCutCopyOfARejectionCausesNoSecondRun(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		testHandler, runs := newTestHandler(t, 1), &runCounter{}
+		defer testHandler.close()
+		testHandler.setRoute(nonIdempotentRoute())
+		stray := "HTTP/1.1 503 X\r\nNot-Run: 1\r\nDate: now\r\nId: other\r\nContent-Length: 0\r\n\r\n"
+		cut := 0
+		script := func(receivedRequest *receivedRequest) {
+			runs.add(receivedRequest)
+			_, _ = receivedRequest.conn.Write([]byte(stray[:cut] + receivedRequest.answerText(http.StatusOK, "Signature: a\r\n", "done")))
+		}
+		testHandler.addReplica("s", "a", script)
+		testHandler.addReplica("s", "b", script)
+		for cut = 1; cut < len(stray); cut++ {
+			id, got := testHandler.sendIdentified(t.Context(), http.MethodPost, "/x", "work", 2*time.Second)
+			if count := runs.count(id); count != 1 || got.Code != http.StatusOK && got.Code != http.StatusBadGateway {
+				t.Errorf("cut after %q: %s, %d runs", stray[:cut], statusAndBody(got), count)
+			}
+			time.Sleep(time.Minute)
+		}
+	})
+}
+
 // TestLateCopiesUnderOverloadCauseNoSecondRun replays the load of review case 1: clients send a third more requests than three replicas can
 // run, and two of these send some of their responses once more. No request runs twice, or after it was refused as not run.
 func TestLateCopiesUnderOverloadCauseNoSecondRun(t *testing.T) {
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -259,6 +259,9 @@
 	if errors.As(err, &limitError) {
 		replica.recordLimitExceeded(limitError)
 	}
+	if errors.Is(err, swconn.ErrJoined) {
+		replica.pool.config.CountEvent("responses_joined", 1)
+	}
 	base := replica.baseLimit()
 	replica.mutex.Lock()
 	delete(replica.openConnections, connection)
