Make the soak's replicas cut late copies of rejections short

The soak's replicas sent whole responses twice, so that no run could join two responses into one. Replicas of one fault now send the beginning of each rejection in front of the next response, and rejections no longer name the request's ID first.

--- a/lab/internal/swlabsoak/fault.go
+++ b/lab/internal/swlabsoak/fault.go
@@ -59,7 +59,7 @@
 		{"replicas lose responses", replicaFault(swlabusers.ReplicaFault{LoseAnswers: true})},
 		{"replicas respond twice", replicaFault(swlabusers.ReplicaFault{DuplicateAnswers: true})},
 		{"replicas respond twice, late", replicaFault(swlabusers.ReplicaFault{LateCopies: true})},
-		{"replicas reject requests, twice and late", replicaFault(swlabusers.ReplicaFault{Shed: true, LateCopies: true})},
+		{"replicas reject requests, twice and late, or cut short", replicaFault(swlabusers.ReplicaFault{Shed: true, LateCopies: true, CutCopies: true})},
 		{"replicas respond without end", (*injector).sendEndlessResponses},
 		{"replicas want nothing for a while", replicaFault(swlabusers.ReplicaFault{RetryAfter: 1500 * time.Millisecond})},
 		{"replicas limit their rate", (*injector).limitReplicas},
--- a/lab/internal/swlabusers/replica.go
+++ b/lab/internal/swlabusers/replica.go
@@ -27,6 +27,8 @@
 	RecordsPerPart = 6
 	// maxQueued is the number of requests that may wait for a slot. A replica rejects more.
 	maxQueued = 8
+	// cutStride is the step in bytes from the cut of one copy to the next. It is a prime, so that the cuts reach every byte of a response.
+	cutStride = 31
 )
 
 // Run records that a replica started to run a request.
@@ -108,6 +110,8 @@
 	DuplicateAnswers bool
 	// LateCopies sends the response to every third request once more, where the next response on its connection is expected.
 	LateCopies bool
+	// CutCopies does so with the response to every second request, but cuts the copy short.
+	CutCopies bool
 	// Endless sends bytes without end in place of the response to every second request.
 	Endless Endless
 	// CrashPathSuffix, if not empty, crashes the replica when it starts to run a request whose path ends in it.
@@ -261,7 +265,10 @@
 		if !replica.handle(caller, &fault, requestNumber, request, body) {
 			return
 		}
-		if fault.LateCopies && requestNumber%3 == 0 {
+		switch {
+		case fault.CutCopies && requestNumber%2 == 0:
+			caller.late = caller.latest[:int(requestNumber)*cutStride%len(caller.latest)]
+		case fault.LateCopies && requestNumber%3 == 0:
 			caller.late = caller.latest
 		}
 	}
@@ -285,7 +292,9 @@
 	case fault.RetryAfter > 0 && requestNumber%2 == 0:
 		return caller.respond(http.StatusServiceUnavailable, idLine+"X-Not-Executed: 1\r\n"+replica.header(caller, fault, true), nil)
 	case fault.Shed && requestNumber%2 == 0 || replica.queued.Load() >= maxQueued:
-		return caller.respond(http.StatusServiceUnavailable, idLine+"X-Not-Executed: 1\r\n"+replica.header(caller, fault, false), nil)
+		// The ID is not always the first field.
+		header := "X-Not-Executed: 1\r\nDate: " + time.Now().UTC().Format(http.TimeFormat) + "\r\n" + idLine
+		return caller.respond(http.StatusServiceUnavailable, header+replica.header(caller, fault, false), nil)
 	}
 	replica.queued.Add(1)
 	replica.slots <- struct{}{}
