Keep no values in the log of changes for peers that lag

After some 150 versions of a configuration of 1 MB, the processes of all machines of 184 MB exceeded their memory, three times each in a minute.

Cause: each VM kept the value of each of the latest 1,024 changes of a kind for peers that lag, bounded by number and not by bytes.

Evidence: 1,027 MB on the heap after 2,000 versions of 1 MB in TestCacheHoldsOneVersionOfEachObject, before the change.

Change: the log names the objects that changed. A peer that lags receives the present state of each once, or all objects if the log does not reach back.

--- a/internal/swfeed/cache.go
+++ b/internal/swfeed/cache.go
@@ -13,7 +13,7 @@
 // receives all objects.
 const maxLoggedChanges = 1024
 
-// cache holds the objects of one kind as of a position of the store, and a log of the latest changes.
+// cache holds the objects of one kind as of a position of the store, and a log of which of them changed latest.
 type cache struct {
 	// keeps is Kind.Keeps; it may be nil.
 	keeps    func(held, arrived *swplatform.Object) bool
@@ -21,7 +21,7 @@
 	objects  map[string]swplatform.Object
 	position swplatform.Position
 	// changes is the log of the latest changes of the position's era; it is complete for the positions after basePosition.
-	changes      []loggedObject
+	changes      []loggedChange
 	basePosition swplatform.Position
 	// recoveredAt is when the store last recovered from an outage.
 	recoveredAt time.Time
@@ -37,9 +37,12 @@
 	value    []byte
 }
 
-// loggedObject is a changed or deleted object with the position at which this VM learned of the change.
-type loggedObject struct {
-	swplatform.Object
+// loggedChange says that an object changed, or was deleted. It holds no value, so that the log stays small however large the objects are: a peer
+// that lags receives the present state of each object, not the steps to it.
+type loggedChange struct {
+	// object is without its value.
+	object swplatform.Object
+	// knownAt is the position at which this VM learned of the change.
 	knownAt swplatform.Position
 }
 
@@ -113,10 +116,11 @@
 		cache.basePosition = cache.changes[half-1].knownAt
 		cache.changes = append(cache.changes[:0], cache.changes[half:]...)
 	}
-	cache.changes = append(cache.changes, loggedObject{Object: object, knownAt: at})
+	object.Value = nil
+	cache.changes = append(cache.changes, loggedChange{object: object, knownAt: at})
 }
 
-// changesSince returns the changes after a position, or all objects if the log does not reach back that far. ok is false if nothing
+// changesSince returns the present state of each object that changed after a position, or all objects if the log does not reach back that far. ok is false if nothing
 // has changed since.
 func (cache *cache) changesSince(position swplatform.Position) (change swfollow.Change, ok bool) {
 	cache.mutex.Lock()
@@ -132,11 +136,22 @@
 		}
 		return change, true
 	}
-	for _, logged := range cache.changes {
+	latest := make(map[string]int)
+	for i, logged := range cache.changes {
 		if position.Before(logged.knownAt) {
-			change.Objects = append(change.Objects, logged.Object)
+			latest[logged.object.Name] = i
 		}
 	}
+	for i, logged := range cache.changes {
+		if last, changed := latest[logged.object.Name]; !changed || last != i {
+			continue
+		}
+		object := logged.object
+		if !object.Deleted {
+			object = cache.objects[object.Name]
+		}
+		change.Objects = append(change.Objects, object)
+	}
 	return change, true
 }
 
