Keep a sound connection to a peer when a caller gives up

A call whose caller had given up made the next call to the peer open a new connection, with two round trips and a handshake.

Cause: openStream dropped the connection on any error, also that of the caller's context. Change: it is dropped only if the context has not ended or the connection has. TestSoundConnectionOutlivesCancelledCalls failed before.

--- a/internal/swpeer/export_test.go
+++ b/internal/swpeer/export_test.go
@@ -1,5 +1,7 @@
 package swpeer
 
+import "net/netip"
+
 // Names that tests of the package use.
 const (
 	MaxHandshakes    = maxHandshakes
@@ -27,3 +29,10 @@
 func (node *Node) OpenHandshakes() int64 {
 	return node.handshakes.open.Load()
 }
+
+// Outbound returns what identifies the node's present connection to a target.
+func (node *Node) Outbound(target netip.AddrPort) any {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.outboundConnections[target]
+}
--- a/internal/swpeer/node.go
+++ b/internal/swpeer/node.go
@@ -279,7 +279,7 @@
 	return newStream(stream, peerCertificate(connection)), nil
 }
 
-// openStream opens a stream on the connection to target. If that fails, it removes the connection and returns it with the error.
+// openStream opens a stream on the connection to target. If the connection fails, it is removed and returned with the error.
 func (node *Node) openStream(ctx context.Context, target netip.AddrPort) (*quic.Conn, *quic.Stream, error) {
 	connection, err := node.getConnection(ctx, target)
 	if err != nil {
@@ -287,7 +287,10 @@
 	}
 	stream, err := connection.OpenStreamSync(ctx)
 	if err != nil {
-		node.dropConnection(target, connection)
+		// A caller that has given up says nothing about the connection.
+		if ctx.Err() == nil || connection.Context().Err() != nil {
+			node.dropConnection(target, connection)
+		}
 		return connection, nil, errors.Wrapf(err, "open stream to %s", target)
 	}
 	return connection, stream, nil
