Set the connection of a dial under the lock that its readers hold

dropConnection compares the present connection to a target before its dial has ended, while dial sets it: a data race, which the race detector sees in TestConnectionIsDroppedWhileAnotherIsDialled before the change. By reading it changed no result.

--- a/internal/swpeer/connection_test.go
+++ b/internal/swpeer/connection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 
 	"github.com/sycamorewall/sycamorewall/internal/swpeer"
@@ -35,3 +36,32 @@
 		t.Error("the connection was dropped although it is sound")
 	}
 }
+
+// TestConnectionIsDroppedWhileAnotherIsDialled lets the race detector see a dial and the end of the connection before it.
+func TestConnectionIsDroppedWhileAnotherIsDialled(t *testing.T) {
+	authority := swpeertest.NewAuthority(t)
+	server, client := newNode(t, authority.TLS(t, "vm-1")), newNode(t, authority.TLS(t, "vm-2"))
+	for range 5 {
+		client.Reconnect(server.Address())
+		dialled := make(chan struct{})
+		var dropping sync.WaitGroup
+		dropping.Go(func() {
+			for {
+				select {
+				case <-dialled:
+					return
+				default:
+					client.DropFormer(server.Address())
+				}
+			}
+		})
+		stream, err := client.Open(t.Context(), server.Address(), swpeer.MethodStatus)
+		if err != nil {
+			t.Error(err)
+		} else {
+			stream.Cancel()
+		}
+		close(dialled)
+		dropping.Wait()
+	}
+}
--- a/internal/swpeer/export_test.go
+++ b/internal/swpeer/export_test.go
@@ -1,6 +1,10 @@
 package swpeer
 
-import "net/netip"
+import (
+	"net/netip"
+
+	"github.com/quic-go/quic-go"
+)
 
 // Names that tests of the package use.
 const (
@@ -36,3 +40,8 @@
 	defer node.mutex.Unlock()
 	return node.outboundConnections[target]
 }
+
+// DropFormer drops a connection that is not the present one.
+func (node *Node) DropFormer(target netip.AddrPort) {
+	node.dropConnection(target, &quic.Conn{})
+}
--- a/internal/swpeer/node.go
+++ b/internal/swpeer/node.go
@@ -381,7 +381,10 @@
 		outboundConnection.err = errors.Wrapf(err, "dial %s", target)
 		return
 	}
+	// dropConnection reads it before the dial has ended.
+	node.mutex.Lock()
 	outboundConnection.connection = connection
+	node.mutex.Unlock()
 	node.trackConnection(connection)
 }
 
