Drop a peer's connection on which no stream opens until the deadline

The connection was kept whenever the caller's context had ended, also by its deadline while the peer allowed no stream, which only a silent peer does. Now a call whose context has ended before asks for no stream, and one that is cancelled while it waits keeps the connection.

--- a/internal/swfeed/cache.go
+++ b/internal/swfeed/cache.go
@@ -120,8 +120,8 @@
 	cache.changes = append(cache.changes, loggedChange{object: object, knownAt: at})
 }
 
-// changesSince returns the present state of each object that changed after a position, or all objects if the log does not reach back that far. ok is false if nothing
-// has changed since.
+// changesSince returns the present state of each object that changed after a position, or all objects if the log does not reach back
+// that far. ok is false if nothing has changed since.
 func (cache *cache) changesSince(position swplatform.Position) (change swfollow.Change, ok bool) {
 	cache.mutex.Lock()
 	defer cache.mutex.Unlock()
--- a/internal/swpeer/node.go
+++ b/internal/swpeer/node.go
@@ -285,10 +285,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if ctx.Err() != nil {
+		return connection, nil, errors.Wrapf(ctx.Err(), "open stream to %s", target)
+	}
 	stream, err := connection.OpenStreamSync(ctx)
 	if err != nil {
-		// A caller that has given up says nothing about the connection.
-		if ctx.Err() == nil || connection.Context().Err() != nil {
+		// A caller that gives up while it waits says nothing about the connection, but a peer that allows no stream until the deadline is silent.
+		if !errors.Is(ctx.Err(), context.Canceled) || connection.Context().Err() != nil {
 			node.dropConnection(target, connection)
 		}
 		return connection, nil, errors.Wrapf(err, "open stream to %s", target)
