Tell a VM's own links, a relay's and a replica's state apart

An attempt that was not sent ended as Unreachable, whether the VM had lost its links, its relay had lost them or the replica was down. swreach judges a VM's links to each data centre: several replicas that fail at once while none answers lead to a check, and only a check that connects to none of them shows that the links are lost. Attempts say whose fault it was, in the log and in counters.

Requests go where they went before.

--- a/internal/swconn/connection.go
+++ b/internal/swconn/connection.go
@@ -80,6 +80,8 @@
 	closed   atomic.Bool
 	// keepAliveTimeout is the timeout of the server's Keep-Alive header, in nanoseconds, or zero if it sent none.
 	keepAliveTimeout atomic.Int64
+	// OpenedAt is when the connection was opened.
+	OpenedAt time.Time
 	// IdleSince is the time at which the owner last returned the connection to its idle connections. Only the owner uses it.
 	IdleSince time.Time
 	// Number tells the connections of an owner apart in its log; zero if the owner does not number them.
@@ -88,12 +90,14 @@
 
 // New returns a Connection over an open network connection. The owner must run ReadLoop in a separate goroutine.
 func New(conn net.Conn, limits Limits, hooks Hooks) *Connection {
+	now := time.Now()
 	connection := &Connection{
 		conn:      conn,
 		reader:    NewReader(conn, limits),
 		hooks:     hooks,
 		results:   make(chan Result, 1),
-		IdleSince: time.Now(),
+		OpenedAt:  now,
+		IdleSince: now,
 	}
 	connection.reader.onHeader = connection.matchHeader
 	return connection
--- a/internal/swgateway/attempt.go
+++ b/internal/swgateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/sycamorewall/sycamorewall/internal/swbackend"
@@ -89,6 +90,10 @@
 	for i := range call.attempts {
 		if call.attempts[i].id == result.command.Attempt {
 			call.attempts[i].endedAt, call.attempts[i].outcome = result.endedAt, answer.Outcome.String()
+			if fault := result.replicaResult.Fault; fault != swreplica.FaultUnknown {
+				call.attempts[i].outcome += "/" + fault.String()
+				call.handler.config.Recorder.CountEvent("attempts_not_sent_fault_"+strings.ToLower(fault.String()), 1)
+			}
 			if reason := call.notSentReason(&result); reason != "" {
 				call.attempts[i].outcome = reason
 				call.handler.config.Recorder.CountEvent(withheldEvents[reason], 1)
--- a/internal/swrelay/client.go
+++ b/internal/swrelay/client.go
@@ -96,7 +96,7 @@
 // is suspect.
 func (client *Client) Exchange(ctx context.Context, replica *swreplica.Replica, relay Relay, attempt *Attempt) swreplica.Result {
 	sentAt := time.Now()
-	inFlightRequest := replica.AddInFlight(sentAt)
+	inFlightRequest := replica.AddRelayed(sentAt)
 	replica.Unreserve()
 	results := make(chan swreplica.Result, 1)
 	callCtx, cancel := context.WithCancel(client.config.Group.Context())
@@ -159,7 +159,7 @@
 		return result
 	}
 	result.Err = errors.New(reply.Reason)
-	result.RetryAfter = reply.RetryAfter
+	result.RetryAfter, result.Fault = reply.RetryAfter, reply.Fault
 	return result
 }
 
--- a/internal/swrelay/message.go
+++ b/internal/swrelay/message.go
@@ -46,6 +46,8 @@
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// RetryAfter is when the replica may get another request from the relay, if its rate limit prevented this one or it is cold.
 	RetryAfter time.Duration `cbor:"7,keyasint,omitempty"`
+	// Fault is what prevented the sending if the outcome is NotSent. FaultLinks, of the relay, arrives as FaultRelay.
+	Fault swreplica.Fault `cbor:"8,keyasint,omitempty"`
 }
 
 // droppedHeaders are response headers that the sender does not need.
@@ -71,7 +73,10 @@
 
 // newReply encodes the result of an attempt.
 func newReply(result *swreplica.Result) Reply {
-	reply := Reply{Outcome: result.Outcome, RetryAfter: result.RetryAfter}
+	reply := Reply{Outcome: result.Outcome, RetryAfter: result.RetryAfter, Fault: result.Fault}
+	if result.Fault == swreplica.FaultLinks {
+		reply.Fault = swreplica.FaultRelay
+	}
 	if result.Err != nil {
 		reply.Reason = result.Err.Error()
 	}
--- a/internal/swrelay/server.go
+++ b/internal/swrelay/server.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sycamorewall/sycamorewall/internal/swreach"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 )
 
@@ -52,17 +53,23 @@
 	now := time.Now()
 	switch {
 	case server.config.Leaving():
-		return Reply{Outcome: swreplica.NotSent, Reason: "this VM is leaving", Leaving: true}, nil
+		reply := notSent(swreplica.FaultRelay, "this VM is leaving")
+		reply.Leaving = true
+		return reply, nil
 	case server.config.Ready != nil && !server.config.Ready():
-		return Reply{Outcome: swreplica.NotSent, Reason: "this VM has just started and has not received the evacuated data centres"}, nil
+		return notSent(swreplica.FaultRelay, "this VM has just started and has not received the evacuated data centres"), nil
 	case replica != nil && len(attempt.Homes) > 0 && !slices.Contains(attempt.Homes, replica.Region()):
-		return Reply{Outcome: swreplica.NotSent, Reason: "the replica is outside the regions that may run the request"}, nil
+		return notSent(swreplica.FaultRefused, "the replica is outside the regions that may run the request"), nil
 	case replica != nil && replica.InUse() && replica.ReadyIn(now) > 0:
 		return heldReply(replica, now), nil
-	case replica == nil || !replica.Available():
-		return Reply{Outcome: swreplica.NotSent, Reason: "the replica is unknown, leaving or unreachable at this VM"}, nil
+	case replica == nil:
+		return notSent(swreplica.FaultRefused, "the replica is unknown at this VM"), nil
+	case replica.Reach() == swreach.Lost:
+		return notSent(swreplica.FaultRelay, "this VM does not reach the data centre of the replica"), nil
+	case !replica.Available():
+		return notSent(swreplica.FaultReplica, "the replica is leaving or unreachable at this VM"), nil
 	case replica.Distance() == swreplica.OtherRegion:
-		return Reply{Outcome: swreplica.NotSent, Reason: "the replica is not near this VM"}, nil
+		return notSent(swreplica.FaultRefused, "the replica is not near this VM"), nil
 	}
 	if !replica.Admit(now) {
 		return heldReply(replica, now), nil
@@ -77,6 +84,11 @@
 	return newReply(&result), nil
 }
 
+// notSent is the reply to an attempt that this VM did not send.
+func notSent(fault swreplica.Fault, reason string) Reply {
+	return Reply{Outcome: swreplica.NotSent, Fault: fault, Reason: reason}
+}
+
 // heldReply is the reply to an attempt at a replica that wants no request from this VM now.
 func heldReply(replica *swreplica.Replica, now time.Time) Reply {
 	return Reply{Outcome: swreplica.NotSent, Reason: "the replica takes no more from this VM now", RetryAfter: max(1, replica.ReadyIn(now))}
--- a/internal/swreplica/evacuation.go
+++ b/internal/swreplica/evacuation.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sycamorewall/sycamorewall/internal/swreach"
 )
 
 // errEvacuated means that the replica's data centre is evacuated.
@@ -17,6 +19,16 @@
 
 // place is a data centre with the replicas that this VM knows there. It is safe for concurrent use.
 type place struct {
+	name     string
+	registry *Registry
+	pool     *Pool
+	// replicas holds the listed replicas there.
+	replicas atomic.Pointer[[]*Replica]
+	// judge judges this VM's links to the place. sending is the number of requests that are in flight there directly, and watched is set while
+	// their answers are watched for.
+	judge   swreach.Judge
+	sending atomic.Int64
+	watched atomic.Bool
 	// returnOver is RegistryConfig.ReturnOver.
 	returnOver time.Duration
 	state      atomic.Pointer[placeState]
@@ -29,8 +41,8 @@
 	returnedAt time.Time
 }
 
-func newPlace(returnOver time.Duration) *place {
-	place := &place{returnOver: returnOver}
+func newPlace(registry *Registry, name string) *place {
+	place := &place{name: name, registry: registry, pool: registry.config.Pool, returnOver: registry.config.ReturnOver}
 	place.state.Store(&placeState{})
 	return place
 }
@@ -84,7 +96,7 @@
 func (registry *Registry) placeOf(dataCentre string) *place {
 	known, ok := registry.places[dataCentre]
 	if !ok {
-		known = newPlace(registry.config.ReturnOver)
+		known = newPlace(registry, dataCentre)
 		registry.places[dataCentre] = known
 	}
 	return known
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -56,6 +56,8 @@
 	// it was not sent by this VM.
 	SentAt     time.Time
 	Connection uint64
+	// Fault is what prevented the sending, if the outcome is NotSent.
+	Fault Fault
 	// RetryAfter is when an attempt that was not sent may be, for one that the replica's rate limit prevented or that it is cold; else zero.
 	RetryAfter time.Duration
 }
@@ -78,7 +80,11 @@
 	connection, err := replica.acquireConnection(ctx, request.Sendings)
 	replica.addReserved(-1)
 	if err != nil {
-		return Result{Outcome: NotSent, Err: err}
+		result := Result{Outcome: NotSent, Err: err}
+		if ctx.Err() == nil {
+			result.Fault = replica.faultOf(err)
+		}
+		return result
 	}
 	result := replica.send(ctx, connection, request)
 	if result.Outcome != NotSent {
@@ -100,15 +106,16 @@
 		return Result{Outcome: NotSent, Err: errCold, RetryAfter: max(time.Millisecond, replica.coldWait(now))}
 	}
 	request.Sendings.record(connection)
-	inFlightRequest := replica.AddInFlight(now)
+	inFlightRequest := replica.addInFlight(now)
 	results, sent, err := connection.Send(&swconn.Request{
 		Method: request.Method, Data: data, WriteBy: request.Deadline, ReadBy: request.Deadline.Add(request.CancelGrace + readMargin), Accept: request.Accept,
 	})
 	if err != nil {
 		inFlightRequest.End()
 		connection.Close()
+		replica.observeUnanswered()
 		if !sent {
-			return Result{Outcome: NotSent, Err: err}
+			return Result{Outcome: NotSent, Err: err, Fault: replica.faultOf(err)}
 		}
 		return Result{Outcome: Broken, Err: err, SentAt: now}
 	}
@@ -161,6 +168,8 @@
 		outcome := Broken
 		if swconn.ExceedsLimit(result.Err) {
 			outcome = Overlong
+		} else {
+			replica.observeUnanswered()
 		}
 		return Result{Outcome: outcome, Err: result.Err, SentAt: inFlightRequest.sentAt}
 	}
@@ -196,22 +205,40 @@
 type InFlightRequest struct {
 	replica *Replica
 	sentAt  time.Time
+	// relayed is set if another VM sends the request to the replica.
+	relayed bool
 }
 
-// AddInFlight counts a request as in flight until its End.
-func (replica *Replica) AddInFlight(now time.Time) *InFlightRequest {
+// addInFlight counts a request that this VM sends as in flight until its End.
+func (replica *Replica) addInFlight(now time.Time) *InFlightRequest {
 	inFlightRequest := &InFlightRequest{replica: replica, sentAt: now}
-	replica.mutex.Lock()
-	defer replica.mutex.Unlock()
-	replica.inFlight[inFlightRequest] = struct{}{}
+	inFlightRequest.begin()
+	replica.place.beginSending()
+	return inFlightRequest
+}
+
+// AddRelayed counts a request that another VM sends as in flight until its End.
+func (replica *Replica) AddRelayed(now time.Time) *InFlightRequest {
+	inFlightRequest := &InFlightRequest{replica: replica, sentAt: now, relayed: true}
+	inFlightRequest.begin()
 	return inFlightRequest
 }
 
+func (inFlightRequest *InFlightRequest) begin() {
+	inFlightRequest.replica.mutex.Lock()
+	defer inFlightRequest.replica.mutex.Unlock()
+	inFlightRequest.replica.inFlight[inFlightRequest] = struct{}{}
+}
+
 // End removes the request from those in flight.
 func (inFlightRequest *InFlightRequest) End() {
 	inFlightRequest.replica.mutex.Lock()
-	defer inFlightRequest.replica.mutex.Unlock()
+	_, open := inFlightRequest.replica.inFlight[inFlightRequest]
 	delete(inFlightRequest.replica.inFlight, inFlightRequest)
+	inFlightRequest.replica.mutex.Unlock()
+	if open && !inFlightRequest.relayed {
+		inFlightRequest.replica.place.endSending()
+	}
 }
 
 // minUnresponsiveAge is the minimum age of a cancelled request that counts as evidence of an unresponsive replica. It is longer
--- a/internal/swreplica/load_test.go
+++ b/internal/swreplica/load_test.go
@@ -121,7 +121,7 @@
 					best, bestCost = replica, cost
 				}
 			}
-			inFlight := best.AddInFlight(now)
+			inFlight := best.AddRelayed(now)
 			group.Go(func(context.Context) {
 				load := servers[best.ID()].serve()
 				inFlight.End()
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -223,6 +223,7 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			replica.markDown()
+			replica.observeNotOpened()
 		}
 		replica.mutex.Lock()
 		replica.dialing--
@@ -235,6 +236,7 @@
 	})
 	connection.Number = replica.pool.opened.Add(1)
 	replica.pool.config.CountEvent("replica_connections_opened", 1)
+	replica.place.judge.Opened()
 	replica.mutex.Lock()
 	replica.dialing--
 	retired := replica.retired
--- /dev/null
+++ b/internal/swreplica/reach.go
@@ -0,0 +1,342 @@
+package swreplica
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swreach"
+	"github.com/sycamorewall/sycamorewall/internal/swtimer"
+)
+
+const (
+	// checkWidth is the number of replicas of a data centre that a check of this VM's links tries to connect to at once.
+	checkWidth = 3
+	// checkTimeout bounds a check. It allows several round trips to the farthest region and is shorter than most requests wait.
+	checkTimeout = 250 * time.Millisecond
+	// minReturnInterval and maxReturnInterval bound the backoff between checks whether lost links are back, and returnJitter is the fraction by
+	// which they vary, as many VMs may have lost them at the same moment.
+	minReturnInterval = 200 * time.Millisecond
+	maxReturnInterval = 600 * time.Millisecond
+	returnJitter      = 0.3
+	// overdueFactor is the multiple of a replica's average latency after which an answer is overdue.
+	overdueFactor = 4
+)
+
+// Reach returns the state of this VM's links to the replica's data centre.
+func (replica *Replica) Reach() swreach.State {
+	return replica.place.judge.State()
+}
+
+// ReachDoubted reports whether something speaks against this VM's links to the replica's data centre. A failure is then no evidence of the
+// replica's own state.
+func (replica *Replica) ReachDoubted() bool {
+	return replica.place.judge.Doubted()
+}
+
+// mayConnect reports whether requests and probes may open connections to the place. While its links are lost, only checks do.
+func (place *place) mayConnect() bool {
+	state := place.judge.State()
+	return state == swreach.Reached || state == swreach.Checking
+}
+
+// heard records that a response arrived on a connection that was opened at a time.
+func (place *place) heard(openedAt time.Time) {
+	place.judge.Heard(time.Now(), openedAt)
+}
+
+// observeUnanswered records that the replica's connection ended instead of an answer.
+func (replica *Replica) observeUnanswered() {
+	replica.place.judge.Unanswered(replica.ID())
+	replica.place.suspect()
+}
+
+// observeNotOpened records that no connection to the replica could be opened.
+func (replica *Replica) observeNotOpened() {
+	replica.place.judge.NotOpened(time.Now(), replica.ID())
+	replica.place.suspect()
+}
+
+// beginSending counts a request that was sent to the place directly, until endSending, and watches for its answer.
+func (place *place) beginSending() {
+	place.sending.Add(1)
+	place.watch()
+}
+
+func (place *place) endSending() {
+	place.sending.Add(-1)
+}
+
+// watch looks for overdue answers while requests are in flight.
+func (place *place) watch() {
+	if place.watched.CompareAndSwap(false, true) {
+		place.pool.config.Group.Go(place.watchAnswers)
+	}
+}
+
+func (place *place) watchAnswers(ctx context.Context) {
+	for swtimer.Wait(ctx, swreach.Silence) == nil {
+		if place.sending.Load() == 0 {
+			break
+		}
+		place.findOverdue(time.Now())
+	}
+	place.watched.Store(false)
+	if place.sending.Load() > 0 && ctx.Err() == nil {
+		place.watch()
+	}
+}
+
+// findOverdue records the replicas that owe an answer, if nothing was heard from the place since they got the request.
+func (place *place) findOverdue(now time.Time) {
+	heardAt := place.judge.HeardAt()
+	if now.Sub(heardAt) < swreach.Silence {
+		return
+	}
+	for _, replica := range place.listed() {
+		if replica.isOverdue(now, heardAt) {
+			place.judge.Unanswered(replica.ID())
+		}
+	}
+	place.suspect()
+}
+
+// isOverdue reports whether a request that was sent directly after a time has waited much longer for its answer than usual.
+func (replica *Replica) isOverdue(now, sentAfter time.Time) bool {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	patience := max(swreach.Silence, overdueFactor*replica.averageLatency)
+	for inFlightRequest := range replica.inFlight {
+		if !inFlightRequest.relayed && inFlightRequest.sentAt.After(sentAfter) && now.Sub(inFlightRequest.sentAt) >= patience {
+			return true
+		}
+	}
+	return false
+}
+
+// listed returns the replicas of the place.
+func (place *place) listed() []*Replica {
+	if replicas := place.replicas.Load(); replicas != nil {
+		return *replicas
+	}
+	return nil
+}
+
+// inUse returns the number of replicas that may be asked to check the links; none while the place is evacuated.
+func (place *place) inUse() int {
+	if place.isEvacuated() {
+		return 0
+	}
+	count := 0
+	for _, replica := range place.listed() {
+		if replica.InUse() {
+			count++
+		}
+	}
+	return count
+}
+
+// suspect begins a check of the links if the evidence calls for one.
+func (place *place) suspect() {
+	evidence := place.judge.BeginCheck(time.Now(), place.inUse())
+	if evidence == swreach.NoEvidence {
+		return
+	}
+	place.pool.config.Group.Go(func(ctx context.Context) { place.check(ctx, evidence) })
+}
+
+// check tries to connect to the replicas that answered last. If none accepts, the links are lost until one does.
+func (place *place) check(ctx context.Context, evidence swreach.Evidence) {
+	pool := place.pool
+	pool.config.CountEvent("reach_checks", 1)
+	connected := place.connectToAny(ctx, place.bestReached())
+	if ctx.Err() != nil {
+		return
+	}
+	place.judge.EndCheck(time.Now(), connected)
+	if connected {
+		return
+	}
+	lostAt := time.Now()
+	pool.config.CountEvent("reach_lost", 1)
+	pool.config.Log.Warn().Str("DataCentre", place.name).Str("Evidence", string(evidence)).Int("Replicas", place.inUse()).
+		Msg("this VM can't reach the backend servers of a data centre")
+	place.checkOthers()
+	place.awaitReturn(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	pool.config.CountEvent("reach_returned", 1)
+	pool.config.Log.Info().Str("DataCentre", place.name).Dur("Lost", time.Since(lostAt)).
+		Msg("this VM reaches the backend servers of a data centre again")
+}
+
+// checkOthers checks the links to the other places, as what ended these may have ended them too.
+func (place *place) checkOthers() {
+	for _, other := range place.registry.otherPlaces(place) {
+		if other.inUse() > 0 && other.judge.BeginRelatedCheck() {
+			place.pool.config.Group.Go(func(ctx context.Context) { other.check(ctx, swreach.Related) })
+		}
+	}
+}
+
+// bestReached returns the replicas that answered last.
+func (place *place) bestReached() []*Replica {
+	return place.choose(func(replica *Replica) int64 { return -replica.lastAnswer().UnixNano() })
+}
+
+// leastTried returns the replicas to which this VM has not tried to connect for the longest time. New ones come first.
+func (place *place) leastTried() []*Replica {
+	return place.choose(func(replica *Replica) int64 { return replica.lastTry().UnixNano() })
+}
+
+// choose returns checkWidth replicas in use with the lowest rank.
+func (place *place) choose(rank func(replica *Replica) int64) []*Replica {
+	ranks := make(map[*Replica]int64)
+	var chosen []*Replica
+	for _, replica := range place.listed() {
+		if replica.InUse() {
+			ranks[replica] = rank(replica)
+			chosen = append(chosen, replica)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b *Replica) int { return cmp.Compare(ranks[a], ranks[b]) })
+	return chosen[:min(checkWidth, len(chosen))]
+}
+
+// connectToAny reports whether one of the replicas accepts a connection. Those that are opened are kept for requests.
+func (place *place) connectToAny(ctx context.Context, replicas []*Replica) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	connected := make(chan bool, len(replicas))
+	for _, replica := range replicas {
+		place.pool.config.Group.Go(func(context.Context) { connected <- replica.connect(ctx) })
+	}
+	defer cancel()
+	for range replicas {
+		if <-connected {
+			return true
+		}
+	}
+	return false
+}
+
+// connect opens a connection to the replica and keeps it for requests.
+func (replica *Replica) connect(ctx context.Context) bool {
+	replica.mutex.Lock()
+	if replica.retired || replica.Evacuated() {
+		replica.mutex.Unlock()
+		return false
+	}
+	replica.dialing++
+	replica.triedAt = time.Now()
+	replica.mutex.Unlock()
+	connection, err := replica.dial(ctx)
+	if err != nil {
+		return false
+	}
+	replica.releaseConnection(connection)
+	return true
+}
+
+// awaitReturn waits until the links are back and connections to the replicas are open again.
+func (place *place) awaitReturn(ctx context.Context) {
+	delay := minReturnInterval
+	for {
+		if swtimer.Wait(ctx, delay+time.Duration(returnJitter*rand.Float64()*float64(delay))) != nil {
+			return
+		}
+		delay = min(maxReturnInterval, 2*delay)
+		if place.inUse() > 0 && !place.connectToAny(ctx, place.leastTried()) {
+			continue
+		}
+		place.judge.Return()
+		reached := place.reopen(ctx)
+		place.judge.EndReturn(reached)
+		if reached {
+			return
+		}
+	}
+}
+
+// reopen opens a connection to each replica, one after the other, so that the VMs that return together don't open all of theirs at once. It
+// reports whether it opened one. Replicas of other regions are reached through relays as a rule and need none.
+func (place *place) reopen(ctx context.Context) bool {
+	opened, tried := 0, 0
+	for _, replica := range place.listed() {
+		if ctx.Err() != nil || replica.distance == OtherRegion {
+			break
+		}
+		if !replica.InUse() || replica.hasIdle(time.Now()) {
+			continue
+		}
+		tried++
+		if replica.Probe(ctx) {
+			opened++
+			replica.markUp()
+		}
+		if opened == 0 && tried >= checkWidth {
+			break
+		}
+	}
+	return opened > 0 || tried == 0
+}
+
+// markUp records that the replica can be reached.
+func (replica *Replica) markUp() {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	replica.down = false
+}
+
+// hasIdle reports whether an open connection to the replica is free.
+func (replica *Replica) hasIdle(now time.Time) bool {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	for _, connection := range replica.idleConnections {
+		if connection.Usable() && now.Sub(connection.IdleSince) < idleTimeout(connection) {
+			return true
+		}
+	}
+	return false
+}
+
+func (replica *Replica) lastAnswer() time.Time {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return replica.answeredAt
+}
+
+func (replica *Replica) lastTry() time.Time {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return replica.triedAt
+}
+
+// otherPlaces returns the places other than one.
+func (registry *Registry) otherPlaces(excluded *place) []*place {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	var places []*place
+	for _, known := range registry.places {
+		if known != excluded {
+			places = append(places, known)
+		}
+	}
+	return places
+}
+
+// Reached returns the data centres with replicas whose links are not lost and not in doubt, in order of their names.
+func (registry *Registry) Reached() []string {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	var names []string
+	for name, known := range registry.places {
+		if len(known.listed()) > 0 && known.judge.State() == swreach.Reached {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/swreplica/registry.go
+++ b/internal/swreplica/registry.go
@@ -131,9 +131,15 @@
 // publish makes the current replicas visible to ServiceReplicas. The caller holds the mutex.
 func (registry *Registry) publish() {
 	services := make(map[string][]*Replica)
+	byPlace := make(map[*place][]*Replica)
 	for _, replica := range registry.byID {
+		byPlace[replica.place] = append(byPlace[replica.place], replica)
 		name := replica.entry.Load().Service
 		services[name] = append(services[name], replica)
 	}
 	registry.services.Store(&services)
+	for _, place := range registry.places {
+		replicas := byPlace[place]
+		place.replicas.Store(&replicas)
+	}
 }
--- a/internal/swreplica/rejection_test.go
+++ b/internal/swreplica/rejection_test.go
@@ -37,7 +37,7 @@
 			defer group.Stop()
 			pool := NewPool(PoolConfig{Group: group, TellsRandomRejections: test.tell, Log: zerolog.Nop()})
 			now := time.Now()
-			replica := pool.newReplica(Entry{ID: "a", Service: "s", Slots: 2}, newPlace(0), SameDataCentre, now)
+			replica := pool.newReplica(Entry{ID: "a", Service: "s", Slots: 2}, newPlace(NewRegistry(RegistryConfig{Pool: pool}), "dc"), SameDataCentre, now)
 			for range 20 {
 				replica.ObserveLatency(now, latency)
 			}
@@ -47,7 +47,7 @@
 			now = now.Add(test.pause)
 			if test.inFlight > 0 {
 				replica.BeginPlain()
-				replica.AddInFlight(now.Add(-test.inFlight))
+				replica.addInFlight(now.Add(-test.inFlight))
 			}
 			for range test.rejections {
 				replica.ObserveRejection(now)
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -98,8 +98,10 @@
 	inFlightLimit float64
 	// down is set while the replica cannot be reached and probes are running.
 	down bool
-	// answeredAt is when the replica last answered any request, including with a rejection.
+	// answeredAt is when the replica last answered any request, including with a rejection, and triedAt when this VM last tried to connect to
+	// it to check its links.
 	answeredAt time.Time
+	triedAt    time.Time
 }
 
 // Entry returns the replica's entry in the platform's list.
@@ -269,12 +271,16 @@
 		replica.mutex.Lock()
 		finished := !replica.down || replica.retired
 		replica.mutex.Unlock()
-		if finished || replica.Probe(ctx) {
+		if finished {
 			break
 		}
-		if replica.Evacuated() {
-			// Probes resume soon after the end of the evacuation.
+		if replica.Evacuated() || !replica.place.mayConnect() {
+			// Probes resume soon after the end of the evacuation, or once the links to the data centre are back.
 			delay = minProbeInterval
+			continue
+		}
+		if replica.Probe(ctx) {
+			break
 		}
 	}
 	replica.mutex.Lock()
--- a/internal/swreplica/report.go
+++ b/internal/swreplica/report.go
@@ -82,7 +82,8 @@
 // readReport reads the report in the header of a response on one of the replica's connections. It sees every response: those of
 // attempts for which nobody waits any more, those whose body breaks off, and those that answer no request. The latter may be late copies,
 // which are no news of what the replica takes; but a replica that once said that it leaves still does.
-func (replica *Replica) readReport(_ *swconn.Connection, status int, header http.Header, matched bool) {
+func (replica *Replica) readReport(connection *swconn.Connection, status int, header http.Header, matched bool) {
+	replica.place.heard(connection.OpenedAt)
 	if replica.pool.config.ReadReport == nil {
 		return
 	}
--- a/internal/swreplica/state.go
+++ b/internal/swreplica/state.go
@@ -1,6 +1,10 @@
 package swreplica
 
-import "time"
+import (
+	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swreach"
+)
 
 // State says whether a VM sends requests to a replica, and why not.
 type State string
@@ -12,6 +16,8 @@
 	StateLeaving State = "leaving"
 	// StateUnreachable is that of a replica that accepts no connection.
 	StateUnreachable State = "unreachable"
+	// StateUnreached is that of a replica in a data centre that this VM has lost its links to.
+	StateUnreached State = "unreached"
 	// StateEvacuated is that of a replica whose data centre the operator has evacuated.
 	StateEvacuated State = "evacuated"
 	// StateHeldOff is that of a replica that asked this VM to send nothing for a while.
@@ -22,7 +28,7 @@
 )
 
 // States lists all states.
-var States = []State{StateLeaving, StateEvacuated, StateUnreachable, StateHeldOff, StateRateLimited, StateReady}
+var States = []State{StateLeaving, StateEvacuated, StateUnreached, StateUnreachable, StateHeldOff, StateRateLimited, StateReady}
 
 // state returns the replica's state.
 func (replica *Replica) state(now time.Time) State {
@@ -36,6 +42,8 @@
 	down := replica.down
 	replica.mutex.Unlock()
 	switch {
+	case replica.Reach() == swreach.Lost:
+		return StateUnreached
 	case down:
 		return StateUnreachable
 	case replica.reports.heldFor(now) > 0:
