--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -144,7 +144,7 @@
 }
 
 func newReplicaRegistry(config Config, group *swgroup.Group, fleet *swfleet.Fleet, routes *swroute.ActiveTable, memory *swconn.Memory,
-	limits *swlimit.Pool, recorder *swmetric.Recorder, log zerolog.Logger,
+	limits *swlimit.Pool, relays *swrelay.Client, recorder *swmetric.Recorder, log zerolog.Logger,
 ) *swreplica.Registry {
 	pool := swreplica.NewPool(swreplica.PoolConfig{
 		Group:           group,
@@ -152,6 +152,7 @@
 		OnLimitExceeded: func() { recorder.CountEvent("responses_too_large", 1) },
 		ReadReport:      platform.Headers{}.ReadReport,
 		CountEvent:      recorder.CountEvent,
+		OnReach:         relays.OnReach,
 		// VMs that share what they observe see the rejections of a replica together, which ranks it behind others without a mark for load.
 		TellsRandomRejections: config.Settings.Gateway.ObservationInterval > 0,
 		MaxConnections: func(name string) int {
@@ -295,7 +296,7 @@
 
 func newRelayClient(group *swgroup.Group, peers *peers, fleet *swfleet.Fleet, memory *swconn.Memory, log zerolog.Logger) *swrelay.Client {
 	return swrelay.NewClient(swrelay.ClientConfig{
-		Group: group, Transport: peers, ReadReport: platform.Headers{}.ReadReport, Memory: memory, Relays: fleet.Relays, Log: log,
+		Group: group, Transport: peers, ReadReport: platform.Headers{}.ReadReport, Memory: memory, Relays: fleet.Relays, VMs: fleet.Others, Log: log,
 	})
 }
 
--- a/internal/swapp/peers.go
+++ b/internal/swapp/peers.go
@@ -120,6 +120,7 @@
 	}
 	swpeer.HandleCall(node, swpeer.MethodFollow, services.feed.HandleFollow)
 	swpeer.HandleCall(node, swpeer.MethodRelay, services.relay.Handle)
+	swpeer.HandleCall(node, swpeer.MethodReach, services.relay.HandleReach)
 	swpeer.HandleCall(node, swpeer.MethodTokens, services.limiter.AllocateTokens)
 	swpeer.HandleCall(node, swpeer.MethodObservations, services.exchanger.Handle)
 	swpeer.HandleCall(node, swpeer.MethodLimits, lend(services.limits))
--- a/internal/swfleet/relay.go
+++ b/internal/swfleet/relay.go
@@ -29,6 +29,23 @@
 	return relays
 }
 
+// Others returns all other VMs, in no order.
+func (fleet *Fleet) Others() []swrelay.Relay {
+	fleet.mutex.RLock()
+	defer fleet.mutex.RUnlock()
+	others := make([]swrelay.Relay, 0, len(fleet.vms))
+	for _, vm := range fleet.vms {
+		if vm.Name != fleet.self.Name {
+			others = append(others, vm.asRelay())
+		}
+	}
+	return others
+}
+
+func (vm *VM) asRelay() swrelay.Relay {
+	return swrelay.Relay{Name: vm.Name, Address: vm.Peer, DataCentre: vm.DataCentre, Region: vm.Region}
+}
+
 // rankRelays orders the VMs that match a filter by weighted rendezvous hash. The caller holds the mutex.
 func (fleet *Fleet) rankRelays(matches func(vm *VM) bool) []swrelay.Relay {
 	type candidate struct {
@@ -43,7 +60,7 @@
 		// With a uniform hash u in (0, 1), -log(u)/weight is the minimum with a probability proportional to the weight.
 		draw := (float64(xxhash.Sum64String(fleet.self.Name+"/"+vm.Name)>>11) + 0.5) / (1 << 53)
 		candidates = append(candidates, candidate{
-			relay: swrelay.Relay{Name: vm.Name, Address: vm.Peer},
+			relay: vm.asRelay(),
 			score: -math.Log(draw) / max(vm.Capacity, 1),
 		})
 	}
--- a/internal/swgateway/attempt.go
+++ b/internal/swgateway/attempt.go
@@ -28,39 +28,9 @@
 	// meaning is that of the response; meaningUnusable if there is none.
 	meaning meaning
 	endedAt time.Time
-	// relayed is set if another VM sent the attempt.
-	relayed bool
-}
-
-// relayFor returns the VM that relays an attempt, or the zero Relay if the attempt goes directly to its replica. Attempts whose
-// response is forwarded unchanged, with all headers, go directly.
-func (call *call) relayFor(replica *swreplica.Replica) swrelay.Relay {
-	if call.handler.config.Relays == nil || !call.request.route.Gathered() {
-		return swrelay.Relay{}
-	}
-	return call.handler.config.Relays.RelayFor(replica)
-}
-
-// sendAttempt sends the request to one replica, directly or through a relay, and delivers the result to the call.
-func (call *call) sendAttempt(ctx context.Context, command swquery.Command, replica *swreplica.Replica, relay swrelay.Relay) {
-	request := call.request
-	attempt := &swrelay.Attempt{
-		Replica: command.Target.Server, Method: request.method, RequestID: request.id, Head: request.head, Body: request.body,
-		Homes: call.handler.homesOf(request).Regions(),
-	}
-	result := attemptResult{command: command, replica: replica, relayed: relay.Valid()}
-	if result.relayed {
-		attempt.Left = time.Until(request.deadline)
-		result.replicaResult = call.handler.config.Relays.Exchange(ctx, replica, relay, attempt)
-	} else {
-		result.replicaResult = call.sendDirectly(ctx, replica, attempt)
-	}
-	result.endedAt = time.Now()
-	if response := result.replicaResult.Response; response != nil {
-		result.info = call.handler.config.Protocol.ReadResponseInfo(response.Status, response.Header)
-		result.meaning = interpret(response, result.info, request.route.Gathered())
-	}
-	call.results <- result
+	// relay is the VM that sent the attempt; the zero Relay if this VM did. detoured is set if that was because this VM has lost its links.
+	relay    swrelay.Relay
+	detoured bool
 }
 
 // sendDirectly sends an attempt to its replica without a relay.
@@ -75,6 +45,7 @@
 		}
 		return encode(now)
 	}
+	request.Repeatable = call.request.route.Idempotent
 	if !call.request.route.Gathered() {
 		request.Sendings = &call.request.sendings
 	}
@@ -102,6 +73,7 @@
 				call.attempts[i].outcome = unprovenRejectionOutcome
 				call.handler.config.Recorder.CountEvent("unproven_rejections", 1)
 			}
+			call.attempts[i].relay = result.relay.Name
 			call.attempts[i].connection = result.replicaResult.Connection
 			if response := result.replicaResult.Response; response != nil {
 				call.attempts[i].status = response.Status
@@ -149,21 +121,23 @@
 	replica := result.replica
 	switch result.replicaResult.Outcome {
 	case swreplica.NotSent:
-		call.displaced = call.displaced || !call.mayPlaceAt(replica) || !result.relayed && result.replicaResult.RetryAfter > 0
-		if result.relayed && result.replicaResult.RetryAfter == 0 {
+		call.displaced = call.displaced || !call.mayPlaceAt(replica) || !result.relay.Valid() && result.replicaResult.RetryAfter > 0
+		if result.relay.Valid() && result.replicaResult.Fault == swreplica.FaultReplica {
 			replica.ObserveFailure(result.endedAt)
 		}
 		return swbackend.Answer{Outcome: swbackend.Unreachable, Ran: swcode.RanNo, Code: swcode.NoReplica}
 	case swreplica.Cancelled:
 		call.handler.latencies.observeCancelled(call.request.route.Name, result.endedAt.Sub(result.replicaResult.SentAt))
 		return swbackend.Answer{Outcome: swbackend.Cancelled, Ran: swcode.RanUnknown, Code: swcode.DeadlineExceeded}
-	case swreplica.RelayFailed:
+	case swreplica.RelayFailed, swreplica.LinksLost:
 		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed}
 	case swreplica.Overlong:
 		replica.ObserveFailure(result.endedAt)
 		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed}
 	case swreplica.Broken:
-		replica.ObserveFailure(result.endedAt)
+		if result.relay.Valid() || !replica.ReachDoubted() {
+			replica.ObserveFailure(result.endedAt)
+		}
 		call.brokenAttempts = append(call.brokenAttempts, brokenAttempt{replica: replica, brokenAt: result.endedAt})
 		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed, Crash: call.request.route.Gathered()}
 	}
--- a/internal/swgateway/call.go
+++ b/internal/swgateway/call.go
@@ -135,7 +135,7 @@
 
 // readyIn returns how long it takes until a replica may get the request. The rate of one that is asked through a relay is the relay's matter.
 func (call *call) readyIn(now time.Time, replica *swreplica.Replica) time.Duration {
-	if call.relayFor(replica).Valid() {
+	if !replica.Direct() || call.relayFor(replica).Valid() {
 		return replica.RelaysReadyIn(now)
 	}
 	return replica.ReadyIn(now)
@@ -264,7 +264,7 @@
 	shared, jitter := call.sharedEstimates(now, shardCall, remaining)
 	for i, target := range remaining {
 		replica := shardCall.replicas[target.Server]
-		candidate := replica.Candidate(now, serviceLatency)
+		candidate := call.handler.candidate(call.request, now, replica, serviceLatency)
 		if shared != nil {
 			candidate.Shared = shared[i]
 		}
@@ -383,7 +383,7 @@
 		})
 		call.recordChoice(now, &call.attempts[len(call.attempts)-1], &call.shards[command.Shard])
 		mayBeSent := call.maySendTo(replica)
-		if mayBeSent && !relay.Valid() && !replica.Admit(now) {
+		if mayBeSent && !relay.Valid() && replica.Direct() && !replica.Admit(now) {
 			call.rateLimited, mayBeSent = true, false
 		}
 		if !mayBeSent {
@@ -399,7 +399,7 @@
 		}
 		call.handler.config.Group.Go(func(context.Context) {
 			defer endPlain()
-			call.sendAttempt(ctx, command, replica, relay)
+			call.sendAttempt(ctx, attemptResult{command: command, replica: replica}, relay)
 		})
 	}
 }
--- a/internal/swgateway/fleet_test.go
+++ b/internal/swgateway/fleet_test.go
@@ -45,8 +45,8 @@
 	cut    cutKind
 	healed chan struct{}
 	conns  []net.Conn
-	// dials counts the connections that were opened, and attempts those that were tried.
-	dials, tries int
+	// tries counts the connections that were tried.
+	tries int
 }
 
 // set cuts or heals the link.
@@ -69,6 +69,13 @@
 	}
 }
 
+// counts returns the number of connections that were tried.
+func (link *link) counts() int {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	return link.tries
+}
+
 // silent returns a channel that is closed when a silent cut ends; nil if there is none.
 func (link *link) silent() chan struct{} {
 	link.mutex.Lock()
@@ -102,7 +109,6 @@
 	}
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
-	link.dials++
 	link.conns = append(link.conns, conn)
 	return &linkedConn{Conn: conn, link: link}, nil
 }
@@ -142,6 +148,7 @@
 	*Handler
 	registry *swreplica.Registry
 	server   *swrelay.Server
+	relays   *swrelay.Client
 	relay    swrelay.Relay
 	link     *link
 }
@@ -153,6 +160,7 @@
 	routes   *swroute.ActiveTable
 	replicas map[netip.AddrPort]*testReplica
 	vms      []*fleetVM
+	mutex    sync.Mutex
 	// lostPeers are the VMs that no other VM reaches.
 	lostPeers map[netip.AddrPort]bool
 }
@@ -178,22 +186,24 @@
 func (testFleet *testFleet) addVM(dataCentre string) {
 	number := len(testFleet.vms)
 	address := netip.AddrPortFrom(netip.MustParseAddr("10.9.0.1"), uint16(number+1))
-	vm := &fleetVM{link: &link{}, relay: swrelay.Relay{Name: fmt.Sprint("vm-", number), Address: address}}
+	vm := &fleetVM{link: &link{}, relay: swrelay.Relay{Name: fmt.Sprint("vm-", number), Address: address, DataCentre: dataCentre, Region: dataCentre}}
 	pool := swreplica.NewPool(swreplica.PoolConfig{
 		Group: testFleet.group, Log: zerolog.Nop(), ReadReport: testProtocol{}.ReadReport,
 		MaxConnections: func(string) int { return 40 },
+		OnReach:        func(dataCentre string, reached bool) { vm.relays.OnReach(dataCentre, reached) },
 		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			return vm.link.dial(ctx, func() (net.Conn, error) { return testFleet.connect(address) })
 		},
 	})
 	vm.registry = swreplica.NewRegistry(swreplica.RegistryConfig{Pool: pool, DataCentre: dataCentre, Region: dataCentre})
 	vm.server = swrelay.NewServer(swrelay.ServerConfig{Replicas: vm.registry, Codec: Codec{Protocol: testProtocol{}}, Leaving: func() bool { return false }})
-	relays := swrelay.NewClient(swrelay.ClientConfig{
+	vm.relays = swrelay.NewClient(swrelay.ClientConfig{
 		Group: testFleet.group, Transport: testFleet, ReadReport: testProtocol{}.ReadReport, Log: zerolog.Nop(),
 		Relays: func(dataCentre, _ string) []swrelay.Relay { return testFleet.relaysIn(vm, dataCentre) },
+		VMs:    func() []swrelay.Relay { return append(testFleet.relaysIn(vm, "a"), testFleet.relaysIn(vm, "b")...) },
 	})
 	vm.Handler = NewHandler(HandlerConfig{
-		Group: testFleet.group, Protocol: testProtocol{}, Routes: testFleet.routes, Replicas: vm.registry, Relays: relays,
+		Group: testFleet.group, Protocol: testProtocol{}, Routes: testFleet.routes, Replicas: vm.registry, Relays: vm.relays,
 		Budget:     NewBudget(BudgetConfig{Ratio: 0.2, Slack: 100, Window: testWindow, VMs: func() int { return 1 }}),
 		Quarantine: swquarantine.New(swquarantine.Config{Name: vm.relay.Name, CanaryWindow: time.Nanosecond}),
 		Recorder:   noRecorder{}, Log: zerolog.Nop(),
@@ -204,8 +214,8 @@
 // relaysIn returns the other VMs of a data centre.
 func (testFleet *testFleet) relaysIn(self *fleetVM, dataCentre string) []swrelay.Relay {
 	var relays []swrelay.Relay
-	for i, vm := range testFleet.vms {
-		if vm != self && (dataCentre == "a") == (i < len(testFleet.vms)/2) && len(relays) < swrelay.MaxRelays {
+	for _, vm := range testFleet.vms {
+		if vm != self && vm.relay.DataCentre == dataCentre && len(relays) < swrelay.MaxRelays {
 			relays = append(relays, vm.relay)
 		}
 	}
@@ -219,9 +229,14 @@
 	time.Sleep(fleetRoundTrip / 2)
 	defer time.Sleep(fleetRoundTrip / 2)
 	for _, vm := range testFleet.vms {
-		if vm.relay.Address != target || testFleet.lostPeers[target] || method != swpeer.MethodRelay {
+		if vm.relay.Address != target || testFleet.isLost(target) {
 			continue
 		}
+		if method == swpeer.MethodReach {
+			answer, err := vm.server.HandleReach(ctx, "sender", swrelay.ReachRequest{})
+			*reply.(*swrelay.ReachReply) = answer
+			return err
+		}
 		answer, err := vm.server.Handle(ctx, "sender", *request.(*swrelay.Attempt))
 		if err != nil {
 			return err
@@ -232,6 +247,19 @@
 	return errPeerLost
 }
 
+// setLost makes all calls to a VM fail, or not.
+func (testFleet *testFleet) setLost(vm *fleetVM, lost bool) {
+	testFleet.mutex.Lock()
+	defer testFleet.mutex.Unlock()
+	testFleet.lostPeers[vm.relay.Address] = lost
+}
+
+func (testFleet *testFleet) isLost(address netip.AddrPort) bool {
+	testFleet.mutex.Lock()
+	defer testFleet.mutex.Unlock()
+	return testFleet.lostPeers[address]
+}
+
 // Reconnect has no effect.
 func (*testFleet) Reconnect(netip.AddrPort) {}
 
@@ -270,13 +298,20 @@
 
 // send sends a request on a route to a VM.
 func (testFleet *testFleet) send(vm *fleetVM, route, body string) *httptest.ResponseRecorder {
+	_, recorder := testFleet.sendIdentified(vm, route, body)
+	return recorder
+}
+
+// sendIdentified sends a request and returns its ID with the response.
+func (testFleet *testFleet) sendIdentified(vm *fleetVM, route, body string) (string, *httptest.ResponseRecorder) {
 	httpRequest := httptest.NewRequestWithContext(testFleet.t.Context(), http.MethodPost, "/x", bytes.NewReader([]byte(body)))
 	httpRequest.Host = route
-	httpRequest.Header.Set("Id", fmt.Sprint(lastID.Add(1)))
+	id := fmt.Sprint(lastID.Add(1))
+	httpRequest.Header.Set("Id", id)
 	httpRequest.Header.Set("Left", "2s")
 	recorder := httptest.NewRecorder()
 	vm.ServeHTTP(deadlineRecorder{recorder}, httpRequest)
-	return recorder
+	return id, recorder
 }
 
 // load sends requests on a route to VMs, one each interval at each VM in turn, and returns the responses by status.
--- a/internal/swgateway/handler.go
+++ b/internal/swgateway/handler.go
@@ -374,7 +374,7 @@
 	for _, broken := range call.brokenAttempts {
 		handler.config.Group.Go(func(ctx context.Context) {
 			// A replica that was evacuated meanwhile is not probed, which is no evidence.
-			if broken.replica.AnsweredSince(broken.brokenAt) || broken.replica.Probe(ctx) || broken.replica.Evacuated() {
+			if broken.replica.AnsweredSince(broken.brokenAt) || broken.replica.Probe(ctx) || broken.replica.Evacuated() || handler.linksLost(ctx, broken.replica) {
 				return
 			}
 			id := broken.replica.ID()
--- a/internal/swgateway/observations.go
+++ b/internal/swgateway/observations.go
@@ -46,8 +46,8 @@
 	return estimates, jitter
 }
 
-// countObservation counts the outcome of an attempt for the other VMs. Attempts that were not sent, were cancelled or failed at a relay
-// say nothing about the replica.
+// countObservation counts the outcome of an attempt for the other VMs. Attempts that were not sent, were cancelled, failed at a relay, or met
+// this VM's own links say nothing about the replica.
 func (call *call) countObservation(result *attemptResult, answer swbackend.Answer) {
 	tracker := call.handler.config.Observations
 	if tracker == nil {
@@ -59,12 +59,17 @@
 		// The estimate of a service's latency starts low and follows slowly at a VM that sends it few requests.
 		usual := max(call.handler.latencies.routeMedian(call.request.route.Name).Value(),
 			call.handler.latencies.serviceLatency(call.shards[result.command.Shard].service))
-		if result.endedAt.Sub(result.replicaResult.SentAt) > slowFactor*usual+pathAllowance[result.replica.Distance()] {
+		if !result.detoured && result.endedAt.Sub(result.replicaResult.SentAt) > slowFactor*usual+pathAllowance[result.replica.Distance()] {
 			outcome = swobservation.AnsweredSlowly
 		}
 	case swbackend.Broken, swbackend.Failed:
-		if result.replicaResult.Outcome == swreplica.RelayFailed || result.replicaResult.Outcome == swreplica.Overlong {
+		switch result.replicaResult.Outcome {
+		case swreplica.RelayFailed, swreplica.Overlong, swreplica.LinksLost:
 			return
+		case swreplica.Broken:
+			if !result.relay.Valid() && result.replica.ReachDoubted() {
+				return
+			}
 		}
 		outcome = swobservation.Lost
 	case swbackend.Shed:
--- a/internal/swgateway/place.go
+++ b/internal/swgateway/place.go
@@ -76,7 +76,7 @@
 
 // maySendTo reports whether an attempt may be sent to a replica at this moment.
 func (call *call) maySendTo(replica *swreplica.Replica) bool {
-	return call.mayEncodeFor(replica) && replica.Available()
+	return call.mayEncodeFor(replica) && call.handler.available(call.request, replica)
 }
 
 // maxPlacements bounds how often a request is placed again at once. Each time another configuration or evacuation came into force, or another
@@ -167,7 +167,7 @@
 		return swcode.NotHome.String()
 	case replica.Evacuated():
 		return swcode.Evacuated.String()
-	case !replica.Available():
+	case !handler.available(request, replica):
 		return "Unavailable"
 	}
 	return ""
--- a/internal/swgateway/queue.go
+++ b/internal/swgateway/queue.go
@@ -124,10 +124,10 @@
 	now := time.Now()
 	serviceCapacity := serviceCapacity{latency: handler.latencies.serviceLatency(service), obstacleWait: math.MaxInt64}
 	for _, replica := range handler.config.Replicas.ServiceReplicas(service) {
-		if !replica.Available() || !handler.mayServe(request, replica) {
+		if !handler.mayServe(request, replica) || !handler.available(request, replica) {
 			continue
 		}
-		candidate := replica.Candidate(now, serviceCapacity.latency)
+		candidate := handler.candidate(request, now, replica, serviceCapacity.latency)
 		serviceCapacity.replicas++
 		if handler.waitsForConnections(replica) {
 			serviceCapacity.obstacleWait = min(serviceCapacity.obstacleWait, candidate.Latency)
@@ -150,7 +150,7 @@
 			lines = append(lines, fmt.Sprintf("%s %s %s", replica.ID(), replica.Distance(), reason))
 			continue
 		}
-		candidate := replica.Candidate(now, serviceLatency)
+		candidate := handler.candidate(request, now, replica, serviceLatency)
 		obstacle := candidate.Obstacle()
 		if handler.waitsForConnections(replica) {
 			obstacle = obstacleConnections
--- a/internal/swgateway/response_test.go
+++ b/internal/swgateway/response_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 
 	"github.com/sycamorewall/sycamorewall/internal/swbackend"
 	"github.com/sycamorewall/sycamorewall/internal/swconn"
+	"github.com/sycamorewall/sycamorewall/internal/swrelay"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 	"github.com/sycamorewall/sycamorewall/internal/swroute"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
@@ -243,7 +245,7 @@
 				defer testHandler.close()
 				testHandler.addReplica("s0", "a", neverRespond())
 				call := testHandler.newCall(&request{route: gatheredRoute(1, 1)}, []string{"s0"})
-				result := attemptResult{replica: testHandler.registry.Find("a"), replicaResult: replicaResult, relayed: true}
+				result := attemptResult{replica: testHandler.registry.Find("a"), replicaResult: replicaResult, relay: swrelay.Relay{Name: "peer", Address: netip.MustParseAddrPort("10.9.0.1:1")}}
 				if response := replicaResult.Response; response != nil {
 					result.meaning = interpret(response, testProtocol{}.ReadResponseInfo(response.Status, response.Header), true)
 				}
--- a/internal/swgateway/stranded_test.go
+++ b/internal/swgateway/stranded_test.go
@@ -1,7 +1,9 @@
 package swgateway
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,3 +49,121 @@
 		}
 	}
 }
+
+// cutFor cuts VMs off from all replicas and sends each requests until they have found out.
+func (testFleet *testFleet) cutFor(vms []*fleetVM, cut cutKind, route string) {
+	testFleet.load(testFleet.vms, route, 10*time.Millisecond, time.Second)
+	for _, vm := range vms {
+		vm.link.set(cut)
+	}
+	testFleet.load(vms, route, 20*time.Millisecond, 2*time.Second)
+}
+
+// TestDetouredResponseKeepsItsHeaders guards against a response that another VM has stripped of headers that the client must get.
+func TestDetouredResponseKeepsItsHeaders(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		testFleet := newTestFleet(t, 2)
+		defer testFleet.close()
+		detourRoutes(testFleet)
+		testFleet.cutFor(testFleet.vms[:1], cutSilent, "once")
+		header := testFleet.send(testFleet.vms[0], "once", "body").Header()
+		if diff := cmp.Diff([]string{"text/x", "today"}, []string{header.Get("Content-Type"), header.Get("Date")}); diff != "" {
+			t.Error("headers (-want +got):\n" + diff)
+		}
+	})
+}
+
+// TestRequestsThatMayRunOnceDoSoAcrossCuts cuts and heals the links of VMs in series, with relays that are lost at times, and compares what clients
+// were told with what replicas received.
+func TestRequestsThatMayRunOnceDoSoAcrossCuts(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		testFleet := newTestFleet(t, 3)
+		defer testFleet.close()
+		detourRoutes(testFleet)
+		random := rand.New(rand.NewPCG(1, 2))
+		statuses := make(map[string]int)
+		var mutex sync.Mutex
+		var waitGroup sync.WaitGroup
+		for i := range 4000 {
+			if i%50 == 0 {
+				vm := testFleet.vms[random.IntN(len(testFleet.vms))]
+				vm.link.set([]cutKind{cutNone, cutNone, cutSilent, cutReset, cutRefuse}[random.IntN(5)])
+				testFleet.setLost(testFleet.vms[random.IntN(len(testFleet.vms))], random.IntN(3) == 0)
+			}
+			vm := testFleet.vms[random.IntN(len(testFleet.vms))]
+			waitGroup.Go(func() {
+				id, recorder := testFleet.sendIdentified(vm, "once", "body")
+				mutex.Lock()
+				defer mutex.Unlock()
+				statuses[id] = recorder.Code
+			})
+			time.Sleep(5 * time.Millisecond)
+		}
+		waitGroup.Wait()
+		time.Sleep(10 * time.Second)
+		received, served := testFleet.received(), 0
+		for id, status := range statuses {
+			switch {
+			case received[id] > 1:
+				t.Errorf("request %s was received %d times", id, received[id])
+			case status == http.StatusServiceUnavailable && received[id] > 0:
+				t.Errorf("request %s was refused and has run", id)
+			case status == http.StatusOK:
+				served++
+			}
+		}
+		if served < len(statuses)*2/3 {
+			t.Errorf("%d of %d requests were served, want two thirds", served, len(statuses))
+		}
+	})
+}
+
+// TestRequestThatNoVMCanServeIsRefusedAtOnce guards against requests that wait for their deadline while no VM reaches a replica.
+func TestRequestThatNoVMCanServeIsRefusedAtOnce(t *testing.T) {
+	for _, route := range []string{"gathered", "repeatable", "once"} {
+		t.Run(route, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				testFleet := newTestFleet(t, 2)
+				defer testFleet.close()
+				detourRoutes(testFleet)
+				testFleet.cutFor(testFleet.vms, cutSilent, route)
+				time.Sleep(3 * time.Second)
+				before := time.Now()
+				response := testFleet.send(testFleet.vms[0], route, "body")
+				if response.Code != http.StatusServiceUnavailable || response.Header().Get("Retry-After") == "" || time.Since(before) > 100*time.Millisecond {
+					t.Errorf("status %d, Retry-After %q after %s; want 503 with a Retry-After within 100ms", response.Code, response.Header().Get("Retry-After"), time.Since(before))
+				}
+			})
+		})
+	}
+}
+
+// TestReturnOpensConnectionsOneByOne guards against a rush of connections when the links of a VM are back: to each replica there is one at a time,
+// and requests go through other VMs meanwhile.
+func TestReturnOpensConnectionsOneByOne(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		testFleet := newTestFleet(t, 2)
+		defer testFleet.close()
+		detourRoutes(testFleet)
+		vm := testFleet.vms[0]
+		testFleet.cutFor(testFleet.vms[:1], cutSilent, "gathered")
+		tries := vm.link.counts()
+		testFleet.load(testFleet.vms[:1], "gathered", 20*time.Millisecond, 10*time.Second)
+		// Each of the two data centres is checked every 0.6 s at most, at three replicas.
+		if checks := vm.link.counts() - tries; checks > 2*3*17 {
+			t.Errorf("%d connections were tried in 10 s without links, want those of the checks only", checks)
+		}
+		tries = vm.link.counts()
+		vm.link.set(cutNone)
+		got := testFleet.load(testFleet.vms[:1], "gathered", 20*time.Millisecond, 4*time.Second)
+		if diff := cmp.Diff(map[int]int{http.StatusOK: 200}, got); diff != "" {
+			t.Error("responses during the return (-want +got):\n" + diff)
+		}
+		if opened := vm.link.counts() - tries; opened > 40 {
+			t.Errorf("%d connections were tried to 16 replicas after the return, want at most 40", opened)
+		}
+		if reached := vm.registry.Reached(); len(reached) != 2 {
+			t.Errorf("the VM reaches %v, want both data centres", reached)
+		}
+	})
+}
--- a/internal/swpeer/stream.go
+++ b/internal/swpeer/stream.go
@@ -43,6 +43,8 @@
 	MethodLimits Method = 13
 	// MethodObservations exchanges what VMs have observed of backend servers.
 	MethodObservations Method = 14
+	// MethodReach asks a peer which data centres' backend servers it reaches.
+	MethodReach Method = 15
 )
 
 // streamCancelledCode is the QUIC error code of a cancelled stream.
--- a/internal/swreach/judge.go
+++ b/internal/swreach/judge.go
@@ -15,8 +15,12 @@
 	// Silence is the time without any answer from a data centre from which requests that wait for one count as evidence. It is about half as
 	// long as servers commonly stall.
 	Silence = 100 * time.Millisecond
-	// minServers is the number of servers that must fail before a check, or all servers if there are fewer. One or two servers crash or stall by themselves.
-	minServers = 3
+	// minSilent is the number of servers that must owe an answer before a check, and minRefused that of those which can't be connected to, or all
+	// servers if there are fewer. Some servers are down by themselves while others answer on open connections.
+	minSilent  = 2
+	minRefused = 3
+	// persistence is the time after which a single server is enough, if nothing was heard from the data centre since it failed.
+	persistence = 300 * time.Millisecond
 	// minCheckInterval is the time after a check that found a server within which there is no other check. It doubles up to maxCheckInterval
 	// while checks keep finding one.
 	minCheckInterval = 500 * time.Millisecond
@@ -70,9 +74,9 @@
 	heardAt time.Time
 	// silent and refused hold the servers that have failed since the last answer, and since the last connection was opened.
 	silent, refused map[string]struct{}
-	// refusedSince is when the first server of refused failed.
-	refusedSince time.Time
-	evidence     Evidence
+	// silentSince and refusedSince are when the first server of each failed.
+	silentSince, refusedSince time.Time
+	evidence                  Evidence
 	// changed is closed when the state changes.
 	changed       chan struct{}
 	checkedAt     time.Time
@@ -84,11 +88,18 @@
 	return State(judge.state.Load())
 }
 
-// Doubted reports whether something speaks against the links, so that the failure of a server is no evidence of its own state.
+// AllSilent reports whether so many of the servers fail to answer that no answer is to be expected on open connections.
+func (judge *Judge) AllSilent(servers int) bool {
+	judge.mutex.Lock()
+	defer judge.mutex.Unlock()
+	return servers > 0 && len(judge.silent) >= min(minSilent, servers)
+}
+
+// Doubted reports whether several servers speak against the links, so that the failure of one is no evidence of its own state.
 func (judge *Judge) Doubted() bool {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
-	return judge.State() != Reached || len(judge.silent)+len(judge.refused) > 0
+	return judge.State() != Reached || max(len(judge.silent), len(judge.refused)) > 1
 }
 
 // HeardAt returns when something last arrived from a server.
@@ -117,11 +128,11 @@
 }
 
 // Unanswered records a server that has not answered in time, or whose connection ended instead.
-func (judge *Judge) Unanswered(server string) {
+func (judge *Judge) Unanswered(now time.Time, server string) {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
-	if judge.silent == nil {
-		judge.silent = make(map[string]struct{})
+	if len(judge.silent) == 0 {
+		judge.silent, judge.silentSince = make(map[string]struct{}), now
 	}
 	judge.silent[server] = struct{}{}
 }
@@ -136,18 +147,24 @@
 	judge.refused[server] = struct{}{}
 }
 
-// BeginCheck begins a check if the evidence calls for one, given the number of servers in the data centre, and returns the evidence. The
-// caller must call EndCheck.
-func (judge *Judge) BeginCheck(now time.Time, servers int) Evidence {
+// Refused returns the number of servers that could not be connected to since the last connection was opened.
+func (judge *Judge) Refused() int {
+	judge.mutex.Lock()
+	defer judge.mutex.Unlock()
+	return len(judge.refused)
+}
+
+// BeginCheck begins a check if the evidence calls for one, and returns the evidence. servers is the number of servers in the data centre, and
+// refusedElsewhere that of servers in others that can't be connected to either. After a check the caller must call EndCheck.
+func (judge *Judge) BeginCheck(now time.Time, servers, refusedElsewhere int) Evidence {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
-	enough := min(minServers, servers)
 	evidence := NoEvidence
 	switch {
-	case enough == 0 || judge.State() != Reached || now.Sub(judge.checkedAt) < judge.checkInterval:
-	case len(judge.silent) >= enough:
+	case servers == 0 || judge.State() != Reached || now.Sub(judge.checkedAt) < judge.checkInterval:
+	case len(judge.silent) >= min(minSilent, servers), len(judge.silent) > 0 && now.Sub(judge.silentSince) >= persistence:
 		evidence = Silent
-	case len(judge.refused) >= enough:
+	case len(judge.refused) >= min(minRefused, servers), len(judge.refused) > 0 && len(judge.refused)+refusedElsewhere >= minRefused, judge.refusesForLong(now):
 		evidence = Refused
 	}
 	if evidence != NoEvidence {
@@ -156,6 +173,11 @@
 	return evidence
 }
 
+// refusesForLong reports whether a server has refused connections for some time, while nothing was heard from any. The caller holds the mutex.
+func (judge *Judge) refusesForLong(now time.Time) bool {
+	return len(judge.refused) > 0 && now.Sub(judge.refusedSince) >= persistence && judge.heardAt.Before(judge.refusedSince)
+}
+
 // BeginRelatedCheck begins a check because this VM has lost its links to another data centre, and reports whether it did.
 func (judge *Judge) BeginRelatedCheck() bool {
 	judge.mutex.Lock()
--- a/internal/swrelay/client.go
+++ b/internal/swrelay/client.go
@@ -22,13 +22,15 @@
 	// limit meanwhile, which the relay learns first.
 	maxRelayHoldOff = time.Second
 	// MaxRelays is the number of VMs that are considered before an attempt goes directly to the replica.
-	MaxRelays = 2
+	MaxRelays = 4
 )
 
 // Relay is a VM that can forward attempts to replicas near it.
 type Relay struct {
-	Name    string
-	Address netip.AddrPort
+	Name       string
+	Address    netip.AddrPort
+	DataCentre string
+	Region     string
 }
 
 // Valid reports whether the relay is set.
@@ -54,12 +56,15 @@
 	Memory *swconn.Memory
 	// Relays returns at most MaxRelays VMs near the replicas of a data centre, in order of preference.
 	Relays func(dataCentre, region string) []Relay
-	Log    zerolog.Logger
+	// VMs returns all other VMs, among which detours are sought. If nil, there are none.
+	VMs func() []Relay
+	Log zerolog.Logger
 }
 
 // Client sends attempts through relays. It is safe for concurrent use.
 type Client struct {
-	config ClientConfig
+	config  ClientConfig
+	detours *detours
 
 	mutex sync.Mutex
 	// repliedAt is when each relay last replied. suspectUntil is until when a relay that failed is not used.
@@ -69,7 +74,7 @@
 
 // NewClient returns a client.
 func NewClient(config ClientConfig) *Client {
-	return &Client{config: config, repliedAt: make(map[netip.AddrPort]time.Time), suspectUntil: make(map[netip.AddrPort]time.Time)}
+	return &Client{config: config, detours: newDetours(), repliedAt: make(map[netip.AddrPort]time.Time), suspectUntil: make(map[netip.AddrPort]time.Time)}
 }
 
 // RelayFor returns the relay for a replica. It returns the zero Relay when attempts should go directly: the replica is in this
@@ -146,8 +151,11 @@
 		return swreplica.Result{Outcome: swreplica.RelayFailed, Err: err, SentAt: sentAt}
 	}
 	client.recordReply(relay)
-	if reply.Leaving {
+	switch {
+	case reply.Leaving, reply.Fault == swreplica.FaultRelay:
 		client.markSuspect(relay, errors.New(reply.Reason))
+	case reply.Outcome == swreplica.LinksLost:
+		client.markSuspect(relay, errLinksLost)
 	}
 	result := swreplica.Result{Outcome: reply.Outcome, SentAt: sentAt}
 	if reply.Outcome == swreplica.Answered {
@@ -173,6 +181,13 @@
 	}
 }
 
+// isSuspect reports whether a relay failed a short time ago.
+func (client *Client) isSuspect(now time.Time, address netip.AddrPort) bool {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	return now.Before(client.suspectUntil[address])
+}
+
 func (client *Client) recordReply(relay Relay) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
@@ -193,6 +208,8 @@
 
 var errNoMemory = errors.New("the relayed response does not fit into the memory for responses")
 
+var errLinksLost = errors.New("the relay has lost its links to the replica's data centre")
+
 var errUnresponsive = errors.New("the relay has not answered since the attempt was sent")
 
 // markSuspect excludes a relay for suspectTimeout.
--- a/internal/swrelay/message.go
+++ b/internal/swrelay/message.go
@@ -5,7 +5,8 @@
 // connections that the replica accepts, and is idle afterwards. A VM near the replica has connections in use, and a single QUIC
 // connection to that VM carries the attempts for all replicas there.
 //
-// Only idempotent requests are relayed: when a relay fails, it is unknown whether the attempt ran.
+// A VM that has lost its links to the replicas of a data centre sends attempts of all kinds through another VM that still reaches them. When a
+// relay fails, it is unknown whether the attempt ran; a relay that says that it sent nothing is believed.
 package swrelay
 
 import (
@@ -31,6 +32,12 @@
 	Left time.Duration `cbor:"6,keyasint"`
 	// Homes are the only regions whose replicas may run the request; empty for all.
 	Homes []string `cbor:"7,keyasint,omitempty"`
+	// AnyDistance is set if the sender has lost its links to the replica, so that a VM in any region may relay the attempt.
+	AnyDistance bool `cbor:"8,keyasint,omitempty"`
+	// Whole is set if the client gets the replica's response itself, with all headers.
+	Whole bool `cbor:"9,keyasint,omitempty"`
+	// Once is set for a request that may run only once.
+	Once bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Reply is the result of a relayed attempt.
@@ -72,7 +79,7 @@
 }
 
 // newReply encodes the result of an attempt.
-func newReply(result *swreplica.Result) Reply {
+func newReply(attempt *Attempt, result *swreplica.Result) Reply {
 	reply := Reply{Outcome: result.Outcome, RetryAfter: result.RetryAfter, Fault: result.Fault}
 	if result.Fault == swreplica.FaultLinks {
 		reply.Fault = swreplica.FaultRelay
@@ -85,6 +92,9 @@
 	}
 	if result.Response != nil {
 		reply.Status, reply.Header, reply.Body = result.Response.Status, result.Response.Header, result.Response.Body
+		if attempt.Whole {
+			return reply
+		}
 		for _, name := range droppedHeaders {
 			delete(reply.Header, name)
 		}
--- a/internal/swrelay/server.go
+++ b/internal/swrelay/server.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
-	"github.com/sycamorewall/sycamorewall/internal/swreach"
 	"github.com/sycamorewall/sycamorewall/internal/swreplica"
 )
 
@@ -15,6 +15,10 @@
 // within half a second.
 const CancelGrace = 300 * time.Millisecond
 
+// maxDetoured bounds the attempts that this VM sends at a time for VMs that have lost their links. Each takes about 20 KB, so that
+// they fit beside the requests of this VM's own clients on the smallest VMs.
+const maxDetoured = 512
+
 // minTimeLeft is the minimum remaining time for which an attempt is worth sending.
 const minTimeLeft = time.Millisecond
 
@@ -39,6 +43,9 @@
 // Server runs attempts for other VMs at replicas near this one.
 type Server struct {
 	config ServerConfig
+	// detoured is the number of attempts with AnyDistance in progress.
+	detoured atomic.Int64
+	sendings sendingTable
 }
 
 // NewServer returns a server.
@@ -51,37 +58,56 @@
 func (server *Server) Handle(ctx context.Context, _ string, attempt Attempt) (Reply, error) {
 	replica := server.config.Replicas.Find(attempt.Replica)
 	now := time.Now()
-	switch {
-	case server.config.Leaving():
-		reply := notSent(swreplica.FaultRelay, "this VM is leaving")
-		reply.Leaving = true
+	if reply, declined := server.decline(&attempt, replica); declined {
 		return reply, nil
-	case server.config.Ready != nil && !server.config.Ready():
-		return notSent(swreplica.FaultRelay, "this VM has just started and has not received the evacuated data centres"), nil
-	case replica != nil && len(attempt.Homes) > 0 && !slices.Contains(attempt.Homes, replica.Region()):
-		return notSent(swreplica.FaultRefused, "the replica is outside the regions that may run the request"), nil
-	case replica != nil && replica.InUse() && replica.ReadyIn(now) > 0:
-		return heldReply(replica, now), nil
-	case replica == nil:
-		return notSent(swreplica.FaultRefused, "the replica is unknown at this VM"), nil
-	case replica.Reach() == swreach.Lost:
-		return notSent(swreplica.FaultRelay, "this VM does not reach the data centre of the replica"), nil
-	case !replica.Available():
-		return notSent(swreplica.FaultReplica, "the replica is leaving or unreachable at this VM"), nil
-	case replica.Distance() == swreplica.OtherRegion:
-		return notSent(swreplica.FaultRefused, "the replica is not near this VM"), nil
 	}
 	if !replica.Admit(now) {
 		return heldReply(replica, now), nil
 	}
+	if attempt.AnyDistance {
+		server.detoured.Add(1)
+		defer server.detoured.Add(-1)
+	}
 	deadline := now.Add(attempt.Left)
+	request := NewRequest(&attempt, replica, server.config.Codec, deadline)
+	if attempt.Whole {
+		request.Sendings = server.sendings.of(now, attempt.RequestID, deadline)
+	}
 	replica.Reserve()
-	result := replica.Exchange(ctx, NewRequest(&attempt, replica, server.config.Codec, deadline))
+	result := replica.Exchange(ctx, request)
 	if result.Response.Counts() {
 		// The context ends once the reply is sent.
 		context.AfterFunc(ctx, result.Response.Release)
 	}
-	return newReply(&result), nil
+	return newReply(&attempt, &result), nil
+}
+
+// decline returns the reply to an attempt that this VM can't send, whatever the rate that the replica takes.
+func (server *Server) decline(attempt *Attempt, replica *swreplica.Replica) (reply Reply, declined bool) {
+	switch {
+	case server.config.Leaving():
+		reply = notSent(swreplica.FaultRelay, "this VM is leaving")
+		reply.Leaving = true
+	case server.config.Ready != nil && !server.config.Ready():
+		reply = notSent(swreplica.FaultRelay, "this VM has just started and has not received the evacuated data centres")
+	case replica == nil:
+		reply = notSent(swreplica.FaultRefused, "the replica is unknown at this VM")
+	case len(attempt.Homes) > 0 && !slices.Contains(attempt.Homes, replica.Region()):
+		reply = notSent(swreplica.FaultUnknown, "the replica is outside the regions that may run the request")
+	case replica.Distance() == swreplica.OtherRegion && !attempt.AnyDistance:
+		reply = notSent(swreplica.FaultRefused, "the replica is not near this VM")
+	case replica.InUse() && replica.ReadyIn(time.Now()) > 0:
+		reply = heldReply(replica, time.Now())
+	case !replica.Direct():
+		reply = notSent(swreplica.FaultRelay, "this VM does not reach the data centre of the replica")
+	case !replica.Available():
+		reply = notSent(swreplica.FaultReplica, "the replica is leaving or unreachable at this VM")
+	case attempt.AnyDistance && (server.detoured.Load() >= maxDetoured || replica.ConnectionsBusy()):
+		reply = notSent(swreplica.FaultRefused, "this VM has no room for requests of others")
+	default:
+		return Reply{}, false
+	}
+	return reply, true
 }
 
 // notSent is the reply to an attempt that this VM did not send.
@@ -89,6 +115,14 @@
 	return Reply{Outcome: swreplica.NotSent, Fault: fault, Reason: reason}
 }
 
+// HandleReach says which data centres this VM reaches; it is the handler of swpeer.MethodReach.
+func (server *Server) HandleReach(context.Context, string, ReachRequest) (ReachReply, error) {
+	if server.config.Leaving() || server.config.Ready != nil && !server.config.Ready() {
+		return ReachReply{}, nil
+	}
+	return ReachReply{DataCentres: server.config.Replicas.Reached()}, nil
+}
+
 // heldReply is the reply to an attempt at a replica that wants no request from this VM now.
 func heldReply(replica *swreplica.Replica, now time.Time) Reply {
 	return Reply{Outcome: swreplica.NotSent, Reason: "the replica takes no more from this VM now", RetryAfter: max(1, replica.ReadyIn(now))}
@@ -111,5 +145,6 @@
 		},
 		Deadline:   deadline,
 		AdmittedAt: time.Now(),
+		Repeatable: !attempt.Once,
 	}
 }
--- a/internal/swreplica/evacuation.go
+++ b/internal/swreplica/evacuation.go
@@ -29,6 +29,7 @@
 	judge   swreach.Judge
 	sending atomic.Int64
 	watched atomic.Bool
+	links   atomic.Pointer[links]
 	// returnOver is RegistryConfig.ReturnOver.
 	returnOver time.Duration
 	state      atomic.Pointer[placeState]
@@ -44,6 +45,7 @@
 func newPlace(registry *Registry, name string) *place {
 	place := &place{name: name, registry: registry, pool: registry.config.Pool, returnOver: registry.config.ReturnOver}
 	place.state.Store(&placeState{})
+	place.links.Store(newLinks())
 	return place
 }
 
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -26,6 +26,8 @@
 	// CancelGrace is how long a cancelled attempt may still be answered before its connection is closed. An answer within that
 	// time keeps the connection usable and does not interrupt the replica's work.
 	CancelGrace time.Duration
+	// Repeatable requests end as soon as this VM has lost its links to the replica. Others wait on for a response.
+	Repeatable bool
 }
 
 // Outcome is the result of an attempt.
@@ -45,6 +47,8 @@
 	RelayFailed Outcome = 4
 	// Overlong attempts got more bytes than a response may have; they may have run. The replica has not crashed.
 	Overlong Outcome = 5
+	// LinksLost attempts were sent and then this VM lost its links to the replica's data centre; they may have run.
+	LinksLost Outcome = 6
 )
 
 // Result is the outcome of an attempt with its response or error.
@@ -126,9 +130,17 @@
 func (replica *Replica) awaitResult(ctx context.Context, connection *swconn.Connection, request *Request,
 	results <-chan swconn.Result, inFlightRequest *InFlightRequest,
 ) Result {
+	linksLost := replica.place.links.Load().answering.Done()
+	if !request.Repeatable {
+		linksLost = nil
+	}
 	select {
 	case result := <-results:
 		return replica.finish(connection, result, inFlightRequest)
+	case <-linksLost:
+		inFlightRequest.End()
+		connection.Close()
+		return Result{Outcome: LinksLost, Err: errLinksLost, SentAt: inFlightRequest.sentAt}
 	case <-ctx.Done():
 	}
 	if request.CancelGrace <= 0 {
@@ -170,6 +182,9 @@
 			outcome = Overlong
 		} else {
 			replica.observeUnanswered()
+			if !replica.place.mayConnect() {
+				outcome = LinksLost
+			}
 		}
 		return Result{Outcome: outcome, Err: result.Err, SentAt: inFlightRequest.sentAt}
 	}
@@ -248,6 +263,9 @@
 // recordUnresponsive records a request that was never answered. A replica that has answered nothing since the request was sent
 // receives no more requests until a probe succeeds.
 func (replica *Replica) recordUnresponsive(now, sentAt time.Time) {
+	if replica.ReachDoubted() {
+		return
+	}
 	replica.ObserveFailure(now)
 	if !replica.AnsweredSince(sentAt) {
 		replica.markDown()
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -34,6 +34,8 @@
 	errRetired = errors.New("the replica is no longer listed")
 	// errDown means that the replica could not be reached and no probe has succeeded since.
 	errDown = errors.New("the replica could not be reached and no probe has succeeded since")
+	// errLinksLost means that this VM has lost its links to the replica's data centre.
+	errLinksLost = errors.New("this VM has lost its links to the replica's data centre")
 )
 
 // Dial opens a connection.
@@ -59,6 +61,8 @@
 	ColdLimit func(service string) swlimit.Limit
 	// CountEvent adds to the counter of an event. It may be nil.
 	CountEvent func(name string, count int64)
+	// OnReach is called when this VM has lost its links to the replicas of a data centre, and when they are back. It may be nil.
+	OnReach func(dataCentre string, reached bool)
 	// TellsRandomRejections makes a rejection that the replica's latency does not explain leave no mark for load.
 	TellsRandomRejections bool
 	// OnLimitExceeded is called for each response that exceeds Limits. It may be nil.
@@ -89,6 +93,9 @@
 	if config.CountEvent == nil {
 		config.CountEvent = func(string, int64) {}
 	}
+	if config.OnReach == nil {
+		config.OnReach = func(string, bool) {}
+	}
 	return &Pool{config: config, cold: newColdLimits(&config)}
 }
 
@@ -122,7 +129,9 @@
 		case connection != nil:
 			return connection, nil
 		case freed == nil:
-			return replica.dial(ctx)
+			dialCtx, cancel := replica.place.links.Load().whileConnecting(ctx)
+			defer cancel()
+			return replica.dial(dialCtx)
 		}
 		select {
 		case <-freed:
@@ -153,6 +162,9 @@
 	if connection := replica.popIdle(now, sendings); connection != nil {
 		return connection, nil, nil
 	}
+	if !replica.place.mayConnect() {
+		return nil, nil, errLinksLost
+	}
 	if replica.down {
 		return nil, nil, errDown
 	}
--- a/internal/swreplica/reach.go
+++ b/internal/swreplica/reach.go
@@ -14,8 +14,9 @@
 const (
 	// checkWidth is the number of replicas of a data centre that a check of this VM's links tries to connect to at once.
 	checkWidth = 3
-	// checkTimeout bounds a check. It allows several round trips to the farthest region and is shorter than most requests wait.
-	checkTimeout = 250 * time.Millisecond
+	// checkTimeout bounds a check in this region, and farCheckTimeout one in another. Both allow several round trips and a slow accept.
+	checkTimeout    = 120 * time.Millisecond
+	farCheckTimeout = 250 * time.Millisecond
 	// minReturnInterval and maxReturnInterval bound the backoff between checks whether lost links are back, and returnJitter is the fraction by
 	// which they vary, as many VMs may have lost them at the same moment.
 	minReturnInterval = 200 * time.Millisecond
@@ -42,6 +43,11 @@
 	return state == swreach.Reached || state == swreach.Checking
 }
 
+// Direct reports whether this VM itself may send to the replica: it has links to the data centre, or an open connection that is left of them.
+func (replica *Replica) Direct() bool {
+	return replica.place.mayConnect() || replica.hasIdle(time.Now())
+}
+
 // heard records that a response arrived on a connection that was opened at a time.
 func (place *place) heard(openedAt time.Time) {
 	place.judge.Heard(time.Now(), openedAt)
@@ -49,7 +55,7 @@
 
 // observeUnanswered records that the replica's connection ended instead of an answer.
 func (replica *Replica) observeUnanswered() {
-	replica.place.judge.Unanswered(replica.ID())
+	replica.place.judge.Unanswered(time.Now(), replica.ID())
 	replica.place.suspect()
 }
 
@@ -97,10 +103,13 @@
 	}
 	for _, replica := range place.listed() {
 		if replica.isOverdue(now, heardAt) {
-			place.judge.Unanswered(replica.ID())
+			place.judge.Unanswered(now, replica.ID())
 		}
 	}
 	place.suspect()
+	if !place.mayConnect() && place.judge.AllSilent(place.inUse()) {
+		place.abandonConnections()
+	}
 }
 
 // isOverdue reports whether a request that was sent directly after a time has waited much longer for its answer than usual.
@@ -116,6 +125,21 @@
 	return false
 }
 
+// AwaitReach waits while this VM's links to the replica are being checked.
+func (replica *Replica) AwaitReach(ctx context.Context) {
+	for {
+		state, changed := replica.place.judge.Changed()
+		if state != swreach.Checking {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // listed returns the replicas of the place.
 func (place *place) listed() []*Replica {
 	if replicas := place.replicas.Load(); replicas != nil {
@@ -140,7 +164,11 @@
 
 // suspect begins a check of the links if the evidence calls for one.
 func (place *place) suspect() {
-	evidence := place.judge.BeginCheck(time.Now(), place.inUse())
+	elsewhere := 0
+	for _, other := range place.registry.otherPlaces(place) {
+		elsewhere += other.judge.Refused()
+	}
+	evidence := place.judge.BeginCheck(time.Now(), place.inUse(), elsewhere)
 	if evidence == swreach.NoEvidence {
 		return
 	}
@@ -160,6 +188,7 @@
 		return
 	}
 	lostAt := time.Now()
+	place.beginLoss(evidence)
 	pool.config.CountEvent("reach_lost", 1)
 	pool.config.Log.Warn().Str("DataCentre", place.name).Str("Evidence", string(evidence)).Int("Replicas", place.inUse()).
 		Msg("this VM can't reach the backend servers of a data centre")
@@ -168,11 +197,34 @@
 	if ctx.Err() != nil {
 		return
 	}
+	pool.config.OnReach(place.name, true)
 	pool.config.CountEvent("reach_returned", 1)
 	pool.config.Log.Info().Str("DataCentre", place.name).Dur("Lost", time.Since(lostAt)).
 		Msg("this VM reaches the backend servers of a data centre again")
 }
 
+// beginLoss ends what waits for connections that will not open, and for answers that will not arrive. Open connections are kept unless they were
+// found to be silent, as those may still work.
+func (place *place) beginLoss(evidence swreach.Evidence) {
+	place.links.Load().stopConnecting()
+	for _, replica := range place.listed() {
+		replica.forgetFailures()
+	}
+	if evidence == swreach.Silent {
+		place.abandonConnections()
+	}
+	place.pool.config.OnReach(place.name, false)
+}
+
+// forgetFailures drops what this VM took for failures of the replica before it found out that its links are lost, and wakes the requests that
+// wait for a connection.
+func (replica *Replica) forgetFailures() {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	replica.failureRate = 0
+	replica.signalFreed()
+}
+
 // checkOthers checks the links to the other places, as what ended these may have ended them too.
 func (place *place) checkOthers() {
 	for _, other := range place.registry.otherPlaces(place) {
@@ -184,17 +236,17 @@
 
 // bestReached returns the replicas that answered last.
 func (place *place) bestReached() []*Replica {
-	return place.choose(func(replica *Replica) int64 { return -replica.lastAnswer().UnixNano() })
+	return place.choose(func(replica *Replica) time.Duration { return time.Since(replica.lastAnswer()) })
 }
 
 // leastTried returns the replicas to which this VM has not tried to connect for the longest time. New ones come first.
 func (place *place) leastTried() []*Replica {
-	return place.choose(func(replica *Replica) int64 { return replica.lastTry().UnixNano() })
+	return place.choose(func(replica *Replica) time.Duration { return -time.Since(replica.lastTry()) })
 }
 
 // choose returns checkWidth replicas in use with the lowest rank.
-func (place *place) choose(rank func(replica *Replica) int64) []*Replica {
-	ranks := make(map[*Replica]int64)
+func (place *place) choose(rank func(replica *Replica) time.Duration) []*Replica {
+	ranks := make(map[*Replica]time.Duration)
 	var chosen []*Replica
 	for _, replica := range place.listed() {
 		if replica.InUse() {
@@ -208,7 +260,11 @@
 
 // connectToAny reports whether one of the replicas accepts a connection. Those that are opened are kept for requests.
 func (place *place) connectToAny(ctx context.Context, replicas []*Replica) bool {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	timeout := checkTimeout
+	if len(replicas) > 0 && replicas[0].distance == OtherRegion {
+		timeout = farCheckTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	connected := make(chan bool, len(replicas))
 	for _, replica := range replicas {
 		place.pool.config.Group.Go(func(context.Context) { connected <- replica.connect(ctx) })
@@ -251,6 +307,7 @@
 		if place.inUse() > 0 && !place.connectToAny(ctx, place.leastTried()) {
 			continue
 		}
+		place.links.Store(newLinks())
 		place.judge.Return()
 		reached := place.reopen(ctx)
 		place.judge.EndReturn(reached)
--- a/internal/swreplica/replica.go
+++ b/internal/swreplica/replica.go
@@ -293,11 +293,15 @@
 	replica.pool.config.Log.Info().Str("Replica", replica.ID()).Dur("Down", time.Since(startedAt)).Msg("a replica can be reached again")
 }
 
-// Available reports whether the replica accepts new work, is not known to be unreachable, and is not evacuated.
+// Available reports whether the replica accepts new work from this VM itself: it is not known to be unreachable, not evacuated, and this VM has
+// links to it.
 func (replica *Replica) Available() bool {
 	if !replica.AcceptsWork() {
 		return false
 	}
+	if !replica.place.mayConnect() {
+		return replica.hasIdle(time.Now())
+	}
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	return !replica.down
