Cut VMs off from all replicas in the lab and the soak

The proxies in front of replicas tell VMs apart by the process that holds the connection, so that single VMs, or those of a data centre, lose their links: silently, by resets, or for new connections only. The soak draws these cuts along with its other faults.

--- a/internal/swreplica/reach.go
+++ b/internal/swreplica/reach.go
@@ -190,7 +190,7 @@
 	lostAt := time.Now()
 	place.beginLoss(evidence)
 	pool.config.CountEvent("reach_lost", 1)
-	pool.config.Log.Warn().Str("DataCentre", place.name).Str("Evidence", string(evidence)).Int("Replicas", place.inUse()).
+	pool.config.Log.Warn().Str("ServersIn", place.name).Str("Evidence", string(evidence)).Int("Replicas", place.inUse()).
 		Msg("this VM can't reach the backend servers of a data centre")
 	place.checkOthers()
 	place.awaitReturn(ctx)
@@ -199,7 +199,7 @@
 	}
 	pool.config.OnReach(place.name, true)
 	pool.config.CountEvent("reach_returned", 1)
-	pool.config.Log.Info().Str("DataCentre", place.name).Dur("Lost", time.Since(lostAt)).
+	pool.config.Log.Info().Str("ServersIn", place.name).Dur("Lost", time.Since(lostAt)).
 		Msg("this VM reaches the backend servers of a data centre again")
 }
 
@@ -278,22 +278,12 @@
 	return false
 }
 
-// connect opens a connection to the replica and keeps it for requests.
+// connect opens a connection to the replica and keeps it for requests, unless it is reset at once.
 func (replica *Replica) connect(ctx context.Context) bool {
 	replica.mutex.Lock()
-	if replica.retired || replica.Evacuated() {
-		replica.mutex.Unlock()
-		return false
-	}
-	replica.dialing++
 	replica.triedAt = time.Now()
 	replica.mutex.Unlock()
-	connection, err := replica.dial(ctx)
-	if err != nil {
-		return false
-	}
-	replica.releaseConnection(connection)
-	return true
+	return replica.Probe(ctx)
 }
 
 // awaitReturn waits until the links are back and connections to the replicas are open again.
--- a/lab/internal/swlabproxy/link.go
+++ b/lab/internal/swlabproxy/link.go
@@ -16,6 +16,8 @@
 	// Cut drops everything. New TCP connections are closed. Open ones drop all data without closing, and stay that way for good
 	// once they have dropped any. Datagrams are dropped.
 	Cut bool
+	// Refuse closes new TCP connections. Open ones work on.
+	Refuse bool
 	// Hold delays everything until it is false again.
 	Hold bool
 }
--- a/lab/internal/swlabproxy/tcp.go
+++ b/lab/internal/swlabproxy/tcp.go
@@ -30,6 +30,8 @@
 	From    string
 	To      string
 	Network *Network
+	// GroupOf returns the group of a client by its address and that to which it connected. If nil, it is From.
+	GroupOf func(source, listener netip.AddrPort) string
 }
 
 // TCP is a TCP proxy in front of one target. Construct it with StartTCP.
@@ -44,6 +46,8 @@
 
 // tunnel is one connection through the proxy.
 type tunnel struct {
+	// from is the group of the client.
+	from       string
 	clientConn net.Conn
 	targetConn net.Conn
 	// stalled is set once the tunnel drops all data for good.
@@ -103,6 +107,15 @@
 	}
 }
 
+// CloseConnectionsFrom closes the open connections of one group of clients.
+func (proxy *TCP) CloseConnectionsFrom(group string) {
+	for _, tunnel := range proxy.openTunnels() {
+		if tunnel.from == group {
+			tunnel.close()
+		}
+	}
+}
+
 func (proxy *TCP) openTunnels() []*tunnel {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
@@ -125,7 +138,11 @@
 
 // serve forwards one connection until either end closes it. A stalled connection lasts until both ends have closed it.
 func (proxy *TCP) serve(ctx context.Context, clientConn net.Conn) {
-	if link, _ := proxy.config.Network.link(proxy.config.From, proxy.config.To); link.Cut {
+	from := proxy.config.From
+	if proxy.config.GroupOf != nil {
+		from = proxy.config.GroupOf(clientConn.RemoteAddr().(*net.TCPAddr).AddrPort(), proxy.Address())
+	}
+	if link, _ := proxy.config.Network.link(from, proxy.config.To); link.Cut || link.Refuse {
 		clientConn.Close()
 		return
 	}
@@ -135,7 +152,7 @@
 		clientConn.Close()
 		return
 	}
-	current := &tunnel{clientConn: clientConn, targetConn: targetConn, closed: make(chan struct{})}
+	current := &tunnel{from: from, clientConn: clientConn, targetConn: targetConn, closed: make(chan struct{})}
 	proxy.mutex.Lock()
 	proxy.tunnels[current] = struct{}{}
 	proxy.mutex.Unlock()
@@ -143,8 +160,8 @@
 		current.close()
 	}
 	group := swgroup.New(ctx)
-	proxy.copyDirection(group, current, clientConn, targetConn, proxy.config.From, proxy.config.To)
-	proxy.copyDirection(group, current, targetConn, clientConn, proxy.config.To, proxy.config.From)
+	proxy.copyDirection(group, current, clientConn, targetConn, from, proxy.config.To)
+	proxy.copyDirection(group, current, targetConn, clientConn, proxy.config.To, from)
 	group.Wait()
 	current.close()
 	proxy.mutex.Lock()
--- a/lab/internal/swlabsoak/fault.go
+++ b/lab/internal/swlabsoak/fault.go
@@ -53,6 +53,9 @@
 		{"connections to replicas stall", (*injector).stallReplicaConnections},
 		{"connections to replicas are closed", (*injector).closeReplicaConnections},
 		{"the network to replicas is slow", (*injector).delayReplicaLink},
+		{"VMs are cut off from all replicas, silently", cutReplicaLinks(replicaCutSilent)},
+		{"VMs are cut off from all replicas by resets", cutReplicaLinks(replicaCutReset)},
+		{"VMs can open no connection to replicas", cutReplicaLinks(replicaCutRefuse)},
 		{"a replica crashes", (*injector).crashReplica},
 		{"a replica leaves", (*injector).drainReplica},
 		{"replicas reject requests, or fail them as if they did", replicaFault(swlabusers.ReplicaFault{Shed: true, FailAsRejection: true})},
@@ -234,7 +237,9 @@
 func (injector *injector) delayReplicaLink(ctx context.Context) {
 	to := "replicas-" + dataCentres[injector.random.IntN(len(dataCentres))]
 	set := func(delay time.Duration) {
-		injector.fleet.network.ChangeBoth("vms", to, func(link *swlabproxy.Link) { link.Delay = delay })
+		for _, vm := range injector.fleet.vms {
+			injector.fleet.network.ChangeBoth(vm.networkGroup, to, func(link *swlabproxy.Link) { link.Delay = delay })
+		}
 	}
 	set(40 * time.Millisecond)
 	injector.waitRandom(ctx, 2*time.Second)
--- a/lab/internal/swlabsoak/fleet.go
+++ b/lab/internal/swlabsoak/fleet.go
@@ -165,7 +165,9 @@
 		if err != nil {
 			return fleet, err
 		}
+		fleet.mutex.Lock()
 		fleet.vms = append(fleet.vms, created)
+		fleet.mutex.Unlock()
 		if err := created.start(fleet.binary, fleet.directory); err != nil {
 			return fleet, err
 		}
@@ -232,7 +234,7 @@
 		return err
 	}
 	proxy, err := swlabproxy.StartTCP(swlabproxy.TCPConfig{
-		Target: replica.Address(), From: "vms", To: "replicas-" + dataCentre, Network: fleet.network,
+		Target: replica.Address(), From: unknownGroup, To: "replicas-" + dataCentre, Network: fleet.network, GroupOf: fleet.groupOf,
 	})
 	if err != nil {
 		replica.Close()
