Send queries around owners that have lost their links to servers

An owner that reached none of its backend servers answered Unreachable for each, which counted against the servers; queries went on through it and its one fallback in the data centre, and failed where both had lost their links.

A root now takes two servers of a data centre that an owner fails to reach, while it reaches none there, for a fault of the owner's links. For two seconds plans use the next VMs of the data centre, and VMs of other data centres if none of those is left; the servers keep their record.

TestQueriesAvoidOwnersWithoutLinks failed before with NoReplica; now 20 of 20 queries are answered.

--- a/internal/swquery/plan.go
+++ b/internal/swquery/plan.go
@@ -28,10 +28,16 @@
 type Placement interface {
 	// Senders returns the VMs that may send to the server, the preferred one first.
 	Senders(view *swmember.View, server swindex.Server) []swmember.Member
+	// Detours returns VMs that send to the server when none of its senders reaches it, the preferred one first.
+	Detours(view *swmember.View, server swindex.Server) []swmember.Member
 }
 
-// maxSenders is the number of VMs that a plan tries for one backend server: its owner and a fallback.
-const maxSenders = 2
+const (
+	// maxSenders and maxDetours bound the VMs that a plan chooses from for one backend server, and maxTargets those that it tries.
+	maxSenders = 4
+	maxDetours = 4
+	maxTargets = 2
+)
 
 // OwnerPlacement assigns each backend server to one VM of its data centre by rendezvous hashing. If that data centre has no
 // live VM, it selects among the VMs of all others.
@@ -43,11 +49,23 @@
 	if len(owners) > 0 {
 		return owners
 	}
-	var all []swmember.Member
+	return othersRanked(view, server, maxSenders)
+}
+
+// Detours returns VMs of other data centres.
+func (OwnerPlacement) Detours(view *swmember.View, server swindex.Server) []swmember.Member {
+	return othersRanked(view, server, maxDetours)
+}
+
+// othersRanked returns the first VMs outside the server's data centre, by rendezvous hashing.
+func othersRanked(view *swmember.View, server swindex.Server, count int) []swmember.Member {
+	var others []swmember.Member
 	for _, dataCentre := range view.DataCentres() {
-		all = append(all, view.Members(dataCentre)...)
+		if dataCentre != server.DataCentre {
+			others = append(others, view.Members(dataCentre)...)
+		}
 	}
-	return swmember.FirstRanked(all, server.Name, maxSenders)
+	return swmember.FirstRanked(others, server.Name, count)
 }
 
 // DirectPlacement makes every VM send to all backend servers itself.
@@ -58,13 +76,38 @@
 	return []swmember.Member{view.Self}
 }
 
+// Detours returns VMs of the server's data centre.
+func (DirectPlacement) Detours(view *swmember.View, server swindex.Server) []swmember.Member {
+	return slices.DeleteFunc(view.FirstOwners(server.DataCentre, server.Name, maxDetours), func(member swmember.Member) bool { return member.Name == view.Self.Name })
+}
+
 // replica is a replica of a shard with the VMs that send to it.
 type replica struct {
-	server        string
-	local         bool
-	extraLatency  time.Duration
-	owner         string
-	fallbackOwner string
+	server       string
+	dataCentre   string
+	local        bool
+	extraLatency time.Duration
+	// senders are those that the placement names, and detours VMs that are tried if none of them reaches the server.
+	senders, detours []string
+}
+
+// owners returns the VMs through which a plan tries the replica, best first. Those that don't reach its data centre come last.
+func (replica *replica) owners(now time.Time, links *ownerLinks) (owners [maxTargets]string) {
+	count := 0
+	add := func(names []string, lost bool) {
+		for _, name := range names {
+			if count < maxTargets && links.lost(now, ownerLink{name, replica.dataCentre}) == lost {
+				owners[count] = name
+				count++
+			}
+		}
+	}
+	add(replica.senders, false)
+	if count == 0 {
+		add(replica.detours, false)
+	}
+	add(replica.senders, true)
+	return owners
 }
 
 // shardTemplate is a shard with the replicas that its plans choose from, nearest first.
@@ -90,6 +133,7 @@
 	latencies *Latencies
 
 	notHeld *notHeldServers
+	links   *ownerLinks
 
 	mutex     sync.Mutex
 	templates map[*swindex.Snapshot]*template
@@ -102,6 +146,7 @@
 		placement: placement,
 		latencies: latencies,
 		notHeld:   newNotHeldServers(),
+		links:     newOwnerLinks(),
 		templates: make(map[*swindex.Snapshot]*template),
 	}
 }
@@ -122,10 +167,11 @@
 }
 
 // appendTargets appends the targets of a shard: first its replicas through their owners, by expected latency, and then, in the
-// same order, through their fallback owners.
+// same order, through their fallback owners. Owners that have lost their links to the servers are passed over.
 func (planner *Planner) appendTargets(targets []Target, now time.Time, indexAverage time.Duration, snapshot *swindex.Snapshot, shard *shardTemplate) []Target {
 	var order [maxReplicas]int
 	var score [maxReplicas]float64
+	var owners [maxReplicas][maxTargets]string
 	count := 0
 	for i := range shard.replicas {
 		replica := &shard.replicas[i]
@@ -134,6 +180,7 @@
 		}
 		score[i] = float64(planner.latencies.Estimate(now, replica.server, indexAverage+replica.extraLatency))
 		order[count] = i
+		owners[i] = replica.owners(now, planner.links)
 		if !replica.local {
 			score[i] *= minRemoteFactor + remoteFactorSpread*rand.Float64()
 		}
@@ -148,14 +195,12 @@
 		}
 		return 1
 	})
-	for _, i := range order[:count] {
-		replica := &shard.replicas[i]
-		targets = append(targets, Target{Server: replica.server, Owner: replica.owner, Local: replica.local})
-	}
-	for _, i := range order[:count] {
-		replica := &shard.replicas[i]
-		if replica.fallbackOwner != "" {
-			targets = append(targets, Target{Server: replica.server, Owner: replica.fallbackOwner, Local: replica.local})
+	for choice := range maxTargets {
+		for _, i := range order[:count] {
+			replica := &shard.replicas[i]
+			if owner := owners[i][choice]; owner != "" {
+				targets = append(targets, Target{Server: replica.server, Owner: owner, Local: replica.local})
+			}
 		}
 	}
 	return targets
@@ -203,7 +248,7 @@
 	for _, candidate := range near {
 		senders := planner.placement.Senders(view, candidate.server)
 		if len(senders) > 0 {
-			replicas = append(replicas, newReplica(view, candidate, senders))
+			replicas = append(replicas, newReplica(view, candidate, senders, planner.placement.Detours(view, candidate.server)))
 		}
 	}
 	return shardTemplate{number: shard.Number, documents: shard.Documents, replicas: replicas}
@@ -240,15 +285,21 @@
 	return crossRegionLatency
 }
 
-func newReplica(view *swmember.View, candidate candidate, senders []swmember.Member) replica {
-	replica := replica{
+func newReplica(view *swmember.View, candidate candidate, senders, detours []swmember.Member) replica {
+	return replica{
 		server:       candidate.server.Name,
+		dataCentre:   candidate.server.DataCentre,
 		local:        candidate.server.DataCentre == view.Self.DataCentre,
 		extraLatency: candidate.extraLatency,
-		owner:        senders[0].Name,
+		senders:      namesOf(senders),
+		detours:      namesOf(detours),
 	}
-	if len(senders) > 1 {
-		replica.fallbackOwner = senders[1].Name
+}
+
+func namesOf(members []swmember.Member) []string {
+	names := make([]string, len(members))
+	for i := range members {
+		names[i] = members[i].Name
 	}
-	return replica
+	return names
 }
--- a/internal/swquery/simulated_cluster_test.go
+++ b/internal/swquery/simulated_cluster_test.go
@@ -51,6 +51,8 @@
 	events    map[string]int64
 	// unresponsive VMs receive and send nothing. losesReplies lists VMs that receive messages but whose replies are lost.
 	unresponsive map[netip.AddrPort]bool
+	// withoutLinks holds the data centres whose VM reaches no backend server.
+	withoutLinks map[string]bool
 	losesReplies map[netip.AddrPort]bool
 	// losesRepliesOnceRunning loses the replies of all VMs once a backend server has started work.
 	losesRepliesOnceRunning bool
@@ -77,6 +79,7 @@
 		runs:         make(map[string]int),
 		events:       make(map[string]int64),
 		unresponsive: make(map[netip.AddrPort]bool),
+		withoutLinks: make(map[string]bool),
 		losesReplies: make(map[netip.AddrPort]bool),
 		unreachable:  make(map[netip.AddrPort]bool),
 		streams:      make(map[netip.AddrPort][]*memoryStream),
@@ -182,7 +185,7 @@
 		Limiter:         passAll{},
 		Gate:            swadmission.NewGate(),
 		Quarantine:      clusterQuarantine{cluster},
-		Backends:        clusterBackends{cluster},
+		Backends:        clusterBackends{cluster, dataCentre},
 		Dialer:          clusterDialer{cluster, dataCentre},
 		Recorder:        clusterRecorder{cluster},
 		Placement:       OwnerPlacement{},
@@ -249,7 +252,10 @@
 	recorder.cluster.events[name] += count
 }
 
-type clusterBackends struct{ cluster *cluster }
+type clusterBackends struct {
+	cluster    *cluster
+	dataCentre string
+}
 
 func (clusterBackends) Report() swadmission.Report { return swadmission.Report{} }
 
@@ -259,7 +265,7 @@
 	cluster.mutex.Lock()
 	server := *cluster.servers[subRequest.Server]
 	held := server.heldSnapshots[subRequest.Snapshot]
-	if server.down {
+	if server.down || cluster.withoutLinks[backends.dataCentre] {
 		cluster.mutex.Unlock()
 		return swbackend.Answer{Outcome: swbackend.Unreachable, Ran: swcode.RanNo, Message: subRequest.Server + " refuses connections"}
 	}
--- a/internal/swquery/step_gather.go
+++ b/internal/swquery/step_gather.go
@@ -250,7 +250,7 @@
 		gatherLoop.engine.config.Recorder.CountEvent("duplicate_answers", 1)
 		return
 	}
-	gatherLoop.observe(now, item, age)
+	gatherLoop.observe(now, call.owner.Name, item, age)
 	gatherLoop.engine.applyActions(now, execution, actions)
 	gatherLoop.checkCanary(now)
 }
@@ -288,16 +288,23 @@
 }
 
 // observe records what an outcome shows about the server: its latency, or that it failed, is leaving or lacks the snapshot.
-func (gatherLoop *gatherLoop) observe(now time.Time, item *ItemAnswer, age time.Duration) {
+func (gatherLoop *gatherLoop) observe(now time.Time, owner string, item *ItemAnswer, age time.Duration) {
+	planner := gatherLoop.engine.planner
 	latencies := gatherLoop.engine.latencies
 	switch item.Answer.Outcome {
 	case swbackend.Answered:
+		planner.RecordReached(owner, item.Server)
 		latencies.Observe(now, gatherLoop.execution.query.Index, item.Shard, item.Server, age)
 		gatherLoop.reportAnswered()
 	case swbackend.ServerLeaving:
 		gatherLoop.engine.config.Registry.MarkDraining(item.Server, drainingDuration)
+	case swbackend.Unreachable:
+		// An owner that has lost its links says nothing about the server.
+		if !planner.RecordUnreached(now, owner, item.Server) {
+			latencies.ObserveFailure(now, item.Server)
+		}
 	case swbackend.SnapshotNotHeld:
-		gatherLoop.engine.planner.RecordNotHeld(now, gatherLoop.execution.snapshot, item.Server)
+		planner.RecordNotHeld(now, gatherLoop.execution.snapshot, item.Server)
 	case swbackend.Cancelled:
 		latencies.ObserveCancelled(gatherLoop.execution.query.Index, item.Shard, age)
 	default:
