Take only an answer for proof of links to servers

On a busy machine the lab's proxies open connections and reset them later than a check waits, like a middlebox that accepts connections for servers which it no longer reaches.

A check now sends a health request on a connection of its own. Any response is an answer; two checks in a row that open connections without one, and no answer between them, show that the links are lost. They are back once a server has answered. The check's response is not read for what the replica says of itself, as the address may belong to another one.

The test in virtual time has this kind of cut too.

--- a/internal/swapp/gateway.go
+++ b/internal/swapp/gateway.go
@@ -153,6 +153,14 @@
 		ReadReport:      platform.Headers{}.ReadReport,
 		CountEvent:      recorder.CountEvent,
 		OnReach:         relays.OnReach,
+		HealthPath: func(name string) string {
+			table := routes.Current()
+			if table == nil {
+				return ""
+			}
+			service, _ := table.Service(name)
+			return service.HealthPath
+		},
 		// VMs that share what they observe see the rejections of a replica together, which ranks it behind others without a mark for load.
 		TellsRandomRejections: config.Settings.Gateway.ObservationInterval > 0,
 		MaxConnections: func(name string) int {
--- a/internal/swgateway/fleet_test.go
+++ b/internal/swgateway/fleet_test.go
@@ -33,6 +33,8 @@
 	cutSilent cutKind = "silent"
 	// cutReset resets open connections and refuses new ones.
 	cutReset cutKind = "reset"
+	// cutAccepting opens connections, on which nothing arrives, and makes open ones hang.
+	cutAccepting cutKind = "accepting"
 	// cutRefuse refuses new connections and leaves open ones as they are.
 	cutRefuse cutKind = "refuse"
 )
@@ -80,7 +82,7 @@
 func (link *link) silent() chan struct{} {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
-	if link.cut != cutSilent {
+	if link.cut != cutSilent && link.cut != cutAccepting {
 		return nil
 	}
 	return link.healed
@@ -101,7 +103,7 @@
 		}
 	case cutReset, cutRefuse:
 		return nil, errRefused
-	case cutNone:
+	case cutNone, cutAccepting:
 	}
 	conn, err := connect()
 	if err != nil {
@@ -190,6 +192,7 @@
 	pool := swreplica.NewPool(swreplica.PoolConfig{
 		Group: testFleet.group, Log: zerolog.Nop(), ReadReport: testProtocol{}.ReadReport,
 		MaxConnections: func(string) int { return 40 },
+		HealthPath:     func(string) string { return "/health" },
 		OnReach:        func(dataCentre string, reached bool) { vm.relays.OnReach(dataCentre, reached) },
 		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			return vm.link.dial(ctx, func() (net.Conn, error) { return testFleet.connect(address) })
--- a/internal/swgateway/stranded_test.go
+++ b/internal/swgateway/stranded_test.go
@@ -24,7 +24,7 @@
 // TestVMsWithoutLinksServeThroughOthers guards against VMs that fail their callers once their links to all replicas are cut, while clients and
 // other VMs reach them: all VMs of a data centre, and one of the other data centre.
 func TestVMsWithoutLinksServeThroughOthers(t *testing.T) {
-	for _, cut := range []cutKind{cutSilent, cutReset, cutRefuse} {
+	for _, cut := range []cutKind{cutSilent, cutReset, cutRefuse, cutAccepting} {
 		for _, route := range []string{"gathered", "repeatable", "once"} {
 			t.Run(string(cut)+" "+route, func(t *testing.T) {
 				inVirtualTime(t, func(t *testing.T) {
@@ -87,7 +87,7 @@
 		for i := range 4000 {
 			if i%50 == 0 {
 				vm := testFleet.vms[random.IntN(len(testFleet.vms))]
-				vm.link.set([]cutKind{cutNone, cutNone, cutSilent, cutReset, cutRefuse}[random.IntN(5)])
+				vm.link.set([]cutKind{cutNone, cutNone, cutSilent, cutReset, cutRefuse, cutAccepting}[random.IntN(6)])
 				testFleet.setLost(testFleet.vms[random.IntN(len(testFleet.vms))], random.IntN(3) == 0)
 			}
 			vm := testFleet.vms[random.IntN(len(testFleet.vms))]
--- a/internal/swreach/judge.go
+++ b/internal/swreach/judge.go
@@ -49,6 +49,19 @@
 	return [...]string{"Reached", "Checking", "Lost", "Returning"}[state]
 }
 
+// CheckResult is the best that a check got from one of the servers.
+type CheckResult int
+
+// Results of a check, the worst first.
+const (
+	// CheckFailed is that no connection could be opened, or that it was reset.
+	CheckFailed CheckResult = iota
+	// CheckConnected is that a connection was opened, on which nothing arrived in time. What is in front of the servers may have opened it.
+	CheckConnected
+	// CheckAnswered is that a server answered.
+	CheckAnswered
+)
+
 // Evidence is what led to a check.
 type Evidence string
 
@@ -81,6 +94,8 @@
 	changed       chan struct{}
 	checkedAt     time.Time
 	checkInterval time.Duration
+	// connectedOnly is set if the last check opened a connection and got no answer.
+	connectedOnly bool
 }
 
 // State returns the state of the links.
@@ -194,11 +209,14 @@
 	judge.set(Checking)
 }
 
-// EndCheck ends a check that connected to a server or to none.
-func (judge *Judge) EndCheck(now time.Time, connected bool) {
+// EndCheck ends a check. The links are lost if no connection could be opened, or if two checks in a row got no answer and none arrived between
+// them.
+func (judge *Judge) EndCheck(now time.Time, result CheckResult) {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
-	if !connected {
+	isRepeated := judge.connectedOnly && judge.heardAt.Before(judge.checkedAt)
+	judge.connectedOnly = result == CheckConnected
+	if result == CheckFailed || result == CheckConnected && isRepeated {
 		judge.set(Lost)
 		return
 	}
@@ -206,6 +224,9 @@
 		judge.checkInterval = minCheckInterval / 2
 	}
 	judge.checkInterval = min(maxCheckInterval, 2*judge.checkInterval)
+	if result == CheckConnected {
+		judge.checkInterval = minCheckInterval
+	}
 	judge.checkedAt = now
 	judge.forget()
 	judge.set(Reached)
--- a/internal/swreach/judge_test.go
+++ b/internal/swreach/judge_test.go
@@ -65,7 +65,7 @@
 		judge.Unanswered(now, "b")
 		if judge.BeginCheck(now, 10, 0) != NoEvidence {
 			checks++
-			judge.EndCheck(now, true)
+			judge.EndCheck(now, CheckAnswered)
 		}
 	}
 	if checks > 11 {
@@ -80,7 +80,7 @@
 	record := func() { states = append(states, judge.State()) }
 	judge.BeginRelatedCheck()
 	record()
-	judge.EndCheck(start, false)
+	judge.EndCheck(start, CheckFailed)
 	record()
 	judge.Return()
 	record()
--- a/internal/swreplica/pool.go
+++ b/internal/swreplica/pool.go
@@ -61,6 +61,8 @@
 	ColdLimit func(service string) swlimit.Limit
 	// CountEvent adds to the counter of an event. It may be nil.
 	CountEvent func(name string, count int64)
+	// HealthPath returns the path of the health check of a service's replicas; empty if there is none. It may be nil.
+	HealthPath func(service string) string
 	// OnReach is called when this VM has lost its links to the replicas of a data centre, and when they are back. It may be nil.
 	OnReach func(dataCentre string, reached bool)
 	// TellsRandomRejections makes a rejection that the replica's latency does not explain leave no mark for load.
@@ -93,6 +95,9 @@
 	if config.CountEvent == nil {
 		config.CountEvent = func(string, int64) {}
 	}
+	if config.HealthPath == nil {
+		config.HealthPath = func(string) string { return "" }
+	}
 	if config.OnReach == nil {
 		config.OnReach = func(string, bool) {}
 	}
--- a/internal/swreplica/reach.go
+++ b/internal/swreplica/reach.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// checkWidth is the number of replicas of a data centre that a check of this VM's links tries to connect to at once.
+	// checkWidth is the number of replicas of a data centre that a check of this VM's links pings at once.
 	checkWidth = 3
 	// checkTimeout bounds a check in this region, and farCheckTimeout one in another. Both allow several round trips and a slow accept.
 	checkTimeout    = 120 * time.Millisecond
@@ -155,7 +155,7 @@
 	}
 	count := 0
 	for _, replica := range place.listed() {
-		if replica.InUse() {
+		if replica.AcceptsWork() {
 			count++
 		}
 	}
@@ -175,16 +175,16 @@
 	place.pool.config.Group.Go(func(ctx context.Context) { place.check(ctx, evidence) })
 }
 
-// check tries to connect to the replicas that answered last. If none accepts, the links are lost until one does.
+// check pings the replicas that answered last. If none of them can be reached, the links are lost until one is.
 func (place *place) check(ctx context.Context, evidence swreach.Evidence) {
 	pool := place.pool
 	pool.config.CountEvent("reach_checks", 1)
-	connected := place.connectToAny(ctx, place.bestReached())
+	result := place.pingAny(ctx, place.bestReached())
 	if ctx.Err() != nil {
 		return
 	}
-	place.judge.EndCheck(time.Now(), connected)
-	if connected {
+	place.judge.EndCheck(time.Now(), result)
+	if place.judge.State() != swreach.Lost {
 		return
 	}
 	lostAt := time.Now()
@@ -244,12 +244,12 @@
 	return place.choose(func(replica *Replica) time.Duration { return -time.Since(replica.lastTry()) })
 }
 
-// choose returns checkWidth replicas in use with the lowest rank.
+// choose returns checkWidth replicas that accept work with the lowest rank.
 func (place *place) choose(rank func(replica *Replica) time.Duration) []*Replica {
 	ranks := make(map[*Replica]time.Duration)
 	var chosen []*Replica
 	for _, replica := range place.listed() {
-		if replica.InUse() {
+		if replica.AcceptsWork() {
 			ranks[replica] = rank(replica)
 			chosen = append(chosen, replica)
 		}
@@ -258,32 +258,25 @@
 	return chosen[:min(checkWidth, len(chosen))]
 }
 
-// connectToAny reports whether one of the replicas accepts a connection. Those that are opened are kept for requests.
-func (place *place) connectToAny(ctx context.Context, replicas []*Replica) bool {
+// pingAny pings replicas at once and returns the best result, as soon as one has answered.
+func (place *place) pingAny(ctx context.Context, replicas []*Replica) swreach.CheckResult {
 	timeout := checkTimeout
 	if len(replicas) > 0 && replicas[0].distance == OtherRegion {
 		timeout = farCheckTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
-	connected := make(chan bool, len(replicas))
+	defer cancel()
+	results := make(chan swreach.CheckResult, len(replicas))
 	for _, replica := range replicas {
-		place.pool.config.Group.Go(func(context.Context) { connected <- replica.connect(ctx) })
+		place.pool.config.Group.Go(func(context.Context) { results <- replica.ping(ctx) })
 	}
-	defer cancel()
+	best := swreach.CheckFailed
 	for range replicas {
-		if <-connected {
-			return true
+		if best = max(best, <-results); best == swreach.CheckAnswered {
+			break
 		}
 	}
-	return false
-}
-
-// connect opens a connection to the replica and keeps it for requests, unless it is reset at once.
-func (replica *Replica) connect(ctx context.Context) bool {
-	replica.mutex.Lock()
-	replica.triedAt = time.Now()
-	replica.mutex.Unlock()
-	return replica.Probe(ctx)
+	return best
 }
 
 // awaitReturn waits until the links are back and connections to the replicas are open again.
@@ -294,7 +287,7 @@
 			return
 		}
 		delay = min(maxReturnInterval, 2*delay)
-		if place.inUse() > 0 && !place.connectToAny(ctx, place.leastTried()) {
+		if place.inUse() > 0 && place.pingAny(ctx, place.leastTried()) != swreach.CheckAnswered {
 			continue
 		}
 		place.links.Store(newLinks())
