Send a backend server nothing until its Retry-After has passed

A server that sheds may say in Retry-After for how long it wants nothing. The pool did not read it: it sent new and queued work at once, and each shed request a second time, as it does when a server sheds a single one.

The pool now refuses work for the server, as shed and not run, until the time has passed: work that arrives, work that was queued when the response came, and the repeat.

--- a/internal/swbackend/exchange.go
+++ b/internal/swbackend/exchange.go
@@ -335,6 +335,7 @@
 		server.setLeaving()
 		return server.leavingAnswer(), true
 	case response.Status == http.StatusServiceUnavailable && body.Code == codeShed:
+		server.holdOff(swconn.RetryAfter(response.Header))
 		return Answer{Outcome: Shed, Ran: swcode.RanNo, Code: swcode.QueueFull, Message: server.name + " sheds load"}, true
 	case response.Status == http.StatusGatewayTimeout:
 		answer = server.failureAnswer(subRequest, Late, "did not finish by the deadline")
--- a/internal/swbackend/pool.go
+++ b/internal/swbackend/pool.go
@@ -239,14 +239,21 @@
 	if err := server.checkReachable(); err != nil {
 		return server.unreachableAnswer(err), false
 	}
+	if server.isHeldOff() {
+		return server.heldOffAnswer(), false
+	}
 	slot, err := server.queue.Acquire(ctx, workOf(subRequest))
 	if err != nil {
 		return server.refusalAnswer(err), false
 	}
+	if server.isHeldOff() {
+		server.queue.Release(slot, swadmission.NotRun)
+		return server.heldOffAnswer(), false
+	}
 	answer = server.execute(ctx, subRequest)
 	answer.QueueWait = slot.Wait
 	server.queue.Release(slot, resultOf(&answer))
-	return answer, answer.Outcome == Shed && answer.Ran == swcode.RanNo
+	return answer, answer.Outcome == Shed && !server.isHeldOff() && answer.Ran == swcode.RanNo
 }
 
 func workOf(subRequest *SubRequest) swadmission.Work {
--- a/internal/swbackend/server.go
+++ b/internal/swbackend/server.go
@@ -44,9 +44,11 @@
 	// loweredLimit bounds the connections until loweredLimitUntil, after the server refused one.
 	loweredLimit      int
 	loweredLimitUntil time.Time
-	latencies         map[string]*latencyTracker
-	dialBackoff       dialBackoff
-	crash             crashEvidence
+	// heldUntil is until when the server wants nothing from this VM.
+	heldUntil   time.Time
+	latencies   map[string]*latencyTracker
+	dialBackoff dialBackoff
+	crash       crashEvidence
 }
 
 func newServer(pool *Pool, description swindex.Server) *server {
