Send a replica nothing for as long as it asked, up to an hour

A replica's Retry-After was honoured for two minutes at most, after which requests reached a replica that wanted none. The bound is now an hour, that of the field itself. What a replica that was removed from the list said, such as that it leaves, is kept as long: it was forgotten after two minutes, and an entry that came back then got requests again.

TestReplicaRestsForAsLongAsItAsked failed before.

--- a/internal/swreplica/registry.go
+++ b/internal/swreplica/registry.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/sycamorewall/sycamorewall/internal/swconn"
 )
 
 // RegistryConfig holds the parameters of a Registry.
@@ -42,7 +44,7 @@
 
 // reportMemory is how long what a replica said about itself is kept after its entry was removed. Its entry may lapse in an outage of the
 // platform and come back, while the process still leaves or is short of capacity.
-const reportMemory = maxHoldOff
+const reportMemory = swconn.MaxRetryAfter
 
 // NewRegistry returns an empty registry.
 func NewRegistry(config RegistryConfig) *Registry {
--- a/internal/swreplica/replica_test.go
+++ b/internal/swreplica/replica_test.go
@@ -344,3 +344,26 @@
 		t.Error("replicas (-want +got):\n" + diff)
 	}
 }
+
+// TestReplicaRestsForAsLongAsItAsked guards against requests to a replica that asked for a pause of several minutes, and against a shorter wish
+// that cuts a longer one.
+func TestReplicaRestsForAsLongAsItAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := swgroup.New(context.Background())
+		defer group.Stop()
+		registry := NewRegistry(RegistryConfig{DataCentre: "dc", Pool: NewPool(PoolConfig{Group: group, Log: zerolog.Nop()})})
+		registry.Update([]Entry{{ID: "a", Service: "s", DataCentre: "dc", Slots: 2}}, nil)
+		replica := registry.Find("a")
+		const wait = 10 * time.Minute
+		replica.ObserveReport(time.Now(), Report{RetryAfter: wait})
+		replica.ObserveReport(time.Now(), Report{RetryAfter: time.Second})
+		time.Sleep(wait - time.Second)
+		if replica.AcceptsWork() {
+			t.Error("the replica gets requests before the time for which it wants none has passed")
+		}
+		time.Sleep(wait)
+		if !replica.AcceptsWork() {
+			t.Error("the replica gets no requests after that time")
+		}
+	})
+}
--- a/internal/swreplica/report.go
+++ b/internal/swreplica/report.go
@@ -36,12 +36,8 @@
 // rateLimitTolerance is the fraction by which a replica's rate limit may change without a log line.
 const rateLimitTolerance = 0.2
 
-const (
-	// maxHoldOff bounds the time for which a replica gets nothing because it asked for that.
-	maxHoldOff = 2 * time.Minute
-	// returnSpread is the fraction of that time over which the VMs that it rejected return to it.
-	returnSpread = 0.2
-)
+// returnSpread is the fraction of the time that a replica asked for over which the VMs that it rejected return to it.
+const returnSpread = 0.2
 
 // reportState is what one process of a replica has said about itself. It is safe for concurrent use; the zero value is that of a process
 // that has said nothing.
@@ -121,7 +117,7 @@
 // seconds and rejects what it gets: more attempts would cost it work and take the retry budget from the other replicas.
 func (replica *Replica) observeRetryAfter(now time.Time, report Report) {
 	alreadyHeld := !replica.AcceptsWork()
-	wait := min(maxHoldOff, report.RetryAfter)
+	wait := min(swconn.MaxRetryAfter, report.RetryAfter)
 	replica.HoldOff(now, wait+time.Duration(returnSpread*rand.Float64()*float64(wait)))
 	if alreadyHeld {
 		return
