Believe no response whose status is none of HTTP

A response with status 000, 001, 099 or +12 that states not run was believed: a request that may run once was sent again and refused with 503. It reached no client as an answer. The client library took a reply with such a status for one of a VM.

Go's parser takes any three characters that Atoi reads. The reader of servers' responses now ends the connection unless the status is three digits, the first not zero; the request counts as one that may have run.

--- a/internal/swconn/reader.go
+++ b/internal/swconn/reader.go
@@ -136,6 +136,9 @@
 		default:
 			return nil, errors.Wrap(err, "read response")
 		}
+		if !isValidStatusText(message.Status) {
+			return nil, ErrInvalidStatus
+		}
 		if containsStatusLine(message.Status) || fieldsContainStatusLine(message.Header) {
 			return nil, ErrJoined
 		}
--- a/internal/swgateway/response.go
+++ b/internal/swgateway/response.go
@@ -34,6 +34,9 @@
 // return the same; a shard that returns one contributes no records.
 func interpret(response *swconn.Response, responseInfo ResponseInfo, gathered bool) meaning {
 	switch {
+	case !swconn.ValidStatus(response.Status):
+		// A relay of an earlier version passes it on.
+		return meaningUnusable
 	case responseInfo.WrongReplica:
 		return meaningWrongReplica
 	case responseInfo.NotRun:
--- a/pkg/swclient/client.go
+++ b/pkg/swclient/client.go
@@ -186,6 +186,9 @@
 		return errors.Wrap(err, "send request")
 	}
 	defer response.Body.Close()
+	if response.StatusCode < http.StatusContinue {
+		return errors.Errorf("the status %s is none of HTTP, so that the reply is not of a VM", response.Status)
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
 		return errors.Wrap(err, "read reply")
--- a/pkg/swclient/client_test.go
+++ b/pkg/swclient/client_test.go
@@ -325,3 +325,26 @@
 		check(t, "waited 1 to 1.5 s", true, waited >= time.Second && waited <= 1500*time.Millisecond)
 	})
 }
+
+// TestStatusThatIsNoneSaysNothing guards against taking a reply with a status that no VM sends for one of a VM.
+func TestStatusThatIsNoneSaysNothing(t *testing.T) {
+	body := `{"Code":401,"Ran":"No"}`
+	for _, status := range []int{0, 1, 99} {
+		transport := roundTripper(func(*http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: status, Status: "000 X", Header: http.Header{}, Body: io.NopCloser(bytes.NewBufferString(body))}, nil
+		})
+		client := &Client{config: Config{Endpoints: []string{"http://vm"}, HTTP: &http.Client{Transport: transport}}}
+		var reply SearchReply
+		if err := client.post(t.Context(), "/v1/search", SearchRequest{}, &reply); err == nil {
+			t.Errorf("status %d: the reply %+v was taken for one of a VM", status, reply)
+		}
+	}
+}
+
+// roundTripper answers requests by a function.
+type roundTripper func(*http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (roundTripper roundTripper) RoundTrip(request *http.Request) (*http.Response, error) {
+	return roundTripper(request)
+}
