Say that no replica was reached, rather than that queues are full

A request of which nothing was sent, as no replica could be reached, was refused with the code QueueFull. It is NoReplica now; status and Retry-After stay. A failure while links are being checked no longer counts the replicas again.

--- a/internal/swgateway/answer.go
+++ b/internal/swgateway/answer.go
@@ -34,10 +34,15 @@
 		if refusal := call.handler.checkKey(call.request); refusal != nil {
 			return refusal
 		}
+		refusal := refuseQueueFull(minQueueFullRetryAfter)
 		if call.request.route.Gathered() {
-			return refuseQueueFull(call.rejectedRetryAfter(time.Now()))
+			refusal = refuseQueueFull(call.rejectedRetryAfter(time.Now()))
 		}
-		return refuseQueueFull(minQueueFullRetryAfter)
+		if !call.rejected && !call.rateLimited && !call.displaced {
+			// No replica could be reached.
+			refusal.Code = swcode.NoReplica
+		}
+		return refusal
 	}
 	if call.timedOut {
 		return refuse(http.StatusGatewayTimeout, swcode.DeadlineExceeded)
--- a/internal/swgateway/fleet_test.go
+++ b/internal/swgateway/fleet_test.go
@@ -165,6 +165,8 @@
 	mutex    sync.Mutex
 	// lostPeers are the VMs that no other VM reaches.
 	lostPeers map[netip.AddrPort]bool
+	// relayed counts the attempts that were sent through VMs, by data centre.
+	relayed map[string]int
 }
 
 // fleetRoundTrip is the time of a call from one VM to another.
@@ -175,7 +177,7 @@
 	t.Helper()
 	testFleet := &testFleet{
 		t: t, group: swgroup.New(context.Background()), routes: &swroute.ActiveTable{}, replicas: make(map[netip.AddrPort]*testReplica),
-		lostPeers: make(map[netip.AddrPort]bool),
+		lostPeers: make(map[netip.AddrPort]bool), relayed: make(map[string]int),
 	}
 	for _, dataCentre := range []string{"a", "b"} {
 		for range vmsPerCentre {
@@ -240,6 +242,9 @@
 			*reply.(*swrelay.ReachReply) = answer
 			return err
 		}
+		testFleet.mutex.Lock()
+		testFleet.relayed[vm.relay.DataCentre]++
+		testFleet.mutex.Unlock()
 		answer, err := vm.server.Handle(ctx, "sender", *request.(*swrelay.Attempt))
 		if err != nil {
 			return err
@@ -291,12 +296,20 @@
 	return replica
 }
 
+// nextVersion returns a version after the one in force.
+func (testFleet *testFleet) nextVersion() uint64 {
+	if table := testFleet.routes.Current(); table != nil {
+		return table.Version + 1
+	}
+	return 1
+}
+
 // setRoutes puts routes in force, each at the host of its name.
 func (testFleet *testFleet) setRoutes(routes ...*swroute.Route) {
 	for _, route := range routes {
 		route.Host, route.Prefix = route.Name, "/"
 	}
-	testFleet.routes.UpdateIfNewer(swroute.NewTable(swroute.TableConfig{Version: 1, Limits: swroute.Limits{MaxHeaderBytes: 2000, MaxBodyBytes: 1000}, Routes: routes}))
+	testFleet.routes.UpdateIfNewer(swroute.NewTable(swroute.TableConfig{Version: testFleet.nextVersion(), Limits: swroute.Limits{MaxHeaderBytes: 2000, MaxBodyBytes: 1000}, Routes: routes}))
 }
 
 // send sends a request on a route to a VM.
--- a/internal/swgateway/stranded_test.go
+++ b/internal/swgateway/stranded_test.go
@@ -167,3 +167,23 @@
 		}
 	})
 }
+
+// TestDetoursKeepToTheHomes guards against the body of a request on VMs outside its homes: those of this data centre reach the replicas too.
+func TestDetoursKeepToTheHomes(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		testFleet := newTestFleet(t, 3)
+		defer testFleet.close()
+		detourRoutes(testFleet)
+		route := nonIdempotentRoute()
+		route.Homes = []string{"b"}
+		testFleet.setRoutes(route)
+		testFleet.cutFor(testFleet.vms[:1], cutSilent, "once")
+		got := testFleet.load(testFleet.vms[:1], "once", 20*time.Millisecond, time.Second)
+		if diff := cmp.Diff(map[int]int{http.StatusOK: 50}, got); diff != "" {
+			t.Error("responses (-want +got):\n" + diff)
+		}
+		if testFleet.relayed["a"] > 0 || testFleet.relayed["b"] == 0 {
+			t.Errorf("attempts through VMs by data centre are %v, want none through a", testFleet.relayed)
+		}
+	})
+}
--- a/internal/swreplica/reach.go
+++ b/internal/swreplica/reach.go
@@ -31,8 +31,8 @@
 	return replica.place.judge.State()
 }
 
-// ReachDoubted reports whether something speaks against this VM's links to the replica's data centre. A failure is then no evidence of the
-// replica's own state.
+// ReachDoubted reports whether several replicas speak against this VM's links to the data centre. A failure is then no evidence of the replica's
+// own state.
 func (replica *Replica) ReachDoubted() bool {
 	return replica.place.judge.Doubted()
 }
@@ -164,6 +164,9 @@
 
 // suspect begins a check of the links if the evidence calls for one.
 func (place *place) suspect() {
+	if place.judge.State() != swreach.Reached {
+		return
+	}
 	elsewhere := 0
 	for _, other := range place.registry.otherPlaces(place) {
 		elsewhere += other.judge.Refused()
