--- a/internal/swrelay/detour.go
+++ b/internal/swrelay/detour.go
@@ -190,13 +190,23 @@
 	detours.signal()
 	now := time.Now()
 	for dataCentre, centre := range detours.lost {
-		if !centre.searched || !slices.ContainsFunc(slices.Collect(maps.Values(detours.said)), func(said saidReach) bool { return said.reaches(now, dataCentre) }) {
+		if !centre.searched || !detours.knowsWayTo(now, dataCentre) {
 			return searchInterval
 		}
 	}
 	return refreshInterval
 }
 
+// knowsWayTo reports whether a VM has said that it reaches a data centre. The caller holds the mutex.
+func (detours *detours) knowsWayTo(now time.Time, dataCentre string) bool {
+	for _, said := range detours.said {
+		if said.reaches(now, dataCentre) {
+			return true
+		}
+	}
+	return false
+}
+
 func (said *saidReach) reaches(now time.Time, dataCentre string) bool {
 	return now.Sub(said.at) < reachLifetime && slices.Contains(said.dataCentres, dataCentre)
 }
