Let requests wait for their answers after lost links have returned

After the links of a VM had returned, it broke off each request that may be repeated as soon as it had sent it, for good: 50 requests a second failed with 502.

Cause: when requests from before the return are still unanswered, connections are given up once more. That ended the answers of the present links, which stayed in use. What ends is now fixed before the state is looked at, and the end of a return begins new links. A data centre whose replicas all leave the list keeps its state while its links are lost.

TestRequestsWaitForAnswersAfterAReturn gives up connections during a return; without the new links it fails.

--- a/internal/swreplica/evacuation.go
+++ b/internal/swreplica/evacuation.go
@@ -104,13 +104,15 @@
 	return known
 }
 
-// prunePlaces forgets the data centres that have neither replicas nor an evacuation. The caller holds the mutex.
+// prunePlaces forgets the data centres that have neither replicas nor an evacuation, and whose links are in order. The caller holds the mutex.
 func (registry *Registry) prunePlaces(now time.Time) {
 	used := make(map[*place]bool)
 	for _, replica := range registry.byID {
 		used[replica.place] = true
 	}
-	maps.DeleteFunc(registry.places, func(_ string, place *place) bool { return !used[place] && place.withheld(now) == 0 })
+	maps.DeleteFunc(registry.places, func(_ string, place *place) bool {
+		return !used[place] && place.withheld(now) == 0 && place.judge.State() == swreach.Reached
+	})
 }
 
 // UpdateEvacuations begins the evacuation of data centres, and ends that of others. Nothing more is sent to the replicas of an evacuated data
--- a/internal/swreplica/links.go
+++ b/internal/swreplica/links.go
@@ -28,8 +28,8 @@
 
 // abandonConnections gives up the connections to the place, on which nothing arrives any more. Requests that may be repeated are told so at once.
 // The others wait on, as their response may still arrive.
-func (place *place) abandonConnections() {
-	place.links.Load().stopAnswering()
+func (place *place) abandonConnections(links *links) {
+	links.stopAnswering()
 	for _, replica := range place.listed() {
 		replica.empty()
 	}
--- a/internal/swreplica/reach.go
+++ b/internal/swreplica/reach.go
@@ -107,8 +107,10 @@
 		}
 	}
 	place.suspect()
+	// The links that a return has opened meanwhile are others.
+	links := place.links.Load()
 	if !place.mayConnect() && place.judge.AllSilent(place.inUse()) {
-		place.abandonConnections()
+		place.abandonConnections(links)
 	}
 }
 
@@ -214,7 +216,7 @@
 		replica.forgetFailures()
 	}
 	if evidence == swreach.Silent {
-		place.abandonConnections()
+		place.abandonConnections(place.links.Load())
 	}
 	place.pool.config.OnReach(place.name, false)
 }
@@ -295,14 +297,22 @@
 		}
 		place.links.Store(newLinks())
 		place.judge.Return()
-		reached := place.reopen(ctx)
-		place.judge.EndReturn(reached)
-		if reached {
+		if place.endReturn(place.reopen(ctx)) {
 			return
 		}
 	}
 }
 
+// endReturn ends the return of the links, and reports whether they are in use again. Connections may have been given up during the return, as
+// requests that were sent before it had no answer; those that follow must not share their end.
+func (place *place) endReturn(reached bool) bool {
+	place.judge.EndReturn(reached)
+	if reached {
+		place.links.Store(newLinks())
+	}
+	return reached
+}
+
 // reopen opens a connection to each replica, one after the other, so that the VMs that return together don't open all of theirs at once. It
 // reports whether it opened one. Replicas of other regions are reached through relays as a rule and need none.
 func (place *place) reopen(ctx context.Context) bool {
--- a/internal/swreplica/replica_test.go
+++ b/internal/swreplica/replica_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swreach"
 )
 
 func TestCostRanksFasterReplicaFirst(t *testing.T) {
@@ -367,3 +368,29 @@
 		}
 	})
 }
+
+// TestRequestsWaitForAnswersAfterAReturn guards against requests that end as soon as they are sent, for good, because connections were given up while
+// the links of this VM returned.
+func TestRequestsWaitForAnswersAfterAReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := swgroup.New(context.Background())
+		defer group.Stop()
+		registry := NewRegistry(RegistryConfig{DataCentre: "dc", Pool: NewPool(PoolConfig{Group: group, Log: zerolog.Nop()})})
+		registry.Update([]Entry{{ID: "a", Service: "s", DataCentre: "dc", Slots: 2}, {ID: "b", Service: "s", DataCentre: "dc", Slots: 2}}, nil)
+		place := registry.Find("a").place
+		place.judge.BeginRelatedCheck()
+		place.judge.EndCheck(time.Now(), swreach.CheckFailed)
+		place.links.Store(newLinks())
+		place.judge.Return()
+		place.judge.Unanswered(time.Now(), "a")
+		place.judge.Unanswered(time.Now(), "b")
+		place.findOverdue(time.Now())
+		if place.links.Load().answering.Err() == nil {
+			t.Fatal("the connections were not given up during the return")
+		}
+		place.endReturn(true)
+		if err := place.links.Load().answering.Err(); err != nil {
+			t.Errorf("requests end once they are sent: %v", err)
+		}
+	})
+}
