Compare a replica's arrivals in the order of their receipt

A replica records a request when its handling ends, which is after the response has been written, so the next request, which comes on another connection, can be recorded first. The test now sorts by the time of receipt; it still compares all fields of all arrivals and their order.

--- a/lab/internal/swlabusers/arrival_test.go
+++ b/lab/internal/swlabusers/arrival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -51,7 +52,9 @@
 		t.Errorf("the entry's warm-up is %d ms", got)
 	}
 	var got []Arrival
-	for _, arrival := range journal.Arrivals() {
+	// A request is recorded after its response has been written, so the next one, on another connection, may be recorded before it.
+	arrivals := slices.SortedFunc(slices.Values(journal.Arrivals()), func(a, b Arrival) int { return a.At.Compare(b.At) })
+	for _, arrival := range arrivals {
 		if arrival.At.IsZero() || arrival.ColdSince.IsZero() {
 			t.Errorf("%+v lacks a time", arrival)
 		}
