Do not take the loss of a VM's own links for crashes of backend servers

The search API's pool took the loss of all connections to a server, with requests in flight, for a crash. A VM whose links were reset saw all of its servers crash at once: their requests were suspected of it, not retried at other servers, and could be quarantined on all VMs.

A VM that owns a single server still can't tell the two apart.

--- a/internal/swapp/observer.go
+++ b/internal/swapp/observer.go
@@ -45,6 +45,7 @@
 	swbackend.CancelledByClose:       "connection_closed_to_cancel",
 	swbackend.CancelledByRequest:     "connection_kept_by_cancel",
 	swbackend.LimitExceeded:          "responses_too_large",
+	swbackend.LinksLost:              "connections_lost_together",
 }
 
 // ConnectionEvent counts an event of a connection.
--- a/internal/swbackend/connection.go
+++ b/internal/swbackend/connection.go
@@ -42,6 +42,8 @@
 	CancelledByRequest ConnectionEvent = 7
 	// LimitExceeded means that a response was larger than allowed, and its connection was closed.
 	LimitExceeded ConnectionEvent = 8
+	// LinksLost means that a server lost all connections together with others, because this VM's links to them were lost.
+	LinksLost ConnectionEvent = 9
 )
 
 // errAnnouncedClose means that the server closed the connection after a response that announced it.
--- a/internal/swbackend/pool_test.go
+++ b/internal/swbackend/pool_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"net/netip"
 	"slices"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sycamorewall/sycamorewall/internal/swgroup"
+	"github.com/sycamorewall/sycamorewall/internal/swindex"
 	"github.com/sycamorewall/sycamorewall/pkg/swcode"
 )
 
@@ -318,6 +323,74 @@
 	})
 }
 
+// TestLostLinksAreNoCrash guards against requests that are quarantined because this VM lost its links to all servers.
+func TestLostLinksAreNoCrash(t *testing.T) {
+	tests := []struct {
+		name string
+		// inFlight holds the fingerprint of the request in flight at each server; 0 stands for none.
+		inFlight [3]uint64
+		// lost is the number of servers whose connections end.
+		lost    int
+		crashes int64
+	}{
+		{"all servers, one of them idle", [3]uint64{1, 1, 0}, 3, 0},
+		{"all servers, with requests that have nothing in common", [3]uint64{1, 2, 1}, 3, 0},
+		{"all servers, with the same request", [3]uint64{1, 1, 1}, 3, 3},
+		{"the servers with the request", [3]uint64{1, 1, 0}, 2, 2},
+		{"one server", [3]uint64{1, 2, 0}, 1, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fakes := map[netip.AddrPort]*fakeServer{}
+				var servers []swindex.Server
+				for i := range test.inFlight {
+					address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
+					fakes[address] = newFakeServer(t)
+					servers = append(servers, swindex.Server{Name: strconv.Itoa(i), Address: address, Slots: 2, Connections: 25})
+				}
+				var crashes atomic.Int64
+				pool := NewPool(Config{
+					Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+						return fakes[address].dial(ctx, address)
+					},
+					OnCrash: func(string, []uint64) { crashes.Add(1) },
+				})
+				defer pool.Close()
+				pool.SetServers(servers)
+				group := swgroup.New(context.Background())
+				answers := make([]Answer, len(servers))
+				for i, server := range servers {
+					subRequest := newSubRequest(time.Second)
+					subRequest.Server = server.Name
+					pool.Execute(t.Context(), subRequest)
+					if test.inFlight[i] == 0 {
+						continue
+					}
+					fakes[server.Address].setAnswer(func(int, string, searchRequest) *fakeAnswer { return nil })
+					subRequest.RunKey, subRequest.Fingerprint = "k", test.inFlight[i]
+					group.Go(func(context.Context) { answers[i] = pool.Execute(context.Background(), subRequest) })
+				}
+				synctest.Wait()
+				for _, server := range servers[:test.lost] {
+					fakes[server.Address].closeConnections()
+				}
+				group.Wait()
+				time.Sleep(2 * crashWindow)
+				synctest.Wait()
+				if got := crashes.Load(); got != test.crashes {
+					t.Errorf("%d crashes, want %d", got, test.crashes)
+				}
+				for i, answer := range answers[:test.lost] {
+					if want := test.crashes > 0; answer.Crash != want {
+						t.Errorf("answer %d: Crash %v, want %v", i, answer.Crash, want)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestCancelledWorkFreesItsSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fake := newFakeServer(t)
