Count health requests that check links against a cold replica's limit

The checks of a VM's links sent health requests whatever the replica's state. A cold replica takes few requests a second from all VMs together, and many VMs may check at once when a cut ends.

A check now takes a place like any request; without one, a connection that stays open has to do. Replicas that take a request now are asked first.

TestChecksOfLinksStayWithinTheLimitOfAColdReplica failed before: 10 health requests where the limit is 2.

--- a/internal/swreplica/cold_test.go
+++ b/internal/swreplica/cold_test.go
@@ -1,7 +1,9 @@
 package swreplica
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,7 +11,9 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/sycamorewall/sycamorewall/internal/swgroup"
 	"github.com/sycamorewall/sycamorewall/internal/swlimit"
+	"github.com/sycamorewall/sycamorewall/internal/swreach"
 )
 
 // coldVM is the state of one VM about a replica that may be cold.
@@ -130,3 +134,38 @@
 		}
 	})
 }
+
+// TestChecksOfLinksStayWithinTheLimitOfAColdReplica guards against health requests that a cold replica gets on top of its limit.
+func TestChecksOfLinksStayWithinTheLimitOfAColdReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := swgroup.New(context.Background())
+		server := &respondingReplica{group: group, carriers: make(map[string][]net.Conn)}
+		pool := NewPool(PoolConfig{
+			Cold:       swlimit.NewPool(swlimit.Config{VMs: func() int { return 1 }}),
+			ColdLimit:  func(string) swlimit.Limit { return swlimit.Limit{Rate: 1, Burst: 2} },
+			HealthPath: func(string) string { return "/healthz" },
+			Dial:       server.dial, Group: group, Log: zerolog.Nop(),
+		})
+		registry := NewRegistry(RegistryConfig{Pool: pool})
+		registry.Update([]Entry{{ID: "a", Service: "s", DataCentre: "z", Slots: 4, WarmUpLeft: time.Minute}}, nil)
+		replica := registry.Find("a")
+		replica.Cold(time.Now())
+		time.Sleep(10 * time.Second)
+		for range 10 {
+			if result := replica.ping(t.Context()); result != swreach.CheckAnswered {
+				t.Errorf("the result of a check is %d, want %d", result, swreach.CheckAnswered)
+			}
+		}
+		server.mutex.Lock()
+		requests := len(server.carriers[""])
+		server.mutex.Unlock()
+		if requests < 1 || requests > 2 {
+			t.Errorf("the replica got %d health requests, want up to its limit of 2", requests)
+		}
+		if replica.takeCold(time.Now()) {
+			t.Error("a request is let through beyond the limit")
+		}
+		replica.Retire()
+		group.Stop()
+	})
+}
--- a/internal/swreplica/ping.go
+++ b/internal/swreplica/ping.go
@@ -14,14 +14,15 @@
 const pingDuration = time.Second
 
 // ping opens a connection to the replica for a health request. Any response shows that this VM reaches the replica; what it says is not read, as
-// the address may belong to another replica by now. If the service has no health path, a connection that stays open has to do.
+// the address may belong to another replica by now. If the service has no health path, or the replica is cold and takes no request now, a
+// connection that stays open has to do.
 func (replica *Replica) ping(ctx context.Context) swreach.CheckResult {
 	replica.mutex.Lock()
 	replica.triedAt = time.Now()
 	replica.mutex.Unlock()
 	entry := replica.entry.Load()
 	path := replica.pool.config.HealthPath(entry.Service)
-	if path == "" {
+	if path == "" || !replica.takeCold(time.Now()) {
 		if replica.Probe(ctx) {
 			return swreach.CheckAnswered
 		}
--- a/internal/swreplica/reach.go
+++ b/internal/swreplica/reach.go
@@ -249,17 +249,25 @@
 	return place.choose(func(replica *Replica) time.Duration { return -time.Since(replica.lastTry()) })
 }
 
-// choose returns checkWidth replicas that accept work with the lowest rank.
+// choose returns checkWidth replicas that accept work with the lowest rank. Cold ones that take no health request now come last.
 func (place *place) choose(rank func(replica *Replica) time.Duration) []*Replica {
 	ranks := make(map[*Replica]time.Duration)
-	var chosen []*Replica
+	var warm, cold []*Replica
 	for _, replica := range place.listed() {
-		if replica.AcceptsWork() {
-			ranks[replica] = rank(replica)
-			chosen = append(chosen, replica)
+		if !replica.AcceptsWork() {
+			continue
+		}
+		ranks[replica] = rank(replica)
+		if replica.Cold(time.Now()) {
+			cold = append(cold, replica)
+		} else {
+			warm = append(warm, replica)
 		}
 	}
-	slices.SortFunc(chosen, func(a, b *Replica) int { return cmp.Compare(ranks[a], ranks[b]) })
+	byRank := func(a, b *Replica) int { return cmp.Compare(ranks[a], ranks[b]) }
+	slices.SortFunc(warm, byRank)
+	slices.SortFunc(cold, byRank)
+	chosen := append(warm, cold...)
 	return chosen[:min(checkWidth, len(chosen))]
 }
 
