Forget the sendings of relayed requests a minute after their last attempt

A VM that relays requests for others kept on which connections it had sent each one until the request's deadline.

The sendings are now kept while an attempt is in progress, then until the deadline but for a minute at most.

--- a/internal/swrelay/sendings.go
+++ b/internal/swrelay/sendings.go
@@ -1,6 +1,7 @@
 package swrelay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -16,14 +17,24 @@
 	prunedAt time.Time
 }
 
-// relayedSendings are the sendings of one request, which are kept until no attempt can follow.
+// sendingsLifetime bounds the time for which the sendings of a request are kept after its latest attempt, as a client may name any deadline.
+const sendingsLifetime = time.Minute
+
+// relayedSendings are the sendings of one request, which are kept until no attempt is to be expected.
 type relayedSendings struct {
 	swreplica.Sendings
-	until time.Time
+	// attempts is the number of attempts in progress, and endedAt when the latest one ended.
+	attempts int
+	endedAt  time.Time
+	deadline time.Time
+}
+
+func (sendings *relayedSendings) expired(now time.Time) bool {
+	return sendings.attempts == 0 && (now.After(sendings.deadline) || now.Sub(sendings.endedAt) > sendingsLifetime)
 }
 
-// of returns the sendings of the request with an ID, to be kept until its deadline at least.
-func (sendingTable *sendingTable) of(now time.Time, requestID string, until time.Time) *swreplica.Sendings {
+// begin returns the sendings of the request with an ID for an attempt that begins now. The caller must call end when the attempt has ended.
+func (sendingTable *sendingTable) begin(now time.Time, requestID string, deadline time.Time) (sendings *swreplica.Sendings, end func(now time.Time)) {
 	sendingTable.mutex.Lock()
 	defer sendingTable.mutex.Unlock()
 	if sendingTable.byID == nil {
@@ -31,19 +42,21 @@
 	}
 	if now.Sub(sendingTable.prunedAt) > time.Second {
 		sendingTable.prunedAt = now
-		for id, sendings := range sendingTable.byID {
-			if now.After(sendings.until) {
-				delete(sendingTable.byID, id)
-			}
-		}
+		maps.DeleteFunc(sendingTable.byID, func(_ string, sendings *relayedSendings) bool { return sendings.expired(now) })
 	}
-	sendings, ok := sendingTable.byID[requestID]
+	known, ok := sendingTable.byID[requestID]
 	if !ok {
-		sendings = &relayedSendings{}
-		sendingTable.byID[requestID] = sendings
+		known = &relayedSendings{}
+		sendingTable.byID[requestID] = known
+	}
+	known.attempts++
+	if deadline.After(known.deadline) {
+		known.deadline = deadline
 	}
-	if until.After(sendings.until) {
-		sendings.until = until
+	return &known.Sendings, func(now time.Time) {
+		sendingTable.mutex.Lock()
+		defer sendingTable.mutex.Unlock()
+		known.attempts--
+		known.endedAt = now
 	}
-	return &sendings.Sendings
 }
--- a/internal/swrelay/server.go
+++ b/internal/swrelay/server.go
@@ -71,7 +71,9 @@
 	deadline := now.Add(attempt.Left)
 	request := NewRequest(&attempt, replica, server.config.Codec, deadline)
 	if attempt.Whole {
-		request.Sendings = server.sendings.of(now, attempt.RequestID, deadline)
+		sendings, end := server.sendings.begin(now, attempt.RequestID, deadline)
+		defer func() { end(time.Now()) }()
+		request.Sendings = sendings
 	}
 	replica.Reserve()
 	result := replica.Exchange(ctx, request)
