Hold back failures while the links are in doubt instead of dropping them

Cause: with several replicas that failed since the last answer, this VM's links are in doubt, and the failures of that moment were dropped.

Such a failure is now held back until the data centre answers or a check finds a replica, and then counts; it is dropped if the links are lost.

--- a/internal/swgateway/attempt.go
+++ b/internal/swgateway/attempt.go
@@ -135,8 +135,10 @@
 		replica.ObserveFailure(result.endedAt)
 		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed}
 	case swreplica.Broken:
-		if result.relay.Valid() || !replica.ReachDoubted() {
+		if result.relay.Valid() {
 			replica.ObserveFailure(result.endedAt)
+		} else {
+			replica.RecordFailure(result.endedAt, replica.ObserveFailure)
 		}
 		call.brokenAttempts = append(call.brokenAttempts, brokenAttempt{replica: replica, brokenAt: result.endedAt})
 		return swbackend.Answer{Outcome: swbackend.Broken, Ran: swcode.RanUnknown, Code: swcode.BackendFailed, Crash: call.request.route.Gathered()}
--- a/internal/swgateway/observations.go
+++ b/internal/swgateway/observations.go
@@ -67,7 +67,9 @@
 		case swreplica.RelayFailed, swreplica.Overlong, swreplica.LinksLost:
 			return
 		case swreplica.Broken:
-			if !result.relay.Valid() && result.replica.ReachDoubted() {
+			if !result.relay.Valid() {
+				id := result.replica.ID()
+				result.replica.RecordFailure(result.endedAt, func(now time.Time) { tracker.Observe(now, id, swobservation.Lost) })
 				return
 			}
 		}
--- a/internal/swreach/judge.go
+++ b/internal/swreach/judge.go
@@ -109,7 +109,7 @@
 	return servers > 0 && len(judge.silent) >= min(minSilent, servers)
 }
 
-// Doubted reports whether several servers speak against the links, so that the failure of one is no evidence of its own state.
+// Doubted reports whether several servers speak against the links, so that either these or the server may be at fault for a failure.
 func (judge *Judge) Doubted() bool {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
--- a/internal/swreplica/evacuation.go
+++ b/internal/swreplica/evacuation.go
@@ -30,6 +30,8 @@
 	sending atomic.Int64
 	watched atomic.Bool
 	links   atomic.Pointer[links]
+	// failures holds those for which either the links or a replica may be at fault.
+	failures deferredFailures
 	// returnOver is RegistryConfig.ReturnOver.
 	returnOver time.Duration
 	state      atomic.Pointer[placeState]
--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -263,11 +263,10 @@
 // recordUnresponsive records a request that was never answered. A replica that has answered nothing since the request was sent
 // receives no more requests until a probe succeeds.
 func (replica *Replica) recordUnresponsive(now, sentAt time.Time) {
-	if replica.ReachDoubted() {
-		return
-	}
-	replica.ObserveFailure(now)
-	if !replica.AnsweredSince(sentAt) {
-		replica.markDown()
-	}
+	replica.RecordFailure(now, func(now time.Time) {
+		replica.ObserveFailure(now)
+		if !replica.AnsweredSince(sentAt) {
+			replica.markDown()
+		}
+	})
 }
--- a/internal/swreplica/fault.go
+++ b/internal/swreplica/fault.go
@@ -33,7 +33,7 @@
 	switch {
 	case errors.Is(err, errRetired), errors.Is(err, errEvacuated):
 		return FaultUnknown
-	case replica.ReachDoubted():
+	case replica.place.judge.Doubted():
 		return FaultLinks
 	}
 	return FaultReplica
--- a/internal/swreplica/reach.go
+++ b/internal/swreplica/reach.go
@@ -31,12 +31,6 @@
 	return replica.place.judge.State()
 }
 
-// ReachDoubted reports whether several replicas speak against this VM's links to the data centre. A failure is then no evidence of the replica's
-// own state.
-func (replica *Replica) ReachDoubted() bool {
-	return replica.place.judge.Doubted()
-}
-
 // mayConnect reports whether requests and probes may open connections to the place. While its links are lost, only checks do.
 func (place *place) mayConnect() bool {
 	state := place.judge.State()
@@ -50,7 +44,9 @@
 
 // heard records that a response arrived on a connection that was opened at a time.
 func (place *place) heard(openedAt time.Time) {
-	place.judge.Heard(time.Now(), openedAt)
+	now := time.Now()
+	place.judge.Heard(now, openedAt)
+	place.settleFailures(now)
 }
 
 // observeUnanswered records that the replica's connection ended instead of an answer.
@@ -188,7 +184,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	place.judge.EndCheck(time.Now(), result)
+	place.endCheck(result)
 	if place.judge.State() != swreach.Lost {
 		return
 	}
@@ -208,6 +204,13 @@
 		Msg("this VM reaches the backend servers of a data centre again")
 }
 
+// endCheck ends a check, and decides whether the failures that led to it count.
+func (place *place) endCheck(result swreach.CheckResult) {
+	now := time.Now()
+	place.judge.EndCheck(now, result)
+	place.settleFailures(now)
+}
+
 // beginLoss ends what waits for connections that will not open, and for answers that will not arrive. Open connections are kept unless they were
 // found to be silent, as those may still work.
 func (place *place) beginLoss(evidence swreach.Evidence) {
--- a/internal/swreplica/replica_test.go
+++ b/internal/swreplica/replica_test.go
@@ -394,3 +394,38 @@
 		}
 	})
 }
+
+// TestFailuresCountUnlessTheLinksAreLost guards against replicas that lose answers unnoticed, as several do at once and this VM's links are in doubt,
+// and against counting the failures of lost links against replicas.
+func TestFailuresCountUnlessTheLinksAreLost(t *testing.T) {
+	for name, test := range map[string]struct {
+		settle func(place *place)
+		want   int
+	}{
+		"nothing else is known":       {func(*place) {}, 0},
+		"a replica answers":           {func(place *place) { place.heard(time.Now()) }, 2},
+		"a check finds them in order": {func(place *place) { place.endCheck(swreach.CheckAnswered) }, 2},
+		"a check finds them lost":     {func(place *place) { place.endCheck(swreach.CheckFailed) }, 0},
+		"an answer arrives while a check runs": {func(place *place) {
+			place.judge.BeginRelatedCheck()
+			place.heard(time.Now())
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			registry := NewRegistry(RegistryConfig{DataCentre: "dc", Pool: NewPool(PoolConfig{Log: zerolog.Nop()})})
+			registry.Update([]Entry{{ID: "a", Service: "s", DataCentre: "dc"}, {ID: "b", Service: "s", DataCentre: "dc"}}, nil)
+			place := registry.Find("a").place
+			counted := 0
+			for _, id := range []string{"a", "b"} {
+				place.judge.Unanswered(time.Now(), id)
+			}
+			for _, id := range []string{"a", "b"} {
+				registry.Find(id).RecordFailure(time.Now(), func(time.Time) { counted++ })
+			}
+			test.settle(place)
+			if counted != test.want {
+				t.Errorf("%d failures are counted, want %d", counted, test.want)
+			}
+		})
+	}
+}
