Blame links for a failed sending only when a check has found them lost

A VM to which several replicas refuse connections doubts its links. An attempt of that moment that could not be sent was said to fail for the links, before the check had ended: its sender tried other paths, and a relay that met it was passed over for 3 s by the VM that had asked it.

The fault is now named after the check: the links' if they are lost, the replica's otherwise.

TestReplicasThatRefuseConnectionsAreAtFault failed before: Links for the second and third of three replicas that are down beside one that is up.

--- a/internal/swreplica/exchange.go
+++ b/internal/swreplica/exchange.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		result := Result{Outcome: NotSent, Err: err}
 		if ctx.Err() == nil {
-			result.Fault = replica.faultOf(err)
+			result.Fault = replica.faultOf(ctx, err)
 		}
 		return result
 	}
@@ -119,7 +119,7 @@
 		connection.Close()
 		replica.observeUnanswered()
 		if !sent {
-			return Result{Outcome: NotSent, Err: err, Fault: replica.faultOf(err)}
+			return Result{Outcome: NotSent, Err: err, Fault: replica.faultOf(ctx, err)}
 		}
 		return Result{Outcome: Broken, Err: err, SentAt: now}
 	}
--- a/internal/swreplica/fault.go
+++ b/internal/swreplica/fault.go
@@ -1,6 +1,10 @@
 package swreplica
 
-import "github.com/pkg/errors"
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
 
 // Fault is what prevented the sending of an attempt. Only that of the replica says something about the replica.
 type Fault int
@@ -11,7 +15,7 @@
 	FaultUnknown Fault = 0
 	// FaultReplica is that the replica accepts no connection or leaves, as found by a VM that reaches others in its data centre.
 	FaultReplica Fault = 1
-	// FaultLinks is that this VM does not reach the data centre of the replica, or that this is in doubt.
+	// FaultLinks is that this VM does not reach the data centre of the replica.
 	FaultLinks Fault = 2
 	// FaultRelay is that the VM that was to relay the attempt does not reach the data centre, or serves no others now.
 	FaultRelay Fault = 3
@@ -28,13 +32,14 @@
 	return names[fault]
 }
 
-// faultOf returns what prevented a connection to the replica.
-func (replica *Replica) faultOf(err error) Fault {
-	switch {
-	case errors.Is(err, errRetired), errors.Is(err, errEvacuated):
+// faultOf returns what prevented a connection to the replica. It waits while this VM's links are being checked.
+func (replica *Replica) faultOf(ctx context.Context, err error) Fault {
+	if errors.Is(err, errRetired) || errors.Is(err, errEvacuated) {
 		return FaultUnknown
-	case replica.place.judge.Doubted():
-		return FaultLinks
 	}
-	return FaultReplica
+	replica.AwaitReach(ctx)
+	if replica.place.mayConnect() {
+		return FaultReplica
+	}
+	return FaultLinks
 }
--- a/internal/swreplica/replica_test.go
+++ b/internal/swreplica/replica_test.go
@@ -429,3 +429,47 @@
 		})
 	}
 }
+
+// TestReplicasThatRefuseConnectionsAreAtFault guards against attempts at replicas that are down which are sent on other paths, and against relays
+// that are passed over for that. Several are down at once, so that this VM's links are in doubt, and found in order.
+func TestReplicasThatRefuseConnectionsAreAtFault(t *testing.T) {
+	for _, reachable := range []bool{true, false} {
+		t.Run(fmt.Sprintf("one is reachable: %v", reachable), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				group := swgroup.New(context.Background())
+				server := &respondingReplica{group: group, carriers: make(map[string][]net.Conn)}
+				up := netip.MustParseAddrPort("10.0.0.1:1")
+				pool := NewPool(PoolConfig{Group: group, Log: zerolog.Nop(), Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+					if address != up || !reachable {
+						return nil, errors.New("refused")
+					}
+					return server.dial(ctx, address)
+				}})
+				registry := NewRegistry(RegistryConfig{Pool: pool})
+				entries := []Entry{{ID: "up", Service: "s", DataCentre: "dc", Address: up}}
+				for _, id := range []string{"a", "b", "c"} {
+					entries = append(entries, Entry{ID: id, Service: "s", DataCentre: "dc"})
+				}
+				registry.Update(entries, nil)
+				faults := make(map[string]Fault)
+				for _, entry := range entries[1:] {
+					replica := registry.Find(entry.ID)
+					replica.Reserve()
+					result := replica.Exchange(t.Context(), &Request{Deadline: time.Now().Add(time.Second)})
+					faults[entry.ID] = result.Fault
+				}
+				want := map[string]Fault{"a": FaultReplica, "b": FaultReplica, "c": FaultReplica}
+				if !reachable {
+					want["c"] = FaultLinks
+				}
+				if diff := cmp.Diff(want, faults); diff != "" {
+					t.Error("faults (-want +got):\n" + diff)
+				}
+				for _, entry := range entries {
+					registry.Find(entry.ID).Retire()
+				}
+				group.Stop()
+			})
+		})
+	}
+}
