Let a check of links wait for an answer before it pings replicas

A check now waits 20 ms first, and sends nothing if the data centre answers meanwhile. A check because another data centre was lost does not wait.

TestAnswersMakePingsUnnecessary failed before.

--- a/internal/swreach/judge.go
+++ b/internal/swreach/judge.go
@@ -161,6 +161,13 @@
 	judge.refused[server] = struct{}{}
 }
 
+// Refuted reports whether no server speaks against the links any more.
+func (judge *Judge) Refuted() bool {
+	judge.mutex.Lock()
+	defer judge.mutex.Unlock()
+	return len(judge.silent) == 0 && len(judge.refused) == 0
+}
+
 // Refused returns the number of servers that could not be connected to since the last connection was opened.
 func (judge *Judge) Refused() int {
 	judge.mutex.Lock()
--- a/internal/swreplica/reach.go
+++ b/internal/swreplica/reach.go
@@ -14,6 +14,8 @@
 const (
 	// checkWidth is the number of replicas of a data centre that a check of this VM's links pings at once.
 	checkWidth = 3
+	// checkDelay is the time in which an answer or a new connection makes the pings of a check unnecessary.
+	checkDelay = 20 * time.Millisecond
 	// checkTimeout bounds a check in this region, and farCheckTimeout one in another. Both allow several round trips and a slow accept.
 	checkTimeout    = 120 * time.Millisecond
 	farCheckTimeout = 250 * time.Millisecond
@@ -176,10 +178,15 @@
 	place.pool.config.Group.Go(func(ctx context.Context) { place.check(ctx, evidence) })
 }
 
-// check pings the replicas that answered last. If none of them can be reached, the links are lost until one is.
+// check pings the replicas that answered last, unless the evidence is refuted at once. If none of them can be reached, the links are lost until
+// one is.
 func (place *place) check(ctx context.Context, evidence swreach.Evidence) {
 	pool := place.pool
 	pool.config.CountEvent("reach_checks", 1)
+	if evidence != swreach.Related && swtimer.Wait(ctx, checkDelay) == nil && place.judge.Refuted() {
+		place.endCheck(swreach.CheckAnswered)
+		return
+	}
 	result := place.pingAny(ctx, place.bestReached())
 	if ctx.Err() != nil {
 		return
--- a/internal/swreplica/replica_test.go
+++ b/internal/swreplica/replica_test.go
@@ -473,3 +473,34 @@
 		})
 	}
 }
+
+// TestAnswersMakePingsUnnecessary guards against pings to replicas, and failures that are held back meanwhile, whenever several lose answers.
+func TestAnswersMakePingsUnnecessary(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		t.Run(fmt.Sprintf("a replica answers: %v", answers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				group := swgroup.New(context.Background())
+				dialer := &fakeDialer{}
+				registry := NewRegistry(RegistryConfig{Pool: NewPool(PoolConfig{Group: group, Dial: dialer.dial, Log: zerolog.Nop()})})
+				registry.Update([]Entry{{ID: "a", Service: "s", DataCentre: "dc"}, {ID: "b", Service: "s", DataCentre: "dc"}}, nil)
+				place := registry.Find("a").place
+				registry.Find("a").observeUnanswered()
+				registry.Find("b").observeUnanswered()
+				if answers {
+					place.heard(time.Now())
+				}
+				time.Sleep(time.Second)
+				dialer.mutex.Lock()
+				pinged := dialer.dials > 0
+				dialer.mutex.Unlock()
+				if pinged == answers || place.judge.State() != swreach.Reached {
+					t.Errorf("pings were sent: %v; the links are %v", pinged, place.judge.State())
+				}
+				for _, id := range []string{"a", "b"} {
+					registry.Find(id).Retire()
+				}
+				group.Stop()
+			})
+		})
+	}
+}
