Ask other VMs again early while no detour is known

A VM without links that had asked all others and learned of no detour waited 2 s until it asked one of them again, and 3 s for one that had failed as a relay, even if that one had said meanwhile that it reaches the servers. While links and VMs came and went, clients of VMs with a way round were refused.

While a detour is missing, a round now asks up to eight VMs again rather than none, and an answer that names a data centre ends the suspicion.

The bound stays, and the rule itself is checked beside it: VMs without links serve two thirds as often as others.

--- a/internal/swgateway/fleet_test.go
+++ b/internal/swgateway/fleet_test.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// cutKind returns how the link is cut.
+func (link *link) cutKind() cutKind {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	return link.cut
+}
+
 // counts returns the number of connections that were tried.
 func (link *link) counts() int {
 	link.mutex.Lock()
@@ -268,6 +275,16 @@
 	return testFleet.lostPeers[address]
 }
 
+// hasWay reports whether another VM reaches the replicas and can be reached.
+func (testFleet *testFleet) hasWay(vm *fleetVM) bool {
+	for _, other := range testFleet.vms {
+		if other != vm && other.link.cutKind() == cutNone && !testFleet.isLost(other.relay.Address) {
+			return true
+		}
+	}
+	return false
+}
+
 // Reconnect has no effect.
 func (*testFleet) Reconnect(netip.AddrPort) {}
 
--- a/internal/swgateway/stranded_test.go
+++ b/internal/swgateway/stranded_test.go
@@ -82,6 +82,8 @@
 		detourRoutes(testFleet)
 		random := rand.New(rand.NewPCG(1, 2))
 		statuses := make(map[string]int)
+		// sent and served count the requests at VMs with links, and at those without that have a way through another VM.
+		var sent, served struct{ direct, detoured float64 }
 		var mutex sync.Mutex
 		var waitGroup sync.WaitGroup
 		for i := range 4000 {
@@ -91,17 +93,28 @@
 				testFleet.setLost(testFleet.vms[random.IntN(len(testFleet.vms))], random.IntN(3) == 0)
 			}
 			vm := testFleet.vms[random.IntN(len(testFleet.vms))]
+			hasLinks, hasWay := vm.link.cutKind() == cutNone, testFleet.hasWay(vm)
 			waitGroup.Go(func() {
 				id, recorder := testFleet.sendIdentified(vm, "once", "body")
 				mutex.Lock()
 				defer mutex.Unlock()
 				statuses[id] = recorder.Code
+				ok := 0.0
+				if recorder.Code == http.StatusOK {
+					ok = 1
+				}
+				switch {
+				case hasLinks:
+					sent.direct, served.direct = sent.direct+1, served.direct+ok
+				case hasWay:
+					sent.detoured, served.detoured = sent.detoured+1, served.detoured+ok
+				}
 			})
 			time.Sleep(5 * time.Millisecond)
 		}
 		waitGroup.Wait()
 		time.Sleep(10 * time.Second)
-		received, served := testFleet.received(), 0
+		received, servedInAll := testFleet.received(), 0
 		for id, status := range statuses {
 			switch {
 			case received[id] > 1:
@@ -109,11 +122,16 @@
 			case status == http.StatusServiceUnavailable && received[id] > 0:
 				t.Errorf("request %s was refused and has run", id)
 			case status == http.StatusOK:
-				served++
+				servedInAll++
 			}
 		}
-		if served < len(statuses)*2/3 {
-			t.Errorf("%d of %d requests were served, want two thirds", served, len(statuses))
+		if servedInAll < len(statuses)*2/3 {
+			t.Errorf("%d of %d requests were served, want two thirds", servedInAll, len(statuses))
+		}
+		direct, detoured := served.direct/sent.direct, served.detoured/sent.detoured
+		t.Logf("served %.3f of %v at VMs with links, %.3f of %v at those with a way", direct, sent.direct, detoured, sent.detoured)
+		if detoured < direct*2/3 {
+			t.Errorf("VMs without links served %.3f of the requests, the others %.3f; want two thirds of that", detoured, direct)
 		}
 	})
 }
--- a/internal/swrelay/detour.go
+++ b/internal/swrelay/detour.go
@@ -137,6 +137,7 @@
 	vms := client.config.VMs()
 	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
 	asked := make(map[string]int)
+	var notDue []Relay
 	isDue := func(vm Relay) bool {
 		if said, ok := detours.said[vm.Address]; ok && len(said.dataCentres) > 0 {
 			return true
@@ -146,6 +147,7 @@
 	rest := slices.DeleteFunc(vms, func(vm Relay) bool {
 		_, lost := detours.lost[vm.DataCentre]
 		if !isDue(vm) {
+			notDue = append(notDue, vm)
 			return true
 		}
 		if lost && asked[vm.DataCentre] < askedPerCentre && len(targets) < maxAsked {
@@ -156,6 +158,10 @@
 		return false
 	})
 	targets = append(targets, rest[:min(len(rest), max(0, minAsked-len(targets)))]...)
+	// While a detour is missing, those that reached nothing are asked again early rather than none.
+	if early := minAsked - len(targets); early > 0 && detours.missesWay(now) {
+		targets = append(targets, notDue[:min(len(notDue), early)]...)
+	}
 	for _, target := range targets {
 		detours.askedAt[target.Address] = now
 	}
@@ -176,6 +182,9 @@
 		return
 	}
 	detours.said[target.Address] = saidReach{relay: target, dataCentres: reply.DataCentres, at: time.Now()}
+	if len(reply.DataCentres) > 0 {
+		client.recordReply(target)
+	}
 	detours.signal()
 }
 
@@ -188,13 +197,20 @@
 		centre.searched = true
 	}
 	detours.signal()
-	now := time.Now()
+	if detours.missesWay(time.Now()) {
+		return searchInterval
+	}
+	return refreshInterval
+}
+
+// missesWay reports whether no detour is known to one of the lost data centres, or none was sought yet. The caller holds the mutex.
+func (detours *detours) missesWay(now time.Time) bool {
 	for dataCentre, centre := range detours.lost {
 		if !centre.searched || !detours.knowsWayTo(now, dataCentre) {
-			return searchInterval
+			return true
 		}
 	}
-	return refreshInterval
+	return false
 }
 
 // knowsWayTo reports whether a VM has said that it reaches a data centre. The caller holds the mutex.
