--- a/internal/swgateway/attempt.go
+++ b/internal/swgateway/attempt.go
@@ -122,7 +122,8 @@
 	switch result.replicaResult.Outcome {
 	case swreplica.NotSent:
 		call.displaced = call.displaced || !call.mayPlaceAt(replica) || !result.relay.Valid() && result.replicaResult.RetryAfter > 0
-		if result.relay.Valid() && result.replicaResult.Fault == swreplica.FaultReplica {
+		refused := result.replicaResult.Fault == swreplica.FaultRefused && !result.detoured
+		if result.relay.Valid() && (result.replicaResult.Fault == swreplica.FaultReplica || refused) {
 			replica.ObserveFailure(result.endedAt)
 		}
 		return swbackend.Answer{Outcome: swbackend.Unreachable, Ran: swcode.RanNo, Code: swcode.NoReplica}
--- a/internal/swgateway/path.go
+++ b/internal/swgateway/path.go
@@ -103,11 +103,16 @@
 		return false
 	}
 	switch result.replicaResult.Fault {
-	case swreplica.FaultLinks, swreplica.FaultRelay, swreplica.FaultRefused:
-		return call.mayEncodeFor(result.replica) && result.replica.AcceptsWork()
 	case swreplica.FaultUnknown, swreplica.FaultReplica:
+		return false
+	case swreplica.FaultRefused:
+		// A usual relay near the replica that does not know it has heard of a change first.
+		if !result.detoured {
+			return false
+		}
+	case swreplica.FaultLinks, swreplica.FaultRelay:
 	}
-	return false
+	return call.mayEncodeFor(result.replica) && result.replica.AcceptsWork()
 }
 
 // nextPath returns the path to a replica after one that failed. It waits until this VM's links have been checked and, if they are lost, until
--- a/internal/swgateway/stranded_test.go
+++ b/internal/swgateway/stranded_test.go
@@ -205,3 +205,29 @@
 		}
 	})
 }
+
+// TestReplicaUnknownToItsRelayIsNotDialled guards against connections to other regions, at a VM with its links, for replicas that have just been
+// replaced. Another replica of the shard is asked instead.
+func TestReplicaUnknownToItsRelayIsNotDialled(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		testFleet := newTestFleet(t, 2)
+		defer testFleet.close()
+		search := gatheredRoute(6, 1)
+		testFleet.setRoutes(search)
+		for _, shard := range search.Shards {
+			testFleet.addReplica(shard, "b")
+			gone := testFleet.addReplica(shard, "b").id
+			for _, vm := range testFleet.vms[2:] {
+				vm.registry.Update(nil, []string{gone})
+			}
+		}
+		sender := testFleet.vms[:1]
+		got := testFleet.load(sender, "gathered", 20*time.Millisecond, time.Second)
+		if diff := cmp.Diff(map[int]int{http.StatusOK: 50}, got); diff != "" {
+			t.Error("responses (-want +got):\n" + diff)
+		}
+		if tries := sender[0].link.counts(); tries > 0 {
+			t.Errorf("%d connections to another region were tried", tries)
+		}
+	})
+}
