Delay checks of links only for answers lost among others

The delay of checks also held up the detection of silent links, from which nothing had arrived for 100 ms anyway, and of refused connections. It now applies only where another answer arrived within the last 100 ms.

--- a/internal/swreplica/reach.go
+++ b/internal/swreplica/reach.go
@@ -183,9 +183,12 @@
 func (place *place) check(ctx context.Context, evidence swreach.Evidence) {
 	pool := place.pool
 	pool.config.CountEvent("reach_checks", 1)
-	if evidence != swreach.Related && swtimer.Wait(ctx, checkDelay) == nil && place.judge.Refuted() {
-		place.endCheck(swreach.CheckAnswered)
-		return
+	if evidence == swreach.Silent && time.Since(place.judge.HeardAt()) < swreach.Silence {
+		// Several replicas that lose answers at once among others that answer are more likely than lost links.
+		if swtimer.Wait(ctx, checkDelay) == nil && place.judge.Refuted() {
+			place.endCheck(swreach.CheckAnswered)
+			return
+		}
 	}
 	result := place.pingAny(ctx, place.bestReached())
 	if ctx.Err() != nil {
--- a/internal/swreplica/replica_test.go
+++ b/internal/swreplica/replica_test.go
@@ -451,6 +451,7 @@
 					entries = append(entries, Entry{ID: id, Service: "s", DataCentre: "dc"})
 				}
 				registry.Update(entries, nil)
+				registry.Find("up").ObserveLatency(time.Now(), time.Millisecond)
 				faults := make(map[string]Fault)
 				for _, entry := range entries[1:] {
 					replica := registry.Find(entry.ID)
