--- a/internal/swreplica/evacuation.go
+++ b/internal/swreplica/evacuation.go
@@ -24,11 +24,9 @@
 	pool     *Pool
 	// replicas holds the listed replicas there.
 	replicas atomic.Pointer[[]*Replica]
-	// judge judges this VM's links to the place. sending is the number of requests that are in flight there directly, and watched is set while
-	// their answers are watched for.
+	// judge judges this VM's links to the place. sending is the number of requests that are in flight there directly.
 	judge   swreach.Judge
 	sending atomic.Int64
-	watched atomic.Bool
 	links   atomic.Pointer[links]
 	// failures holds those for which either the links or a replica may be at fault.
 	failures deferredFailures
--- a/internal/swreplica/reach.go
+++ b/internal/swreplica/reach.go
@@ -66,30 +66,33 @@
 // beginSending counts a request that was sent to the place directly, until endSending, and watches for its answer.
 func (place *place) beginSending() {
 	place.sending.Add(1)
-	place.watch()
+	place.registry.sending.Add(1)
+	place.registry.watch()
 }
 
 func (place *place) endSending() {
 	place.sending.Add(-1)
+	place.registry.sending.Add(-1)
 }
 
-// watch looks for overdue answers while requests are in flight.
-func (place *place) watch() {
-	if place.watched.CompareAndSwap(false, true) {
-		place.pool.config.Group.Go(place.watchAnswers)
+// watch looks for overdue answers of all places while requests are in flight.
+func (registry *Registry) watch() {
+	if registry.watched.CompareAndSwap(false, true) {
+		registry.config.Pool.config.Group.Go(registry.watchAnswers)
 	}
 }
 
-func (place *place) watchAnswers(ctx context.Context) {
-	for swtimer.Wait(ctx, swreach.Silence) == nil {
-		if place.sending.Load() == 0 {
-			break
+func (registry *Registry) watchAnswers(ctx context.Context) {
+	for registry.sending.Load() > 0 && swtimer.Wait(ctx, swreach.Silence) == nil {
+		for _, place := range registry.otherPlaces(nil) {
+			if place.sending.Load() > 0 {
+				place.findOverdue(time.Now())
+			}
 		}
-		place.findOverdue(time.Now())
 	}
-	place.watched.Store(false)
-	if place.sending.Load() > 0 && ctx.Err() == nil {
-		place.watch()
+	registry.watched.Store(false)
+	if registry.sending.Load() > 0 && ctx.Err() == nil {
+		registry.watch()
 	}
 }
 
@@ -389,7 +392,7 @@
 	return replica.triedAt
 }
 
-// otherPlaces returns the places other than one.
+// otherPlaces returns the places other than one; all if it is nil.
 func (registry *Registry) otherPlaces(excluded *place) []*place {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
--- a/internal/swreplica/registry.go
+++ b/internal/swreplica/registry.go
@@ -33,6 +33,9 @@
 	// places holds the data centres by name that have replicas or an evacuation.
 	places   map[string]*place
 	services atomic.Pointer[map[string][]*Replica]
+	// sending is the number of requests in flight directly, and watched is set while their answers are watched for.
+	sending atomic.Int64
+	watched atomic.Bool
 }
 
 // removedReplica holds what a replica said whose entry was removed.
